--- a/crates/bench-control/src/spread/leases.rs
+++ b/crates/bench-control/src/spread/leases.rs
@@ -1,7 +1,7 @@
 //! Store calls by which control leases are held and waited for.
 
+use carawayseam_external::kv::{Entry, Lease as Granted, PutReply};
 use carawayseam_lease::{Lease, LeaseAction, LeaseConfig, LeaseEvent, StoreAnswer, StoreCall};
-use carawayseam_platform::kv::{Entry, Lease as Granted, PutReply};
 use carawayseam_types::Millis;
 
 use crate::report::{Bound, Row};
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -4,8 +4,8 @@
 use std::path::{Path, PathBuf};
 
 use carawayseam_config::Document;
+use carawayseam_external::kv::PutRequest;
 use carawayseam_node::{CurrentDocument, current_key, moves_prefix};
-use carawayseam_platform::kv::PutRequest;
 use carawayseam_rollout::MoveRecord;
 use carawayseam_types::{Clock, Digest, EngineId, EnvironmentId, MoveId, Nonce, Revision};
 use serde::Serialize;
--- a/crates/cli/src/promotion.rs
+++ b/crates/cli/src/promotion.rs
@@ -5,8 +5,8 @@
 //! of the store, so it can be repeated after a lost answer: at most one of
 //! the repeats takes effect, and the nonce in the store tells whose it was.
 
+use carawayseam_external::kv::{Entry, PutRequest};
 use carawayseam_node::{CurrentDocument, current_key};
-use carawayseam_platform::kv::{Entry, PutRequest};
 use carawayseam_types::{Digest, EnvironmentId, Millis, Nonce, Revision};
 use derive_more::{Display, Error};
 use serde_json::Error as JsonError;
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -4,8 +4,8 @@
 use std::fmt;
 
 use carawayseam_config::Document;
+use carawayseam_external::kv::{Entry, Range};
 use carawayseam_node::CurrentDocument;
-use carawayseam_platform::kv::{Entry, Range};
 use carawayseam_rollout::{Cause, MoveRecord, Phase};
 use carawayseam_types::{
     BackendName, Clock, Digest, EnvironmentId, Millis, MoveId, Permille, Revision, VersionId,
--- a/crates/cli/src/store.rs
+++ b/crates/cli/src/store.rs
@@ -1,7 +1,7 @@
 //! Calls of the store, repeated within bounds.
 
 use carawayseam_clients::{CallError, Http, KvClient, PutOutcome};
-use carawayseam_platform::kv::{Entry, PutRequest, Range};
+use carawayseam_external::kv::{Entry, PutRequest, Range};
 use carawayseam_types::{Millis, Nonce};
 
 use crate::error::CliError;
--- a/crates/cli/src/trial.rs
+++ b/crates/cli/src/trial.rs
@@ -2,7 +2,7 @@
 
 use carawayseam_clients::{CallError, EngineClient};
 use carawayseam_config::{BackendKind, Document, EngineSpec};
-use carawayseam_platform::service::{STATE_PATH, ServerState};
+use carawayseam_external::service::{STATE_PATH, ServerState};
 use carawayseam_types::{EngineId, Millis, VersionId};
 use compact_str::CompactString;
 use futures_util::{StreamExt, stream};
--- a/crates/cli/tests/promotion.rs
+++ b/crates/cli/tests/promotion.rs
@@ -1,8 +1,8 @@
 //! Promotions over a store that loses requests and answers, without I/O.
 
 use carawayseam_cli::{Accepted, Promotion, Proposal, Refused, Reply, Step, Trial};
+use carawayseam_external::kv::{Entry, PutRequest};
 use carawayseam_node::CurrentDocument;
-use carawayseam_platform::kv::{Entry, PutRequest};
 use carawayseam_types::{Digest, Millis, Nonce, Revision};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
--- a/crates/clients/src/claims.rs
+++ b/crates/clients/src/claims.rs
@@ -4,7 +4,7 @@
     Claim, ClaimValue, CreateReply, Held, Identity, Progress, ReadReply, Settled, StoredClaim, Unproved,
     key_of,
 };
-use carawayseam_platform::kv::{Entry, PutRequest};
+use carawayseam_external::kv::{Entry, PutRequest};
 use carawayseam_types::{Digest, EnvironmentId, Millis, Nonce, OrganisationId, RequestId};
 
 use crate::{CallError, KvClient, PutOutcome};
--- a/crates/clients/src/engine.rs
+++ b/crates/clients/src/engine.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::{Buf, Bytes, BytesMut};
-use carawayseam_platform::engine::{
+use carawayseam_external::engine::{
     AttemptRef, CACHE_EVENTS_PATH, CANCEL_PATH, CacheEvents, CancelRequest, EngineState, Frame,
     GENERATE_PATH, GenerateRequest, KV_EXPORT_PATH, KvExport, KvExportRequest, LOAD_PATH, LoadReport,
     ORDER_PATH, Order, STATE_PATH,
--- a/crates/clients/src/hosts.rs
+++ b/crates/clients/src/hosts.rs
@@ -1,6 +1,6 @@
 //! The platform's host list.
 
-use carawayseam_platform::hosts::{HOSTS_PATH, HostList};
+use carawayseam_external::hosts::{HOSTS_PATH, HostList};
 
 use crate::http::send_json;
 use crate::{CallError, Http};
--- a/crates/clients/src/kv.rs
+++ b/crates/clients/src/kv.rs
@@ -1,6 +1,6 @@
 //! The platform's key-value service.
 
-use carawayseam_platform::kv::{
+use carawayseam_external::kv::{
     Conflict, Entry, GET_PATH, GRANT_PATH, GrantRequest, Lease, LeaseRequest, PUT_PATH, PutReply, PutRequest,
     RANGE_PATH, RENEW_PATH, REVOKE_PATH, Range, WATCH_PATH,
 };
--- a/crates/clients/src/service.rs
+++ b/crates/clients/src/service.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use carawayseam_platform::service::{Answer, CALL_PATH, Call};
+use carawayseam_external::service::{Answer, CALL_PATH, Call};
 use carawayseam_types::Millis;
 
 use crate::http::send_json;
--- a/crates/clients/tests/no_resend.rs
+++ b/crates/clients/tests/no_resend.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use carawayseam_clients::{CallError, ServiceClient};
-use carawayseam_platform::service::{Answer, Call};
+use carawayseam_external::service::{Answer, Call};
 use carawayseam_types::Millis;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 
 use carawayseam_clients::{CallError, EngineClient, HostListClient, KvClient, PutOutcome};
+use carawayseam_external::engine::EngineLoadout;
+use carawayseam_external::kv::{Conflict, Entry, PutReply, PutRequest};
 use carawayseam_lease::{OrderOutcome, OrderPermit, PlanEvent, StoreAnswer, StoreCall};
-use carawayseam_platform::engine::EngineLoadout;
-use carawayseam_platform::kv::{Conflict, Entry, PutReply, PutRequest};
 use carawayseam_rollout::MoveRecord;
 use carawayseam_types::{Clock, EngineId, Millis};
 
--- a/crates/control/src/state/apply.rs
+++ b/crates/control/src/state/apply.rs
@@ -2,10 +2,10 @@
 
 use std::net::SocketAddr;
 
+use carawayseam_external::engine::EngineLoadout;
 use carawayseam_lease::{LeaseAction, LeaseEvent, OrderOutcome, PlanAction, PlanEvent};
 use carawayseam_membership::{Action as MembershipAction, Event as MembershipEvent, WatchAction, WatchEvent};
 use carawayseam_node::{current_key, pull_record, send};
-use carawayseam_platform::engine::EngineLoadout;
 use carawayseam_rollout::DriverEvent;
 use carawayseam_types::{EngineId, Millis};
 use carawayseam_wire::{RecordKey, Topic, encode};
--- a/crates/control/src/state/messages.rs
+++ b/crates/control/src/state/messages.rs
@@ -2,10 +2,10 @@
 
 use std::net::SocketAddr;
 
+use carawayseam_external::hosts::HostList;
+use carawayseam_external::kv::Range;
 use carawayseam_lease::{CallId, LeaseDump, PlanEvent, PlannerDump, StoreAnswer};
 use carawayseam_membership::MembershipDump;
-use carawayseam_platform::hosts::HostList;
-use carawayseam_platform::kv::Range;
 use carawayseam_rollout::MoveRecord;
 use carawayseam_types::{BackendName, EnvironmentId, HostId, Incarnation, Millis};
 use carawayseam_wire::{Datagram, Head, Record, RecordKey, WireError};
--- a/crates/control/src/state/news.rs
+++ b/crates/control/src/state/news.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use carawayseam_config::Document;
+use carawayseam_external::kv::{Entry, Range};
 use carawayseam_lease::PlanEvent;
 use carawayseam_membership::{Event as MembershipEvent, WatchEvent, watchers};
 use carawayseam_node::{CurrentDocument, current_key, moves_prefix, record_of};
-use carawayseam_platform::kv::{Entry, Range};
 use carawayseam_rollout::{DriverEvent, Evidence, MoveRecord};
 use carawayseam_types::{BackendName, EnvironmentId, Millis, MoveId, Revision};
 use carawayseam_wire::{Item, Peer, Record, RecordKey, Topic, decode};
--- /dev/null
+++ b/crates/dispatch/src/dispatcher.rs
@@ -0,0 +1,468 @@
+//! Queues before the backends, and the choice of a backend server for each request.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+use carawayseam_types::{BackendName, EngineId, HostId, Millis, Tier, VersionId, ZoneId};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde::Serialize;
+
+use crate::engine::{AttemptEnd, Engine, EngineEntry, Part, PeerLoad};
+use crate::pool::{Pool, Waiting};
+use crate::retries::{RetryBounds, RetryBudget};
+
+/// The time to come back that a refused caller is told at least.
+const LEAST_RETRY_AFTER: Millis = Millis(250);
+/// The time to come back that a refused caller is told at most.
+const MOST_RETRY_AFTER: Millis = Millis(2_000);
+
+/// Names a request while it waits or runs on this host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display)]
+pub struct Ticket(pub u64);
+
+/// What decides where and when a request runs.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// The backend.
+    pub backend: BackendName,
+    /// The version that must run it, during a move.
+    pub version: Option<VersionId>,
+    /// Its rank.
+    pub tier: Tier,
+    /// When its first event or its answer is wanted.
+    pub objective: Millis,
+    /// When it is refused if it still waits.
+    pub give_up: Millis,
+    /// The prompt's length in tokens; 0 for plain services.
+    pub prompt: u32,
+    /// The parts of the prompt in order.
+    pub parts: Vec<Part>,
+    /// Servers that it was sent to before.
+    pub tried: Vec<EngineId>,
+}
+
+/// What the host is to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send the request to a server.
+    Start {
+        /// The request.
+        ticket: Ticket,
+        /// The server.
+        engine: EngineId,
+        /// Its address.
+        address: SocketAddr,
+        /// Its version.
+        version: VersionId,
+        /// The expected time to the first event, or to a plain answer.
+        expected: Millis,
+    },
+    /// Answer that the request did not run.
+    Refuse {
+        /// The request.
+        ticket: Ticket,
+        /// When the caller should come back.
+        retry_after: Millis,
+    },
+}
+
+#[derive(Debug)]
+struct Running {
+    backend: BackendName,
+    engine: EngineId,
+    started: Millis,
+    /// Tokens to read before the first event, this request's own among them.
+    ahead: f64,
+    /// This request's own part of them.
+    own: f64,
+    is_first_event_due: bool,
+    parts: Vec<Part>,
+}
+
+/// What this host announces to its peers.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct OwnLoad {
+    /// What this host has running, by server.
+    pub engines: Vec<(EngineId, PeerLoad)>,
+    /// Requests that wait here, by backend and tier.
+    pub waiting: Vec<(BackendName, Tier, u32)>,
+}
+
+/// What this host knows of one server, for operators.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct EngineDump {
+    /// The server.
+    pub engine: EngineId,
+    /// Its backend.
+    pub backend: BackendName,
+    /// Its version.
+    pub version: VersionId,
+    /// Whether it takes work now.
+    pub takes_work: bool,
+    /// This host's requests there.
+    pub running: u32,
+    /// All hosts' requests there.
+    pub used: u32,
+    /// The share of attempts that failed lately.
+    pub failure_share: f64,
+    /// The learned time between events, in milliseconds.
+    pub event_ms: f64,
+    /// The learned time to read a thousand prompt tokens, in milliseconds.
+    pub thousand_tokens_ms: f64,
+}
+
+/// Decides for one host.
+#[derive(Debug)]
+pub struct Dispatcher {
+    zone: ZoneId,
+    now: Millis,
+    rng: StdRng,
+    next_ticket: u64,
+    pools: HashMap<BackendName, Pool>,
+    budgets: HashMap<BackendName, RetryBudget>,
+    bounds: RetryBounds,
+    hosts: u32,
+    running: HashMap<Ticket, Running>,
+    waiting_at: HashMap<Ticket, BackendName>,
+    peers_waiting: HashMap<HostId, (Millis, Vec<(BackendName, Tier, u32)>)>,
+}
+
+impl Dispatcher {
+    /// Makes a dispatcher that knows no server yet.
+    #[must_use]
+    pub fn new(zone: ZoneId, bounds: RetryBounds, seed: u64) -> Self {
+        Self {
+            zone,
+            now: Millis::ZERO,
+            rng: StdRng::seed_from_u64(seed),
+            next_ticket: 1,
+            pools: HashMap::new(),
+            budgets: HashMap::new(),
+            bounds,
+            hosts: 1,
+            running: HashMap::new(),
+            waiting_at: HashMap::new(),
+            peers_waiting: HashMap::new(),
+        }
+    }
+
+    /// Takes the number of hosts that share the retry budget.
+    pub fn set_hosts(&mut self, hosts: u32) {
+        self.hosts = hosts;
+        for budget in self.budgets.values_mut() {
+            budget.set_hosts(hosts);
+        }
+    }
+
+    /// Takes the servers that are there now.
+    pub fn set_engines(&mut self, now: Millis, entries: Vec<EngineEntry>) -> Vec<Action> {
+        self.now = self.now.max(now);
+        let mut by_backend: HashMap<BackendName, Vec<EngineEntry>> = HashMap::new();
+        for entry in entries {
+            by_backend.entry(entry.backend.clone()).or_default().push(entry);
+        }
+        for (backend, pool) in &mut self.pools {
+            let listed = by_backend.remove(backend).unwrap_or_default();
+            update(pool, listed);
+        }
+        for (backend, listed) in by_backend {
+            update(self.pools.entry(backend).or_insert_with(Pool::new), listed);
+        }
+        self.pump_all()
+    }
+
+    /// Takes a new request.
+    pub fn submit(&mut self, now: Millis, job: Job) -> (Ticket, Vec<Action>) {
+        self.budget(&job.backend).on_request();
+        self.enqueue(now, job)
+    }
+
+    /// Takes a request once more, if the budget allows it.
+    pub fn submit_again(&mut self, now: Millis, job: Job) -> Option<(Ticket, Vec<Action>)> {
+        let granted = self.budget(&job.backend).take();
+        granted.then(|| self.enqueue(now, job))
+    }
+
+    /// Takes a request once more of which no byte left, so that it counts as no repeat.
+    pub fn submit_unsent(&mut self, now: Millis, job: Job) -> (Ticket, Vec<Action>) {
+        self.enqueue(now, job)
+    }
+
+    fn enqueue(&mut self, now: Millis, job: Job) -> (Ticket, Vec<Action>) {
+        self.now = self.now.max(now);
+        let ticket = Ticket(self.next_ticket);
+        self.next_ticket += 1;
+        let backend = job.backend.clone();
+        self.waiting_at.insert(ticket, backend.clone());
+        let pool = self.pools.entry(backend.clone()).or_insert_with(Pool::new);
+        pool.waiting.push(Waiting { ticket, job });
+        let mut actions = Vec::new();
+        self.pump(&backend, &mut actions);
+        (ticket, actions)
+    }
+
+    /// The first event, or a plain answer, came.
+    pub fn first_event(&mut self, now: Millis, ticket: Ticket) {
+        self.now = self.now.max(now);
+        let Some(running) = self.running.get_mut(&ticket) else {
+            return;
+        };
+        if !std::mem::take(&mut running.is_first_event_due) {
+            return;
+        }
+        let millis = self.now.since(running.started).0 as f64;
+        let Some(pool) = self.pools.get_mut(&running.backend) else {
+            return;
+        };
+        let mut usual = pool.usual;
+        if let Some(engine) = pool.engine_mut(&running.engine) {
+            engine.prompt_ahead = (engine.prompt_ahead - running.own).max(0.0);
+            engine
+                .speed
+                .on_first_event(now, running.ahead, millis, &mut usual);
+            engine.keep_parts(now, &running.parts);
+        }
+        pool.usual = usual;
+    }
+
+    /// More events came, `mean_ms` apart.
+    pub fn events(&mut self, now: Millis, ticket: Ticket, mean_ms: f64) {
+        self.now = self.now.max(now);
+        let Some(running) = self.running.get(&ticket) else {
+            return;
+        };
+        let Some(pool) = self.pools.get_mut(&running.backend) else {
+            return;
+        };
+        let mut usual = pool.usual;
+        if let Some(engine) = pool.engine_mut(&running.engine) {
+            engine.speed.on_events(now, mean_ms, &mut usual);
+        }
+        pool.usual = usual;
+    }
+
+    /// A request left its server.
+    pub fn ended(&mut self, now: Millis, ticket: Ticket, end: AttemptEnd) -> Vec<Action> {
+        self.now = self.now.max(now);
+        let mut actions = Vec::new();
+        let Some(running) = self.running.remove(&ticket) else {
+            return actions;
+        };
+        let engine = self
+            .pools
+            .get_mut(&running.backend)
+            .and_then(|pool| pool.engine_mut(&running.engine));
+        if let Some(engine) = engine {
+            engine.running = engine.running.saturating_sub(1);
+            if running.is_first_event_due {
+                engine.prompt_ahead = (engine.prompt_ahead - running.own).max(0.0);
+            }
+            engine.on_end(now, end);
+        }
+        self.pump(&running.backend, &mut actions);
+        actions
+    }
+
+    /// A caller left while its request waited.
+    pub fn withdraw(&mut self, ticket: Ticket) {
+        let Some(backend) = self.waiting_at.remove(&ticket) else {
+            return;
+        };
+        if let Some(pool) = self.pools.get_mut(&backend) {
+            pool.waiting.retain(|waiting| waiting.ticket != ticket);
+        }
+    }
+
+    /// Time passed.
+    pub fn tick(&mut self, now: Millis) -> Vec<Action> {
+        self.now = self.now.max(now);
+        let mut actions = self.pump_all();
+        self.give_up(&mut actions);
+        actions
+    }
+
+    /// Takes what a peer announced.
+    pub fn peer_load(&mut self, now: Millis, host: &HostId, load: OwnLoad) -> Vec<Action> {
+        self.now = self.now.max(now);
+        let loads: HashMap<EngineId, PeerLoad> = load.engines.into_iter().collect();
+        for engine in self.pools.values_mut().flat_map(|pool| &mut pool.engines) {
+            let load = loads.get(&engine.entry.id).copied().unwrap_or_default();
+            engine.on_peer_load(now, host, load);
+        }
+        self.peers_waiting.insert(host.clone(), (now, load.waiting));
+        self.sum_peers_waiting();
+        self.pump_all()
+    }
+
+    /// What the peers should know.
+    #[must_use]
+    pub fn own_load(&self) -> OwnLoad {
+        let engines = self.pools.values().flat_map(|pool| &pool.engines);
+        let busy = engines.filter(|engine| engine.running > 0);
+        let mut waiting: BTreeMap<(BackendName, Tier), u32> = BTreeMap::new();
+        for (backend, pool) in &self.pools {
+            for job in &pool.waiting {
+                *waiting.entry((backend.clone(), job.job.tier)).or_default() += 1;
+            }
+        }
+        OwnLoad {
+            engines: busy
+                .map(|engine| {
+                    let load = PeerLoad {
+                        running: engine.running,
+                        prompt_ahead: engine.prompt_ahead as u32,
+                    };
+                    (engine.entry.id.clone(), load)
+                })
+                .collect(),
+            waiting: waiting
+                .into_iter()
+                .map(|((backend, tier), count)| (backend, tier, count))
+                .collect(),
+        }
+    }
+
+    /// Requests that wait and run here.
+    #[must_use]
+    pub fn counts(&self) -> (usize, usize) {
+        (self.waiting_at.len(), self.running.len())
+    }
+
+    /// What is known of each server.
+    #[must_use]
+    pub fn dump(&self, now: Millis) -> Vec<EngineDump> {
+        let pools = self.pools.values();
+        let engines = pools.flat_map(|pool| pool.engines.iter().map(move |engine| (pool, engine)));
+        engines
+            .map(|(pool, engine)| {
+                let pace = engine.speed.pace(now, &pool.usual);
+                EngineDump {
+                    engine: engine.entry.id.clone(),
+                    backend: engine.entry.backend.clone(),
+                    version: engine.entry.version.clone(),
+                    takes_work: engine.takes_work(now),
+                    running: engine.running,
+                    used: engine.used(now),
+                    failure_share: engine.failure_share(now),
+                    event_ms: pace.event_ms,
+                    thousand_tokens_ms: pace.token_ms * 1_000.0,
+                }
+            })
+            .collect()
+    }
+
+    fn budget(&mut self, backend: &BackendName) -> &mut RetryBudget {
+        let (bounds, hosts) = (self.bounds, self.hosts);
+        self.budgets
+            .entry(backend.clone())
+            .or_insert_with(|| RetryBudget::new(bounds, hosts))
+    }
+
+    fn sum_peers_waiting(&mut self) {
+        const COUNTS: Millis = Millis(700);
+        let now = self.now;
+        self.peers_waiting.retain(|_, (at, _)| now.since(*at) <= COUNTS);
+        for pool in self.pools.values_mut() {
+            pool.peers_waiting.clear();
+        }
+        for (backend, tier, count) in self.peers_waiting.values().flat_map(|(_, waiting)| waiting) {
+            if let Some(pool) = self.pools.get_mut(backend) {
+                pool.peers_waiting.push((*tier, *count));
+            }
+        }
+    }
+
+    fn pump_all(&mut self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let busy: Vec<BackendName> = self
+            .pools
+            .iter()
+            .filter(|(_, pool)| !pool.waiting.is_empty())
+            .map(|(backend, _)| backend.clone())
+            .collect();
+        for backend in busy {
+            self.pump(&backend, &mut actions);
+        }
+        actions
+    }
+
+    /// Starts what can start.
+    fn pump(&mut self, backend: &BackendName, actions: &mut Vec<Action>) {
+        let Some(pool) = self.pools.get_mut(backend) else {
+            return;
+        };
+        while let Some((waiting, ix)) = pool.next(self.now, &self.zone, &mut self.rng) {
+            self.waiting_at.remove(&waiting.ticket);
+            let peers_ahead = pool.engines[ix].peer_load(self.now).prompt_ahead;
+            let engine = &mut pool.engines[ix];
+            let job = waiting.job;
+            let own = f64::from(job.prompt.saturating_sub(engine.kept_tokens(&job.parts)));
+            engine.running += 1;
+            engine.prompt_ahead += own;
+            let ahead = engine.prompt_ahead + f64::from(peers_ahead);
+            let expected = engine.speed.pace(self.now, &pool.usual).first_event_ms(ahead);
+            let running = Running {
+                backend: backend.clone(),
+                engine: engine.entry.id.clone(),
+                started: self.now,
+                ahead,
+                own,
+                is_first_event_due: true,
+                parts: job.parts,
+            };
+            self.running.insert(waiting.ticket, running);
+            actions.push(Action::Start {
+                ticket: waiting.ticket,
+                engine: engine.entry.id.clone(),
+                address: engine.entry.address,
+                version: engine.entry.version.clone(),
+                expected: Millis(expected as u64),
+            });
+        }
+    }
+
+    /// Refuses what waited too long.
+    fn give_up(&mut self, actions: &mut Vec<Action>) {
+        let now = self.now;
+        for pool in self.pools.values_mut() {
+            let retry_after = retry_after(pool);
+            pool.waiting.retain(|waiting| {
+                let keeps = now < waiting.job.give_up;
+                if !keeps {
+                    self.waiting_at.remove(&waiting.ticket);
+                    actions.push(Action::Refuse {
+                        ticket: waiting.ticket,
+                        retry_after,
+                    });
+                }
+                keeps
+            });
+        }
+    }
+}
+
+/// The time in which the queue of a pool should have passed.
+fn retry_after(pool: &Pool) -> Millis {
+    let slots: u32 = pool.engines.iter().map(|engine| engine.entry.slots).sum();
+    let request_ms = pool.usual.event_ms * 32.0;
+    let wait_ms = pool.waiting.len() as f64 * request_ms / f64::from(slots.max(1));
+    Millis(wait_ms as u64).clamp(LEAST_RETRY_AFTER, MOST_RETRY_AFTER)
+}
+
+/// Brings a pool's servers in line with those that are listed.
+fn update(pool: &mut Pool, listed: Vec<EngineEntry>) {
+    pool.engines
+        .retain(|engine| listed.iter().any(|entry| entry.id == engine.entry.id));
+    for entry in listed {
+        match pool.engine_mut(&entry.id) {
+            Some(engine) => {
+                if engine.entry.started != entry.started {
+                    engine.restart();
+                }
+                engine.entry = entry;
+            }
+            None => pool.engines.push(Engine::new(entry)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/engine.rs
@@ -0,0 +1,203 @@
+//! One backend server as this host knows it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use carawayseam_types::{BackendName, EngineId, HostId, Millis, VersionId, ZoneId};
+
+use crate::speed::Speed;
+
+/// A peer's announcement counts for so long.
+const PEER_LOAD_COUNTS: Millis = Millis(1_500);
+/// The weight of one outcome in the share of failures.
+const OUTCOME_WEIGHT: f64 = 0.2;
+/// Without outcomes for this long, half of the share of failures is forgotten.
+const FAILURES_HALF_LIFE_MS: f64 = 2_500.0;
+/// How long a server is passed over after a connection to it failed; it doubles with each failure.
+const UNREACHABLE_PAUSE: Millis = Millis(250);
+/// The longest such pause.
+const LONGEST_PAUSE: Millis = Millis::from_secs(2);
+/// How long a server is passed over that said it takes no more.
+const FULL_PAUSE: Millis = Millis(100);
+/// Shared beginnings remembered for one server.
+const MOST_PARTS: usize = 4_096;
+
+/// A backend server as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineEntry {
+    /// Its id.
+    pub id: EngineId,
+    /// The backend that it serves.
+    pub backend: BackendName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// The version of its software.
+    pub version: VersionId,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// When it started; another start under the same id is another server.
+    pub started: Option<u64>,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub enum AttemptEnd {
+    /// The whole answer came.
+    #[display("complete")]
+    Complete,
+    /// No connection could be made; nothing was sent.
+    #[display("unreachable")]
+    Unreachable,
+    /// The server said that it did not run the request.
+    #[display("rejected")]
+    Rejected,
+    /// Another server has the address; nothing ran.
+    #[display("misdirected")]
+    Misdirected,
+    /// The connection broke after the request may have left.
+    #[display("connection lost")]
+    Lost,
+    /// The server answered with a failure of its own.
+    #[display("failed")]
+    Failed,
+    /// The server went silent.
+    #[display("silent")]
+    Silent,
+    /// The caller left or its time was over.
+    #[display("cancelled")]
+    Cancelled,
+}
+
+impl AttemptEnd {
+    const fn is_failure(self) -> bool {
+        matches!(self, Self::Unreachable | Self::Lost | Self::Failed | Self::Silent)
+    }
+}
+
+/// A part of a prompt that other requests may share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Part {
+    /// The part's id.
+    pub id: u64,
+    /// Its length.
+    pub tokens: u32,
+}
+
+/// What a peer has running on a server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PeerLoad {
+    /// Requests.
+    pub running: u32,
+    /// Prompt tokens sent whose first event has not come.
+    pub prompt_ahead: u32,
+}
+
+#[derive(Debug)]
+pub(crate) struct Engine {
+    pub(crate) entry: EngineEntry,
+    pub(crate) running: u32,
+    pub(crate) prompt_ahead: f64,
+    pub(crate) speed: Speed,
+    peers: HashMap<HostId, (Millis, PeerLoad)>,
+    failures: f64,
+    judged_at: Millis,
+    unreachable: u32,
+    paused_until: Millis,
+    /// Parts that were read here, with the time of their last use.
+    parts: HashMap<u64, Millis>,
+}
+
+impl Engine {
+    pub(crate) fn new(entry: EngineEntry) -> Self {
+        Self {
+            entry,
+            running: 0,
+            prompt_ahead: 0.0,
+            speed: Speed::default(),
+            peers: HashMap::new(),
+            failures: 0.0,
+            judged_at: Millis::ZERO,
+            unreachable: 0,
+            paused_until: Millis::ZERO,
+            parts: HashMap::new(),
+        }
+    }
+
+    pub(crate) fn takes_work(&self, now: Millis) -> bool {
+        !self.entry.leaving && now >= self.paused_until
+    }
+
+    pub(crate) fn on_peer_load(&mut self, now: Millis, host: &HostId, load: PeerLoad) {
+        self.peers.insert(host.clone(), (now, load));
+    }
+
+    /// The load of all peers that was announced lately.
+    pub(crate) fn peer_load(&self, now: Millis) -> PeerLoad {
+        let fresh = self
+            .peers
+            .values()
+            .filter(|(at, _)| now.since(*at) <= PEER_LOAD_COUNTS);
+        fresh.fold(PeerLoad::default(), |sum, (_, load)| PeerLoad {
+            running: sum.running + load.running,
+            prompt_ahead: sum.prompt_ahead + load.prompt_ahead,
+        })
+    }
+
+    /// The requests of all hosts here.
+    pub(crate) fn used(&self, now: Millis) -> u32 {
+        self.running + self.peer_load(now).running
+    }
+
+    pub(crate) fn on_end(&mut self, now: Millis, end: AttemptEnd) {
+        match end {
+            AttemptEnd::Cancelled => {}
+            AttemptEnd::Rejected => self.paused_until = now + FULL_PAUSE,
+            AttemptEnd::Misdirected => self.paused_until = now + LONGEST_PAUSE,
+            AttemptEnd::Unreachable => {
+                let pause = UNREACHABLE_PAUSE.times(1 << self.unreachable.min(3));
+                self.paused_until = now + pause.min(LONGEST_PAUSE);
+                self.unreachable += 1;
+            }
+            _ => self.unreachable = 0,
+        }
+        if end != AttemptEnd::Cancelled {
+            let outcome = if end.is_failure() { 1.0 } else { 0.0 };
+            self.failures = self.failure_share(now) * (1.0 - OUTCOME_WEIGHT) + outcome * OUTCOME_WEIGHT;
+            self.judged_at = now;
+        }
+    }
+
+    /// The share of attempts that failed lately.
+    pub(crate) fn failure_share(&self, now: Millis) -> f64 {
+        self.failures * 0.5_f64.powf(now.since(self.judged_at).0 as f64 / FAILURES_HALF_LIFE_MS)
+    }
+
+    /// Prompt tokens that need not be read again: those of the parts before the first unknown one.
+    pub(crate) fn kept_tokens(&self, parts: &[Part]) -> u32 {
+        let kept = parts.iter().take_while(|part| self.parts.contains_key(&part.id));
+        kept.map(|part| part.tokens).sum()
+    }
+
+    pub(crate) fn keep_parts(&mut self, now: Millis, parts: &[Part]) {
+        for part in parts {
+            self.parts.insert(part.id, now);
+        }
+        if self.parts.len() > MOST_PARTS {
+            let oldest = self.parts.values().min().copied().unwrap_or_default();
+            let cut = oldest + Millis(now.since(oldest).0 / 4);
+            self.parts.retain(|_, at| *at > cut);
+        }
+    }
+
+    /// Forgets what a server holds and how fast it is: it started anew.
+    pub(crate) fn restart(&mut self) {
+        self.parts.clear();
+        self.failures = 0.0;
+        self.paused_until = Millis::ZERO;
+        self.unreachable = 0;
+    }
+}
--- a/crates/entry/src/state/apply.rs
+++ b/crates/entry/src/state/apply.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 
 use carawayseam_config::Document;
+use carawayseam_external::engine::AttemptRef;
 use carawayseam_membership::{Action as MembershipAction, Event as MembershipEvent};
 use carawayseam_node::{pull_record, send};
-use carawayseam_platform::engine::AttemptRef;
 use carawayseam_rollout::{GateAction, GateEvent, MoveRecord};
 use carawayseam_scheduler::{Action, Event};
 use carawayseam_types::{AttemptId, EngineId, HostId, Millis, RequestSeq, VersionId};
--- a/crates/entry/src/state/handle.rs
+++ b/crates/entry/src/state/handle.rs
@@ -5,8 +5,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use carawayseam_config::Document;
-use carawayseam_platform::engine::{CacheEvents, LoadReport};
-use carawayseam_platform::hosts::HostList;
+use carawayseam_external::engine::{CacheEvents, LoadReport};
+use carawayseam_external::hosts::HostList;
 use carawayseam_rollout::Observation;
 use carawayseam_types::{AttemptId, EngineId, EnvironmentId, Millis, RequestSeq};
 use carawayseam_wire::{Head, Record, RecordKey};
--- a/crates/entry/src/state/messages.rs
+++ b/crates/entry/src/state/messages.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
+use carawayseam_external::engine::{AttemptRef, CacheEvents, LoadReport};
+use carawayseam_external::hosts::HostList;
 use carawayseam_membership::MembershipDump;
-use carawayseam_platform::engine::{AttemptRef, CacheEvents, LoadReport};
-use carawayseam_platform::hosts::HostList;
 use carawayseam_rollout::{GateDump, Observation};
 use carawayseam_scheduler::{AttemptFailure, Request, SchedulerDump};
 use carawayseam_types::{
--- a/crates/entry/src/state/news.rs
+++ b/crates/entry/src/state/news.rs
@@ -1,8 +1,8 @@
 //! What peers and the platform tell.
 
+use carawayseam_external::engine::CacheEvents;
+use carawayseam_external::hosts::{HostList, HostState};
 use carawayseam_membership::Event as MembershipEvent;
-use carawayseam_platform::engine::CacheEvents;
-use carawayseam_platform::hosts::{HostList, HostState};
 use carawayseam_rollout::{Cause, Evidence, GateEvent};
 use carawayseam_scheduler::{EngineStanding, Event, Member, PoolLoadAnnouncement};
 use carawayseam_types::{Digest, EngineId, EnvironmentId, Millis, MoveId, Revision};
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -16,8 +16,8 @@
 
 use carawayseam_claims::Identity;
 use carawayseam_clients::{ClaimClient, EngineClient, ServiceClient};
+use carawayseam_external::engine::AttemptRef;
 use carawayseam_node::{Metrics, Settings};
-use carawayseam_platform::engine::AttemptRef;
 use carawayseam_types::{AttemptId, Clock, Nonce, RequestSeq};
 
 use crate::state::ControlHandle;
--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt on a model engine.
 
 use carawayseam_clients::{CallError, FrameError, Frames};
-use carawayseam_platform::engine::{Frame, FrameBody, GenerateRequest, KvExport};
+use carawayseam_external::engine::{Frame, FrameBody, GenerateRequest, KvExport};
 use carawayseam_rollout::Served;
 use carawayseam_scheduler::AttemptFailure;
 use carawayseam_types::{Millis, Tokens};
--- a/crates/entry/src/traffic/job.rs
+++ b/crates/entry/src/traffic/job.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use carawayseam_config::{BackendKind, Document, RouteSpec};
-use carawayseam_platform::engine::{estimate_tokens, prefix_of};
+use carawayseam_external::engine::{estimate_tokens, prefix_of};
 use carawayseam_scheduler::{Origin, Request};
 use carawayseam_types::{
     BackendName, Digest, EnvironmentId, Millis, OrganisationId, RequestId, RequestSeq, RouteName, Tier,
@@ -15,7 +15,7 @@
 
 /// The part of a prompt by which prefix caches tell prompts apart.
 const PREFIX_TOKENS: Tokens = Tokens(
-    (carawayseam_platform::engine::PREFIX_BYTES / carawayseam_platform::engine::BYTES_PER_TOKEN) as u32,
+    (carawayseam_external::engine::PREFIX_BYTES / carawayseam_external::engine::BYTES_PER_TOKEN) as u32,
 );
 
 /// A caller's request as it comes.
--- a/crates/entry/src/traffic/service.rs
+++ b/crates/entry/src/traffic/service.rs
@@ -2,7 +2,7 @@
 
 use carawayseam_claims::{Claim, ClaimState, Held, Settled};
 use carawayseam_clients::{CallError, Claiming};
-use carawayseam_platform::service::{Answer, Call};
+use carawayseam_external::service::{Answer, Call};
 use carawayseam_rollout::Served;
 use carawayseam_scheduler::AttemptFailure;
 use carawayseam_types::{Millis, NotRunReason, Refusal, Tokens, UnknownReason};
--- a/crates/platform/src/lib.rs
+++ b/crates/external/src/lib.rs
@@ -4,7 +4,7 @@
 //! from the other. Each module names its paths as constants.
 //!
 //! ```
-//! use carawayseam_platform::kv::PutRequest;
+//! use carawayseam_external::kv::PutRequest;
 //!
 //! let put = PutRequest::create("claims/x/y/1", "{}".to_owned());
 //! assert_eq!(put.expect, Some(0));
--- /dev/null
+++ b/crates/gateway/src/control/mod.rs
@@ -0,0 +1,11 @@
+//! What this host believes about configuration, backend servers and peers.
+
+mod peers;
+mod registration;
+mod state;
+mod sync;
+
+pub(crate) use peers::{receive_beats, send_beats};
+pub(crate) use registration::{HostRecord, register};
+pub(crate) use state::{ControlState, Note};
+pub(crate) use sync::follow_store;
--- /dev/null
+++ b/crates/gateway/src/control/peers.rs
@@ -0,0 +1,62 @@
+//! Heartbeats between the hosts.
+
+use std::sync::Arc;
+
+use carawayseam_types::Millis;
+use carawayseam_wire::{Beat, MAX_DATAGRAM_BYTES, decode, encode};
+use kameo::actor::ActorRef;
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::state::{ControlState, Note, OwnBeat};
+
+/// Heartbeats are sent this often.
+const BEAT_INTERVAL: Millis = Millis(200);
+
+/// Sends this host's heartbeat to all others.
+pub(crate) async fn send_beats(socket: Arc<UdpSocket>, control: ActorRef<ControlState>) {
+    let mut ticks = interval(BEAT_INTERVAL.to_duration());
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut seq = 0;
+    loop {
+        ticks.tick().await;
+        seq += 1;
+        let (reply, answer) = oneshot::channel();
+        if control.tell(OwnBeat { seq, reply }).try_send().is_err() {
+            return;
+        }
+        let Ok((beat, addresses)) = answer.await else {
+            return;
+        };
+        match encode(&beat) {
+            Ok(buf) => {
+                for address in addresses {
+                    if let Err(e) = socket.try_send_to(&buf, address) {
+                        log::debug!("a heartbeat to {address} was not sent: {e}");
+                    }
+                }
+            }
+            Err(e) => log::error!(error:% = e; "a heartbeat was not encoded"),
+        }
+    }
+}
+
+/// Takes the heartbeats of the others.
+pub(crate) async fn receive_beats(socket: Arc<UdpSocket>, control: ActorRef<ControlState>) {
+    let mut buf = [0; MAX_DATAGRAM_BYTES + 1];
+    loop {
+        match socket.recv_from(&mut buf).await {
+            Ok((len, from)) => match decode::<Beat>(&buf[..len]) {
+                Ok(beat) => {
+                    if control.tell(Note::Beat(Box::new(beat))).try_send().is_err() {
+                        return;
+                    }
+                }
+                Err(e) => log::warn!(from:% = from; "a heartbeat cannot be read: {e}"),
+            },
+            // A peer that is gone shows as an error on the next receive.
+            Err(e) => log::debug!("receiving a heartbeat failed: {e}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control/registration.rs
@@ -0,0 +1,84 @@
+//! Registers this host in the store, so that the others find it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use carawayseam_types::{Incarnation, Millis};
+use carawayseam_wire::encode;
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use crate::platform::{LeaseId, Store, StoreError, StoreKeys};
+use crate::shared::{Phase, Shared};
+
+/// A host that does not renew its registration for so long is no longer counted.
+const REGISTRATION_TTL: Millis = Millis(9_000);
+const RENEW_INTERVAL: Millis = Millis(2_500);
+const RETRY_INTERVAL: Millis = Millis(600);
+
+/// A host's entry in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct HostRecord {
+    /// Where it takes heartbeats.
+    pub(crate) address: SocketAddr,
+    /// Its start.
+    pub(crate) incarnation: Incarnation,
+}
+
+/// Keeps this host registered until it stops.
+pub(crate) async fn register<S: Store>(
+    shared: Arc<Shared>,
+    mut store: S,
+    keys: StoreKeys,
+    record: HostRecord,
+) {
+    let key = format!("{}{}", keys.hosts, shared.settings.host);
+    let value = match encode(&record) {
+        Ok(value) => value,
+        Err(e) => {
+            log::error!(error:% = e; "the registration was not encoded");
+            return;
+        }
+    };
+    let mut phase = shared.phase.subscribe();
+    let mut lease = None;
+    loop {
+        let (next, pause) = match keep(&mut store, lease, &key, &value).await {
+            Ok(lease) => (Some(lease), RENEW_INTERVAL),
+            Err(StoreError::NoSuchLease) => (None, Millis::ZERO),
+            Err(e) => {
+                log::debug!("the registration was not renewed: {e}");
+                (lease, RETRY_INTERVAL)
+            }
+        };
+        lease = next;
+        tokio::select! {
+            () = sleep(pause.to_duration()) => {}
+            _ = phase.wait_for(|phase| *phase != Phase::Serving) => break,
+        }
+    }
+    if let Some(lease) = lease
+        && let Err(e) = store.end(lease).await
+    {
+        log::debug!("the registration was not ended: {e}");
+    }
+}
+
+async fn keep<S: Store>(
+    store: &mut S,
+    lease: Option<LeaseId>,
+    key: &str,
+    value: &[u8],
+) -> Result<LeaseId, StoreError> {
+    match lease {
+        Some(lease) => {
+            store.renew(lease).await?;
+            Ok(lease)
+        }
+        None => {
+            let lease = store.grant(REGISTRATION_TTL).await?;
+            store.put(key, value, None, Some(lease)).await?;
+            Ok(lease)
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control/state.rs
@@ -0,0 +1,370 @@
+//! The actor that owns the control state.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use carawayseam_dispatch::dispatcher::OwnLoad;
+use carawayseam_dispatch::engine::PeerLoad;
+use carawayseam_dispatch::quota::Hosts;
+use carawayseam_dispatch::{Catalog, EngineEntry};
+use carawayseam_node::LogRevision;
+use carawayseam_types::{EngineId, HostId, Incarnation, Millis, OrganisationId};
+use carawayseam_wire::{Beat, EngineLoad, WaitingLoad};
+use kameo::Actor;
+use kameo::message::{Context, Message};
+
+use crate::shared::{Shared, lock};
+
+/// A peer that was not heard for so long is not counted on.
+const PEER_SILENCE: Millis = Millis(1_000);
+/// Entries that lapsed while the store was away may come back for so long after its return.
+const LAPSED_ENTRY_GRACE: Millis = Millis(2_300);
+/// Idle connections are looked through this often.
+const SWEEP_INTERVAL: Millis = Millis(500);
+
+/// Something that changes what the host believes.
+#[derive(Debug)]
+pub(crate) enum Note {
+    /// The store holds this configuration.
+    Configuration(Arc<Catalog>),
+    /// What is known was the newest when a call was sent.
+    Confirmed { sent_at: Millis },
+    /// All backend servers that the store lists; others lapsed if the store was away, else are gone.
+    Engines {
+        listed: Vec<EngineEntry>,
+        was_away: bool,
+    },
+    /// A backend server's entry changed.
+    Engine(EngineEntry),
+    /// A backend server's entry was removed, just after the store was away or in calm times.
+    EngineRemoved { engine: EngineId, was_away: bool },
+    /// All hosts that the store lists.
+    Hosts(Vec<(HostId, SocketAddr)>),
+    /// A host registered itself.
+    Host(HostId, SocketAddr),
+    /// A host's registration ended.
+    HostRemoved(HostId),
+    /// A peer's heartbeat.
+    Beat(Box<Beat>),
+    /// Time passed.
+    Tick,
+}
+
+#[derive(Debug)]
+struct Listed {
+    entry: EngineEntry,
+    /// Since when the entry is missing after an outage of the store.
+    missing_since: Option<Millis>,
+}
+
+#[derive(Debug, Default)]
+struct Heard {
+    incarnation: Incarnation,
+    seq: u64,
+    at: Millis,
+    demand: Vec<(OrganisationId, u32)>,
+}
+
+/// The control state of the process.
+#[derive(Debug, Actor)]
+pub(crate) struct ControlState {
+    shared: Arc<Shared>,
+    incarnation: Incarnation,
+    log_revision: LogRevision,
+    engines: BTreeMap<EngineId, Listed>,
+    hosts: BTreeMap<HostId, SocketAddr>,
+    heard: HashMap<HostId, Heard>,
+    known_hosts: Hosts,
+    swept_at: Millis,
+}
+
+impl ControlState {
+    pub(crate) fn new(shared: Arc<Shared>, incarnation: Incarnation, log_revision: LogRevision) -> Self {
+        Self {
+            shared,
+            incarnation,
+            log_revision,
+            engines: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            heard: HashMap::new(),
+            known_hosts: Hosts::ALONE,
+            swept_at: Millis::ZERO,
+        }
+    }
+
+    fn take(&mut self, note: Note) {
+        let now = self.shared.now();
+        match note {
+            Note::Configuration(catalog) => self.configuration(catalog),
+            Note::Confirmed { sent_at } => lock(&self.shared.freshness).confirm(sent_at),
+            Note::Engines { listed, was_away } => self.all_engines(now, listed, was_away),
+            Note::Engine(entry) => self.engine(now, entry),
+            Note::EngineRemoved { engine, was_away } => self.engine_removed(now, &engine, was_away),
+            Note::Hosts(hosts) => {
+                self.hosts = hosts.into_iter().collect();
+                self.count_hosts(now);
+            }
+            Note::Host(host, address) => {
+                log::info!(peer:% = host, address:% = address; "peer listed");
+                self.hosts.insert(host, address);
+                self.count_hosts(now);
+            }
+            Note::HostRemoved(host) => {
+                log::info!(peer:% = host; "peer no longer listed");
+                self.hosts.remove(&host);
+                self.count_hosts(now);
+            }
+            Note::Beat(beat) => self.beat(now, *beat),
+            Note::Tick => self.tick(now),
+        }
+    }
+
+    /// Applies a configuration, unless it is older than the one in force.
+    fn configuration(&self, catalog: Arc<Catalog>) {
+        let revision = catalog.revision;
+        let applied = self.shared.catalog.send_if_modified(|current| {
+            let is_newer = current.as_ref().is_none_or(|current| current.revision < revision);
+            if is_newer {
+                *current = Some(catalog);
+            }
+            is_newer
+        });
+        if applied {
+            self.log_revision.set(revision);
+            log::info!("configuration in force");
+        }
+    }
+
+    fn all_engines(&mut self, now: Millis, listed: Vec<EngineEntry>, was_away: bool) {
+        for known in self.engines.values_mut() {
+            known.missing_since.get_or_insert(now);
+        }
+        for entry in listed {
+            let listed = Listed {
+                entry,
+                missing_since: None,
+            };
+            self.engines.insert(listed.entry.id.clone(), listed);
+        }
+        if !was_away {
+            self.engines.retain(|_, listed| listed.missing_since.is_none());
+        }
+        log::info!(engines = self.engines.len(), after_outage = was_away; "backend servers listed");
+        self.update_engines(now);
+    }
+
+    fn engine(&mut self, now: Millis, entry: EngineEntry) {
+        let listed = Listed {
+            entry,
+            missing_since: None,
+        };
+        let id = listed.entry.id.clone();
+        let is_same = self
+            .engines
+            .get(&id)
+            .is_some_and(|known| known.entry == listed.entry && known.missing_since.is_none());
+        if is_same {
+            return;
+        }
+        log::info!(engine:% = id, leaving = listed.entry.leaving, version:% = listed.entry.version; "backend server changed");
+        self.engines.insert(id, listed);
+        self.update_engines(now);
+    }
+
+    fn engine_removed(&mut self, now: Millis, engine: &EngineId, was_away: bool) {
+        log::info!(engine:% = engine, after_outage = was_away; "backend server's entry removed");
+        match self.engines.get_mut(engine) {
+            Some(listed) if was_away => {
+                listed.missing_since.get_or_insert(now);
+            }
+            _ => {
+                self.engines.remove(engine);
+                self.update_engines(now);
+            }
+        }
+    }
+
+    fn update_engines(&self, now: Millis) {
+        let entries = self.engines.values().map(|listed| listed.entry.clone()).collect();
+        let mut desk = lock(&self.shared.desk);
+        let actions = desk.dispatcher.set_engines(now, entries);
+        desk.carry_out(now, actions);
+    }
+
+    fn beat(&mut self, now: Millis, beat: Beat) {
+        if beat.host == self.shared.settings.host {
+            return;
+        }
+        let heard = self.heard.entry(beat.host.clone()).or_default();
+        if (beat.incarnation, beat.seq) <= (heard.incarnation, heard.seq) {
+            return;
+        }
+        let was_silent = now.since(heard.at) > PEER_SILENCE;
+        *heard = Heard {
+            incarnation: beat.incarnation,
+            seq: beat.seq,
+            at: now,
+            demand: beat.demand,
+        };
+        if was_silent {
+            log::info!(peer:% = beat.host; "peer heard");
+            self.count_hosts(now);
+        }
+        self.share_demand(now);
+        let load = OwnLoad {
+            engines: beat.engines.into_iter().map(engine_load).collect(),
+            waiting: beat
+                .waiting
+                .into_iter()
+                .map(|waiting| (waiting.backend, waiting.tier, waiting.count))
+                .collect(),
+        };
+        let mut desk = lock(&self.shared.desk);
+        let actions = desk.dispatcher.peer_load(now, &beat.host, load);
+        desk.carry_out(now, actions);
+    }
+
+    fn share_demand(&self, now: Millis) {
+        let mut sums: HashMap<&OrganisationId, f64> = HashMap::new();
+        let heard = self
+            .heard
+            .values()
+            .filter(|heard| now.since(heard.at) <= PEER_SILENCE);
+        for (organisation, per_second) in heard.flat_map(|heard| &heard.demand) {
+            *sums.entry(organisation).or_default() += f64::from(*per_second);
+        }
+        let mut desk = lock(&self.shared.desk);
+        for (organisation, per_second) in sums {
+            desk.quotas.set_peer_demand(organisation, per_second);
+        }
+    }
+
+    /// Counts the hosts that share quotas and the retry budget.
+    fn count_hosts(&mut self, now: Millis) {
+        let me = &self.shared.settings.host;
+        let listed = self.hosts.keys().filter(|host| *host != me).count() as u32;
+        let heard = self
+            .heard
+            .values()
+            .filter(|heard| now.since(heard.at) <= PEER_SILENCE)
+            .count() as u32;
+        let hosts = Hosts {
+            known: listed.max(heard) + 1,
+            heard: heard + 1,
+        };
+        if hosts == self.known_hosts {
+            return;
+        }
+        log::info!(known = hosts.known, heard = hosts.heard; "peers counted");
+        self.known_hosts = hosts;
+        let mut desk = lock(&self.shared.desk);
+        desk.quotas.set_hosts(hosts);
+        desk.dispatcher.set_hosts(hosts.known);
+    }
+
+    fn tick(&mut self, now: Millis) {
+        let lapsed: Vec<EngineId> = self
+            .engines
+            .iter()
+            .filter(|(_, listed)| {
+                listed
+                    .missing_since
+                    .is_some_and(|since| now.since(since) > LAPSED_ENTRY_GRACE)
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        if !lapsed.is_empty() {
+            log::info!(engines:? = lapsed; "backend servers did not come back after the store's outage");
+            self.engines.retain(|id, _| !lapsed.contains(id));
+            self.update_engines(now);
+        }
+        self.count_hosts(now);
+        self.share_demand(now);
+        if now.since(self.swept_at) >= SWEEP_INTERVAL {
+            self.swept_at = now;
+            let engines = &self.engines;
+            self.shared
+                .connections
+                .sweep(now, |engine| engines.contains_key(engine));
+        }
+        let mut desk = lock(&self.shared.desk);
+        let actions = desk.dispatcher.tick(now);
+        desk.carry_out(now, actions);
+    }
+
+    /// This host's heartbeat, and the addresses that should get it.
+    fn own_beat(&self, seq: u64) -> (Beat, Vec<SocketAddr>) {
+        let desk = lock(&self.shared.desk);
+        let load = desk.dispatcher.own_load();
+        let demand = desk
+            .quotas
+            .demands()
+            .filter(|(_, per_second)| *per_second >= 1.0)
+            .map(|(organisation, per_second)| (organisation.clone(), per_second as u32))
+            .collect();
+        drop(desk);
+        let beat = Beat {
+            host: self.shared.settings.host.clone(),
+            incarnation: self.incarnation,
+            seq,
+            engines: load
+                .engines
+                .into_iter()
+                .map(|(engine, load)| EngineLoad {
+                    engine,
+                    running: load.running,
+                    prompt_ahead: load.prompt_ahead,
+                })
+                .collect(),
+            waiting: load
+                .waiting
+                .into_iter()
+                .map(|(backend, tier, count)| WaitingLoad { backend, tier, count })
+                .collect(),
+            demand,
+        };
+        let me = &self.shared.settings.host;
+        let others = self.hosts.iter().filter(|(host, _)| *host != me);
+        (beat, others.map(|(_, address)| *address).collect())
+    }
+}
+
+fn engine_load(load: EngineLoad) -> (EngineId, PeerLoad) {
+    let EngineLoad {
+        engine,
+        running,
+        prompt_ahead,
+    } = load;
+    (
+        engine,
+        PeerLoad {
+            running,
+            prompt_ahead,
+        },
+    )
+}
+
+impl Message<Note> for ControlState {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: Note, _ctx: &mut Context<Self, ()>) {
+        self.take(msg);
+    }
+}
+
+/// Asks for this host's heartbeat.
+#[derive(Debug)]
+pub(crate) struct OwnBeat {
+    pub(crate) seq: u64,
+    pub(crate) reply: tokio::sync::oneshot::Sender<(Beat, Vec<SocketAddr>)>,
+}
+
+impl Message<OwnBeat> for ControlState {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: OwnBeat, _ctx: &mut Context<Self, ()>) {
+        // A receiver that is gone no longer wants its answer.
+        drop(msg.reply.send(self.own_beat(msg.seq)));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/journal.rs
@@ -0,0 +1,113 @@
+//! Log lines for decisions on requests.
+
+use std::sync::Arc;
+
+use carawayseam_dispatch::catalog::Route;
+use carawayseam_types::{Millis, Revision};
+use hyper::StatusCode;
+
+use crate::shared::{Assignment, Shared};
+use crate::traffic::{Exchange, Refusal};
+
+/// A request was given a server.
+pub(crate) fn assigned(exchange: &Exchange, assignment: &Assignment) {
+    log::debug!(
+        request = exchange.head.id.as_deref(),
+        engine:% = assignment.engine,
+        expected_ms = assignment.expected.0,
+        waited_ms = exchange.shared.now().since(exchange.arrived).0;
+        "assigned"
+    );
+}
+
+/// A plain answer was passed on.
+pub(crate) fn answered(exchange: &Exchange, assignment: &Assignment, status: StatusCode) {
+    let shared = &exchange.shared;
+    let took = shared.now().since(exchange.arrived);
+    shared.metrics.count("requests", "answered");
+    shared.metrics.time("plain_answer", exchange.tier(), took);
+    log::info!(
+        request = exchange.head.id.as_deref(),
+        route:% = exchange.place.route.name,
+        engine:% = assignment.engine,
+        status = status.as_u16(),
+        attempts = exchange.attempts,
+        took_ms = took.0,
+        configuration_age_ms = shared.configuration_age().map(|age| age.0);
+        "answered"
+    );
+}
+
+/// A stream ended at the server that was serving it.
+pub(crate) fn streamed(
+    exchange: &Exchange,
+    assignment: &Assignment,
+    outcome: &'static str,
+    events: u32,
+    first_event_at: Option<Millis>,
+    resumed: u32,
+) {
+    let shared = &exchange.shared;
+    shared.metrics.count("requests", outcome);
+    log::info!(
+        request = exchange.head.id.as_deref(),
+        route:% = exchange.place.route.name,
+        engine:% = assignment.engine,
+        outcome = outcome,
+        events = events,
+        first_event_ms = first_event_at.map(|at| at.since(exchange.arrived).0),
+        attempts = exchange.attempts,
+        resumed = resumed,
+        took_ms = shared.now().since(exchange.arrived).0,
+        prompt_tokens = exchange.head.prompt.as_ref().map(|prompt| prompt.tokens),
+        configuration_age_ms = shared.configuration_age().map(|age| age.0);
+        "streamed"
+    );
+}
+
+/// A stream was broken off with no server left to go on.
+pub(crate) fn broken_off(
+    exchange: &Exchange,
+    outcome: &'static str,
+    events: u32,
+    first_event_at: Option<Millis>,
+    resumed: u32,
+) {
+    let shared = &exchange.shared;
+    shared.metrics.count("requests", outcome);
+    log::info!(
+        request = exchange.head.id.as_deref(),
+        route:% = exchange.place.route.name,
+        outcome = outcome,
+        events = events,
+        first_event_ms = first_event_at.map(|at| at.since(exchange.arrived).0),
+        attempts = exchange.attempts,
+        resumed = resumed,
+        took_ms = shared.now().since(exchange.arrived).0;
+        "streamed"
+    );
+}
+
+/// The gateway answered by itself.
+pub(crate) fn refused(
+    shared: &Shared,
+    request: Option<&str>,
+    route: Option<&Arc<Route>>,
+    refusal: Refusal,
+    waited: Millis,
+    configuration: Option<Revision>,
+    configuration_age: Option<Millis>,
+) {
+    shared.metrics.count("refusals", refusal.reason.label());
+    log::info!(
+        request = request,
+        route = route.map(|route| route.name.as_str()),
+        reason = refusal.reason.label(),
+        status = refusal.reason.status().as_u16(),
+        retry_after_ms = refusal.retry_after.map(|after| after.0),
+        waited_ms = waited.0,
+        configuration = configuration.map(|revision| revision.0),
+        configuration_age_ms = configuration_age.map(|age| age.0);
+        "refused"
+    );
+}
--- /dev/null
+++ b/crates/gateway/src/process.rs
@@ -0,0 +1,214 @@
+//! Starts the threads and stops them in order.
+
+use std::path::Path;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+use carawayseam_dispatch::Dispatcher;
+use carawayseam_dispatch::freshness::Freshness;
+use carawayseam_dispatch::retries::RetryBounds;
+use carawayseam_node::{LogRevision, init_stdout_logging, wait_for_stop};
+use carawayseam_types::{Clock, Incarnation, Millis};
+use eyre::WrapErr;
+use kameo::actor::{ActorRef, Spawn};
+use kameo::mailbox;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::runtime::{Builder, Runtime};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{oneshot, watch};
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+use crate::control::{self, ControlState, HostRecord, Note};
+use crate::flags::Flags;
+use crate::metrics::Metrics;
+use crate::platform::Platform;
+use crate::readiness;
+use crate::settings::Settings;
+use crate::shared::{Desk, Phase, Shared, lock};
+use crate::traffic::{self, Connections};
+
+/// What an answer to a watch may hide, and what may pass between the proof and a server.
+const KEY_AGE_MARGIN: Millis = Millis(1_400);
+/// The control state looks at its timers this often.
+const TICK: Millis = Millis(50);
+/// The balancer has seen a host as not ready after this time.
+const NOTICE_TIME: Millis = Millis(3_500);
+/// The part of the time for a stop that open requests may take.
+const STOP_PART: f64 = 0.86;
+const STOP_POLL: Millis = Millis(50);
+/// How long the last bytes may take to leave.
+const FLUSH_TIME: Millis = Millis(150);
+/// Settings that changed without a signal are seen within this time.
+const SETTINGS_POLL: Millis = Millis::from_secs(5);
+
+/// Runs the process until a signal asks it to stop.
+pub(crate) fn run<P: Platform>(flags: &Flags, platform: P) -> eyre::Result<()> {
+    let settings = Settings::read(&flags.settings)?;
+    if flags.check {
+        println!("{}: valid", flags.settings.display());
+        return Ok(());
+    }
+    let log_revision = init_stdout_logging("gateway", &settings.host);
+    let platform = Arc::new(platform);
+    let incarnation = Incarnation(Clock::system().now().0);
+    let shared = Arc::new(share(settings, &*platform, incarnation));
+    log::info!(incarnation = incarnation.0; "started");
+
+    let traffic = runtime(shared.settings.traffic_threads).wrap_err("cannot start the traffic threads")?;
+    let callers = traffic
+        .block_on(TcpListener::bind(shared.settings.callers))
+        .wrap_err("cannot listen for callers")?;
+    let (stop, stopped) = oneshot::channel();
+    let control_shared = Arc::clone(&shared);
+    let file = flags.settings.clone();
+    let control = thread::Builder::new().name("control".to_owned()).spawn(move || {
+        let ended = run_control(control_shared, platform, incarnation, log_revision, &file);
+        if stop.send(()).is_err() {
+            log::debug!("the traffic threads ended first");
+        }
+        ended
+    });
+    let control = control.wrap_err("cannot start the control thread")?;
+    traffic.block_on(async {
+        let serving = tokio::spawn(traffic::serve(Arc::clone(&shared), callers));
+        if stopped.await.is_err() {
+            log::error!("the control thread ended unexpectedly");
+        }
+        serving.abort();
+    });
+    traffic.shutdown_background();
+    match control.join() {
+        Ok(ended) => ended,
+        Err(_) => Err(eyre::eyre!("the control thread panicked")),
+    }
+}
+
+fn runtime(threads: usize) -> std::io::Result<Runtime> {
+    match threads {
+        1 => Builder::new_current_thread().enable_all().build(),
+        threads => Builder::new_multi_thread()
+            .worker_threads(threads)
+            .thread_name("traffic")
+            .enable_all()
+            .build(),
+    }
+}
+
+fn share<P: Platform>(settings: Settings, platform: &P, incarnation: Incarnation) -> Shared {
+    let bounds = RetryBounds {
+        ratio: settings.retries.ratio,
+        extra: settings.retries.extra,
+    };
+    let max_age = settings.max_key_age - KEY_AGE_MARGIN;
+    let dispatcher = Dispatcher::new(settings.zone.clone(), bounds, incarnation.0);
+    Shared {
+        headers: platform.headers(),
+        settings,
+        clock: Clock::boot(),
+        catalog: watch::Sender::new(None),
+        freshness: Mutex::new(Freshness::new(max_age)),
+        desk: Mutex::new(Desk::new(dispatcher)),
+        connections: Connections::default(),
+        phase: watch::Sender::new(Phase::Serving),
+        metrics: Metrics::default(),
+        open_requests: AtomicUsize::new(0),
+    }
+}
+
+fn run_control<P: Platform>(
+    shared: Arc<Shared>,
+    platform: Arc<P>,
+    incarnation: Incarnation,
+    log_revision: LogRevision,
+    file: &Path,
+) -> eyre::Result<()> {
+    let runtime = runtime(1).wrap_err("cannot start the control thread")?;
+    runtime.block_on(async {
+        let admin = TcpListener::bind(shared.settings.admin)
+            .await
+            .wrap_err("cannot listen on the admin address")?;
+        let peers = UdpSocket::bind(shared.settings.peers)
+            .await
+            .wrap_err("cannot listen for peers")?;
+        let peers = Arc::new(peers);
+        let state = ControlState::new(Arc::clone(&shared), incarnation, log_revision);
+        let control = ControlState::spawn_with_mailbox(state, mailbox::unbounded());
+        tokio::spawn(readiness::serve(Arc::clone(&shared), admin));
+        tokio::spawn(tick(control.clone()));
+        tokio::spawn(control::receive_beats(Arc::clone(&peers), control.clone()));
+        tokio::spawn(control::send_beats(peers, control.clone()));
+        let record = HostRecord {
+            address: shared.settings.peers,
+            incarnation,
+        };
+        let store = platform.store(shared.settings.store);
+        tokio::spawn(control::register(
+            Arc::clone(&shared),
+            store,
+            platform.keys(),
+            record,
+        ));
+        tokio::spawn(control::follow_store(Arc::clone(&shared), platform, control));
+        tokio::spawn(reload(Arc::clone(&shared), file.to_owned()));
+        wait_for_stop().await.wrap_err("cannot wait for signals")?;
+        stop(&shared).await;
+        Ok(())
+    })
+}
+
+async fn tick(control: ActorRef<ControlState>) {
+    let mut ticks = interval(TICK.to_duration());
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        if control.tell(Note::Tick).try_send().is_err() {
+            return;
+        }
+    }
+}
+
+/// Lets callers go elsewhere, and open requests end.
+async fn stop(shared: &Shared) {
+    let began = shared.now();
+    log::info!("stop asked for");
+    shared.phase.send_replace(Phase::Leaving);
+    sleep(NOTICE_TIME.to_duration()).await;
+    shared.phase.send_replace(Phase::Closing);
+    let last = began + Millis((shared.settings.stop_within.0 as f64 * STOP_PART) as u64);
+    while shared.open_requests.load(Ordering::Relaxed) > 0 && shared.now() < last {
+        sleep(STOP_POLL.to_duration()).await;
+    }
+    sleep(FLUSH_TIME.to_duration()).await;
+    let open = shared.open_requests.load(Ordering::Relaxed);
+    log::info!(open_requests = open, took_ms = shared.now().since(began).0; "stopped");
+}
+
+/// Takes over changed settings that need no restart.
+async fn reload(shared: Arc<Shared>, file: std::path::PathBuf) {
+    let mut hangup = match signal(SignalKind::hangup()) {
+        Ok(hangup) => hangup,
+        Err(e) => {
+            log::error!(error:% = e; "settings are not reloaded: signals cannot be waited for");
+            return;
+        }
+    };
+    let mut current = shared.settings.clone();
+    loop {
+        let signalled = tokio::select! {
+            _ = hangup.recv() => true,
+            () = sleep(SETTINGS_POLL.to_duration()) => false,
+        };
+        match Settings::read(&file) {
+            Ok(settings) if settings != current => {
+                let max_age = settings.max_key_age - KEY_AGE_MARGIN;
+                lock(&shared.freshness).set_max_age(max_age);
+                log::info!(signalled = signalled; "settings reloaded");
+                current = settings;
+            }
+            Ok(_) if signalled => log::info!(signalled = true; "settings unchanged"),
+            Ok(_) => {}
+            Err(e) => log::error!(error:% = e; "the settings cannot be reloaded; the old ones stay"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/readiness.rs
@@ -0,0 +1,102 @@
+//! Readiness for the balancer, metrics, and the state dump for operators.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use tokio::net::TcpListener;
+
+use crate::shared::{Phase, Shared, lock};
+
+const METRICS_PATH: &str = "/metrics";
+const DUMP_PATH: &str = "/dump";
+
+/// Serves the admin address until the process ends.
+pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let shared = Arc::clone(&shared);
+                tokio::spawn(async move {
+                    let service = service_fn(move |req| answer(Arc::clone(&shared), req));
+                    let served = hyper::server::conn::http1::Builder::new()
+                        .serve_connection(TokioIo::new(stream), service)
+                        .await;
+                    if let Err(e) = served {
+                        log::debug!("a connection to the admin address broke: {e}");
+                    }
+                });
+            }
+            Err(e) => {
+                log::error!(error:% = e; "accepting on the admin address failed");
+                tokio::time::sleep(crate::traffic::ACCEPT_PAUSE.to_duration()).await;
+            }
+        }
+    }
+}
+
+async fn answer(shared: Arc<Shared>, req: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+    let (status, text) = match req.uri().path() {
+        path if path == shared.settings.ready_path => match shared.is_ready() {
+            true => (StatusCode::OK, "ready".to_owned()),
+            false => (StatusCode::SERVICE_UNAVAILABLE, "not ready".to_owned()),
+        },
+        METRICS_PATH => (StatusCode::OK, shared.metrics.text()),
+        DUMP_PATH => dump(&shared),
+        _ => (StatusCode::NOT_FOUND, "no such page".to_owned()),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    Ok(response)
+}
+
+/// The state of the process, for operators.
+#[derive(Debug, Serialize)]
+struct Dump {
+    host: String,
+    phase: &'static str,
+    ready: bool,
+    configuration: Option<u64>,
+    configuration_age_ms: Option<u64>,
+    requests_waiting: usize,
+    requests_running: usize,
+    idle_connections: usize,
+    engines: Vec<carawayseam_dispatch::dispatcher::EngineDump>,
+}
+
+fn dump(shared: &Shared) -> (StatusCode, String) {
+    let now = shared.now();
+    let (waiting, running, engines) = {
+        let desk = lock(&shared.desk);
+        let (waiting, running) = desk.dispatcher.counts();
+        (waiting, running, desk.dispatcher.dump(now))
+    };
+    let dump = Dump {
+        host: shared.settings.host.to_string(),
+        phase: match shared.phase() {
+            Phase::Serving => "serving",
+            Phase::Leaving => "leaving",
+            Phase::Closing => "closing",
+        },
+        ready: shared.is_ready(),
+        configuration: shared.catalog().map(|catalog| catalog.revision.0),
+        configuration_age_ms: shared.configuration_age().map(|age| age.0),
+        requests_waiting: waiting,
+        requests_running: running,
+        idle_connections: shared.connections.idle_count(),
+        engines,
+    };
+    match serde_json::to_string_pretty(&dump) {
+        Ok(text) => (StatusCode::OK, text),
+        Err(e) => {
+            log::error!(error:% = e; "the state dump was not written");
+            (StatusCode::INTERNAL_SERVER_ERROR, e.to_string())
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,143 @@
+//! The settings of a gateway process, as YAML.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use carawayseam_types::{HostId, Millis, ZoneId};
+use compact_str::CompactString;
+use serde::Deserialize;
+use serde_with::{DisplayFromStr, serde_as};
+
+/// A process's checked settings.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The host's name.
+    pub host: HostId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where readiness, metrics and the state dump are served.
+    pub admin: SocketAddr,
+    /// The path that the balancer asks for readiness.
+    pub ready_path: CompactString,
+    /// Where peers send datagrams.
+    pub peers: SocketAddr,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Threads for traffic; control state has one of its own.
+    #[serde(default = "default_traffic_threads")]
+    pub traffic_threads: usize,
+    /// The most connections open at once, to callers and backend servers together.
+    pub max_connections: u32,
+    /// How old the knowledge of the configuration may be for requests with keys.
+    #[serde_as(as = "DisplayFromStr")]
+    pub max_key_age: Millis,
+    /// How long a planned stop may take.
+    #[serde_as(as = "DisplayFromStr")]
+    pub stop_within: Millis,
+    /// Bounds on sending a request to one more backend server.
+    pub retries: RetrySettings,
+}
+
+/// Bounds on sending a request to one more backend server, over all hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RetrySettings {
+    /// Repeats as a share of a backend's requests.
+    pub ratio: f64,
+    /// Repeats beside that share, in one window.
+    pub extra: f64,
+}
+
+/// Settings that cannot be used.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[display("{file}: cannot be read")]
+    Unreadable {
+        /// The file.
+        file: CompactString,
+        /// Why.
+        #[error(source)]
+        cause: std::io::Error,
+    },
+    /// The file does not have the shape of settings.
+    #[display("{file}:{line}: {message}")]
+    Shape {
+        /// The file.
+        file: CompactString,
+        /// The line, from 1; 0 where it is not known.
+        line: u64,
+        /// What was expected.
+        message: String,
+    },
+    /// A field is outside its range.
+    #[display("{file}: {field}: expected {expected}")]
+    OutOfRange {
+        /// The file.
+        file: CompactString,
+        /// The field.
+        field: &'static str,
+        /// What was expected.
+        expected: &'static str,
+    },
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] names file, line and field.
+    pub fn read(file: &Path) -> Result<Self, SettingsError> {
+        let name = CompactString::from(file.to_string_lossy());
+        match std::fs::read_to_string(file) {
+            Ok(text) => Self::from_yaml(&name, &text),
+            Err(cause) => Err(SettingsError::Unreadable { file: name, cause }),
+        }
+    }
+
+    /// Checks settings given as text.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] names file, line and field.
+    pub fn from_yaml(file: &str, text: &str) -> Result<Self, SettingsError> {
+        let settings: Self = serde_saphyr::from_str(text).map_err(|e| {
+            let message = e.to_string();
+            SettingsError::Shape {
+                file: file.into(),
+                line: e.location().map_or(0, |at| at.line()),
+                message: message.lines().next().unwrap_or_default().to_owned(),
+            }
+        })?;
+        let wrong = |field, expected| SettingsError::OutOfRange {
+            file: file.into(),
+            field,
+            expected,
+        };
+        match &settings {
+            s if s.traffic_threads == 0 => Err(wrong("traffic_threads", "at least 1 thread")),
+            s if s.max_connections == 0 => Err(wrong("max_connections", "at least 1 connection")),
+            s if !s.ready_path.starts_with('/') => Err(wrong("ready_path", "a path that begins with /")),
+            s if s.max_key_age == Millis::ZERO => Err(wrong("max_key_age", "more than 0ms")),
+            s if s.stop_within == Millis::ZERO => Err(wrong("stop_within", "more than 0ms")),
+            s if !is_share(s.retries.ratio) => Err(wrong("retries.ratio", "a share from 0 to 1")),
+            s if s.retries.extra.is_nan() || s.retries.extra < 0.0 => {
+                Err(wrong("retries.extra", "0 or more"))
+            }
+            _ => Ok(settings),
+        }
+    }
+}
+
+fn is_share(value: f64) -> bool {
+    (0.0..=1.0).contains(&value)
+}
+
+const fn default_traffic_threads() -> usize {
+    1
+}
--- /dev/null
+++ b/crates/gateway/src/shared.rs
@@ -0,0 +1,191 @@
+//! What the control thread and the traffic threads share.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicUsize;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use carawayseam_dispatch::freshness::Freshness;
+use carawayseam_dispatch::quota::Quotas;
+use carawayseam_dispatch::{Action, AttemptEnd, Catalog, Dispatcher, Job, Ticket};
+use carawayseam_types::{Clock, EngineId, Millis, VersionId};
+use tokio::sync::{oneshot, watch};
+
+use crate::metrics::Metrics;
+use crate::platform::Headers;
+use crate::settings::Settings;
+use crate::traffic::Connections;
+
+/// Locks, also after a panic of another holder: the state is a plain value.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// How far a planned stop has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Phase {
+    /// Serving.
+    Serving,
+    /// Not ready; still serving, and asking callers to go elsewhere.
+    Leaving,
+    /// Idle connections are closed.
+    Closing,
+}
+
+/// Where a request may be sent.
+#[derive(Debug, Clone)]
+pub(crate) struct Assignment {
+    pub(crate) engine: EngineId,
+    pub(crate) address: SocketAddr,
+    pub(crate) version: VersionId,
+    pub(crate) expected: Millis,
+}
+
+/// What became of a request that waited.
+#[derive(Debug)]
+pub(crate) enum Decision {
+    Start(Assignment),
+    Refuse { retry_after: Millis },
+}
+
+/// The dispatcher with the requests that wait for its word.
+#[derive(Debug)]
+pub(crate) struct Desk {
+    pub(crate) dispatcher: Dispatcher,
+    pub(crate) quotas: Quotas,
+    waiters: HashMap<Ticket, oneshot::Sender<Decision>>,
+}
+
+impl Desk {
+    pub(crate) fn new(dispatcher: Dispatcher) -> Self {
+        Self {
+            dispatcher,
+            quotas: Quotas::default(),
+            waiters: HashMap::new(),
+        }
+    }
+
+    /// Queues a new request.
+    pub(crate) fn submit(&mut self, now: Millis, job: Job) -> (Ticket, oneshot::Receiver<Decision>) {
+        let (ticket, actions) = self.dispatcher.submit(now, job);
+        (ticket, self.wait(now, ticket, actions))
+    }
+
+    /// Queues a request again, if the retry budget allows it.
+    pub(crate) fn submit_again(
+        &mut self,
+        now: Millis,
+        job: Job,
+    ) -> Option<(Ticket, oneshot::Receiver<Decision>)> {
+        let (ticket, actions) = self.dispatcher.submit_again(now, job)?;
+        Some((ticket, self.wait(now, ticket, actions)))
+    }
+
+    /// Queues a request again of which no byte left.
+    pub(crate) fn submit_unsent(&mut self, now: Millis, job: Job) -> (Ticket, oneshot::Receiver<Decision>) {
+        let (ticket, actions) = self.dispatcher.submit_unsent(now, job);
+        (ticket, self.wait(now, ticket, actions))
+    }
+
+    fn wait(&mut self, now: Millis, ticket: Ticket, actions: Vec<Action>) -> oneshot::Receiver<Decision> {
+        let (tx, rx) = oneshot::channel();
+        self.waiters.insert(ticket, tx);
+        self.carry_out(now, actions);
+        rx
+    }
+
+    /// A request left its server.
+    pub(crate) fn ended(&mut self, now: Millis, ticket: Ticket, end: AttemptEnd) {
+        let actions = self.dispatcher.ended(now, ticket, end);
+        self.carry_out(now, actions);
+    }
+
+    /// A caller left, whether its request waits or has just been given a server.
+    pub(crate) fn cancel(&mut self, now: Millis, ticket: Ticket) {
+        self.waiters.remove(&ticket);
+        self.dispatcher.withdraw(ticket);
+        self.ended(now, ticket, AttemptEnd::Cancelled);
+    }
+
+    /// Tells the requests concerned what was decided.
+    pub(crate) fn carry_out(&mut self, now: Millis, actions: Vec<Action>) {
+        for action in actions {
+            let (ticket, decision) = match action {
+                Action::Start {
+                    ticket,
+                    engine,
+                    address,
+                    version,
+                    expected,
+                } => {
+                    let assignment = Assignment {
+                        engine,
+                        address,
+                        version,
+                        expected,
+                    };
+                    (ticket, Decision::Start(assignment))
+                }
+                Action::Refuse { ticket, retry_after } => (ticket, Decision::Refuse { retry_after }),
+            };
+            let waiter = self.waiters.remove(&ticket);
+            let told = waiter.is_some_and(|tx| tx.send(decision).is_ok());
+            if !told {
+                self.ended(now, ticket, AttemptEnd::Cancelled);
+            }
+        }
+    }
+}
+
+/// What the control thread and the traffic threads share.
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    /// Counts suspension of the host, and never jumps.
+    pub(crate) clock: Clock,
+    pub(crate) headers: Box<dyn Headers>,
+    pub(crate) catalog: watch::Sender<Option<Arc<Catalog>>>,
+    pub(crate) freshness: Mutex<Freshness>,
+    pub(crate) desk: Mutex<Desk>,
+    pub(crate) connections: Connections,
+    pub(crate) phase: watch::Sender<Phase>,
+    pub(crate) metrics: Metrics,
+    /// Requests whose answers are not complete.
+    pub(crate) open_requests: AtomicUsize,
+}
+
+impl std::fmt::Debug for Shared {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Shared")
+            .field("settings", &self.settings)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Shared {
+    pub(crate) fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    pub(crate) fn catalog(&self) -> Option<Arc<Catalog>> {
+        self.catalog.borrow().clone()
+    }
+
+    pub(crate) fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// The age of what is known of the configuration, if it is known at all.
+    pub(crate) fn configuration_age(&self) -> Option<Millis> {
+        lock(&self.freshness).age(self.now())
+    }
+
+    /// Whether requests with keys may be passed on now.
+    pub(crate) fn may_use_keys(&self) -> bool {
+        lock(&self.freshness).is_fresh(self.now())
+    }
+
+    /// Whether callers should be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.phase() == Phase::Serving && self.catalog.borrow().is_some() && self.may_use_keys()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/traffic/answer.rs
@@ -0,0 +1,128 @@
+//! The gateway's own answers.
+
+use bytes::Bytes;
+use carawayseam_types::Millis;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+
+/// What ends an answer before its end.
+pub(crate) type BodyError = Box<dyn std::error::Error + Send + Sync>;
+/// The body of an answer to a caller.
+pub(crate) type AnswerBody = UnsyncBoxBody<Bytes, BodyError>;
+
+/// Why the gateway answers by itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub(crate) enum Reason {
+    #[display("no configuration is known yet")]
+    NoConfiguration,
+    #[display("the configuration was not confirmed lately")]
+    StaleConfiguration,
+    #[display("no route for the host and path")]
+    NoRoute,
+    #[display("unknown key")]
+    UnknownKey,
+    #[display("the body is too large")]
+    BodyTooLarge,
+    #[display("the body did not come")]
+    BodyBroken,
+    #[display("the organisation's quota is used up")]
+    OverQuota,
+    #[display("the backend is busy")]
+    Busy,
+    #[display("no backend server could be reached")]
+    Unreachable,
+    #[display("the backend server rejected the request")]
+    Rejected,
+    #[display("the time is over; the request may have run")]
+    TimeOver,
+    #[display("the backend server's answer was lost; the request may have run")]
+    AnswerLost,
+}
+
+impl Reason {
+    /// The status, which also tells whether the request may have run.
+    pub(crate) const fn status(self) -> StatusCode {
+        match self {
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyBroken => StatusCode::BAD_REQUEST,
+            Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
+            Self::NoConfiguration
+            | Self::StaleConfiguration
+            | Self::Busy
+            | Self::Unreachable
+            | Self::Rejected => StatusCode::SERVICE_UNAVAILABLE,
+            Self::TimeOver => StatusCode::GATEWAY_TIMEOUT,
+            Self::AnswerLost => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    /// A short name for metrics.
+    pub(crate) const fn label(self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "no-configuration",
+            Self::StaleConfiguration => "stale-configuration",
+            Self::NoRoute => "no-route",
+            Self::UnknownKey => "unknown-key",
+            Self::BodyTooLarge => "body-too-large",
+            Self::BodyBroken => "body-broken",
+            Self::OverQuota => "over-quota",
+            Self::Busy => "busy",
+            Self::Unreachable => "unreachable",
+            Self::Rejected => "rejected",
+            Self::TimeOver => "time-over",
+            Self::AnswerLost => "answer-lost",
+        }
+    }
+}
+
+/// A final answer of the gateway's own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Refusal {
+    pub(crate) reason: Reason,
+    pub(crate) retry_after: Option<Millis>,
+}
+
+impl Refusal {
+    pub(crate) const fn new(reason: Reason) -> Self {
+        Self {
+            reason,
+            retry_after: None,
+        }
+    }
+
+    pub(crate) const fn later(reason: Reason, retry_after: Millis) -> Self {
+        Self {
+            reason,
+            retry_after: Some(retry_after),
+        }
+    }
+
+    /// The answer as the caller gets it.
+    pub(crate) fn response(self) -> Response<AnswerBody> {
+        let text = format!("{}\n", self.reason);
+        let mut response = Response::new(whole(Bytes::from(text)));
+        *response.status_mut() = self.reason.status();
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        if let Some(after) = self.retry_after {
+            let seconds = format!("{:.2}", after.as_secs_f64());
+            if let Ok(value) = HeaderValue::try_from(seconds) {
+                headers.insert(RETRY_AFTER, value);
+            }
+        }
+        // Bytes of a body that was not read must not be taken for a request.
+        if matches!(self.reason, Reason::BodyTooLarge | Reason::BodyBroken) {
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
+
+/// A body that is known whole.
+pub(crate) fn whole(bytes: Bytes) -> AnswerBody {
+    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+}
--- /dev/null
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -0,0 +1,256 @@
+//! One attempt to have a request answered by one backend server.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use carawayseam_dispatch::{AttemptEnd, Ticket};
+use carawayseam_types::Millis;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderMap, HeaderName};
+use hyper::{Request, Response, StatusCode};
+use tokio::time::timeout;
+
+use super::exchange::Exchange;
+use crate::http_client::{Connection, SendError};
+use crate::platform::Outgoing;
+use crate::shared::{Assignment, Shared, lock};
+
+/// How long connecting to a server may take.
+const CONNECT_LIMIT: Millis = Millis(250);
+/// A server that acknowledges nothing for so long is gone.
+const ENGINE_SILENCE: Millis = Millis(1_200);
+/// What may be lost on the way when times are compared.
+const TIMER_SLACK: Millis = Millis(2);
+
+/// A request's place at a backend server, given back when it is dropped.
+#[derive(Debug)]
+pub(crate) struct Slot {
+    shared: Arc<Shared>,
+    ticket: Ticket,
+    ended: bool,
+}
+
+impl Slot {
+    pub(crate) const fn new(shared: Arc<Shared>, ticket: Ticket) -> Self {
+        Self {
+            shared,
+            ticket,
+            ended: false,
+        }
+    }
+
+    pub(crate) const fn ticket(&self) -> Ticket {
+        self.ticket
+    }
+
+    pub(crate) fn end(mut self, end: AttemptEnd) {
+        self.ended = true;
+        lock(&self.shared.desk).ended(self.shared.now(), self.ticket, end);
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        if !self.ended {
+            lock(&self.shared.desk).cancel(self.shared.now(), self.ticket);
+        }
+    }
+}
+
+/// An answer whose head came.
+#[derive(Debug)]
+pub(crate) struct Answered {
+    pub(crate) response: Response<Incoming>,
+    pub(crate) connection: Connection,
+    pub(crate) slot: Slot,
+    pub(crate) assignment: Assignment,
+}
+
+/// Why an attempt brought no answer to pass on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// It ended so; the request did not run.
+    NotRun(AttemptEnd),
+    /// It ended so; the request may have run.
+    MaybeRun(AttemptEnd),
+    /// The configuration was not confirmed lately; nothing was sent.
+    Stale,
+    /// The request's time is over; it may have run.
+    TimeOver,
+}
+
+/// Sends a request to its server and waits for the answer's head.
+pub(crate) async fn send(
+    exchange: &Exchange,
+    slot: Slot,
+    assignment: Assignment,
+    last_event: Option<u64>,
+    silence: Option<Millis>,
+) -> Result<Answered, Failure> {
+    let mut is_new = false;
+    loop {
+        let connection = match exchange.reuse(&assignment).filter(|_| !is_new) {
+            Some(connection) => connection,
+            None => {
+                is_new = true;
+                match open(exchange, &assignment).await {
+                    Ok(connection) => connection,
+                    Err(failure) => return Err(fail(slot, failure)),
+                }
+            }
+        };
+        match send_on(exchange, connection, &assignment, last_event, silence).await {
+            Ok((response, connection)) => {
+                return judge(exchange, response, connection, slot, assignment);
+            }
+            // The server closed the kept connection before a byte left.
+            Err(Failure::NotRun(AttemptEnd::Unreachable)) if !is_new => is_new = true,
+            Err(failure) => return Err(fail(slot, failure)),
+        }
+    }
+}
+
+fn fail(slot: Slot, failure: Failure) -> Failure {
+    match failure {
+        Failure::NotRun(end) | Failure::MaybeRun(end) => slot.end(end),
+        Failure::Stale | Failure::TimeOver => slot.end(AttemptEnd::Cancelled),
+    }
+    failure
+}
+
+async fn open(exchange: &Exchange, assignment: &Assignment) -> Result<Connection, Failure> {
+    let within = CONNECT_LIMIT.min(exchange.time_left());
+    exchange.shared.metrics.count("engine_connections", "opened");
+    match Connection::open(assignment.address, within, ENGINE_SILENCE).await {
+        Ok(connection) => Ok(connection),
+        Err(e) => {
+            log::debug!(engine:% = assignment.engine; "connecting failed: {e}");
+            Err(Failure::NotRun(AttemptEnd::Unreachable))
+        }
+    }
+}
+
+async fn send_on(
+    exchange: &Exchange,
+    mut connection: Connection,
+    assignment: &Assignment,
+    last_event: Option<u64>,
+    silence: Option<Millis>,
+) -> Result<(Response<Incoming>, Connection), Failure> {
+    let time_left = exchange.time_left();
+    if exchange.is_keyed() && !exchange.shared.may_use_keys() {
+        return Err(Failure::Stale);
+    }
+    if time_left <= TIMER_SLACK {
+        return Err(Failure::NotRun(AttemptEnd::Cancelled));
+    }
+    let req = outgoing(exchange, assignment, time_left, last_event);
+    let within = silence.map_or(time_left, |silence| silence.min(time_left));
+    match timeout(within.to_duration(), connection.send(req)).await {
+        Ok(Ok(response)) => Ok((response, connection)),
+        Ok(Err(SendError::NotSent(_))) => Err(Failure::NotRun(AttemptEnd::Unreachable)),
+        Ok(Err(SendError::MaybeSent(e))) => {
+            log::debug!(engine:% = assignment.engine; "no answer: {e}");
+            Err(Failure::MaybeRun(AttemptEnd::Lost))
+        }
+        Err(_) if exchange.time_left() <= TIMER_SLACK => Err(Failure::TimeOver),
+        Err(_) => Err(Failure::MaybeRun(AttemptEnd::Silent)),
+    }
+}
+
+fn outgoing(
+    exchange: &Exchange,
+    assignment: &Assignment,
+    time_left: Millis,
+    last_event: Option<u64>,
+) -> Request<Full<Bytes>> {
+    let mut req = Request::new(Full::new(exchange.body.clone()));
+    *req.method_mut() = exchange.method.clone();
+    *req.uri_mut() = exchange.uri.clone();
+    *req.headers_mut() = exchange.request_headers.clone();
+    let outgoing = Outgoing {
+        time_left,
+        engine: &assignment.engine,
+        organisation: exchange.organisation_name(),
+        last_event,
+    };
+    exchange
+        .shared
+        .headers
+        .write_request(req.headers_mut(), &outgoing);
+    req
+}
+
+/// Tells a server's own answer from a refusal, and from bytes that are no answer to this request.
+fn judge(
+    exchange: &Exchange,
+    response: Response<Incoming>,
+    connection: Connection,
+    slot: Slot,
+    assignment: Assignment,
+) -> Result<Answered, Failure> {
+    let head = exchange.shared.headers.read_answer(response.headers());
+    let status = response.status();
+    let is_own = head.id.is_none() || head.id == exchange.head.id;
+    let failure = match status {
+        _ if !is_own => Some(Failure::MaybeRun(AttemptEnd::Lost)),
+        StatusCode::MISDIRECTED_REQUEST => Some(Failure::NotRun(AttemptEnd::Misdirected)),
+        _ if head.not_run => Some(Failure::NotRun(AttemptEnd::Rejected)),
+        _ if status.is_success() && !(head.is_genuine && head.id.is_some()) => {
+            Some(Failure::MaybeRun(AttemptEnd::Lost))
+        }
+        // Only the server's word counts that a request did not run, and this answer does not give it.
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS | StatusCode::REQUEST_TIMEOUT => {
+            Some(Failure::MaybeRun(AttemptEnd::Failed))
+        }
+        _ => None,
+    };
+    match failure {
+        Some(failure) => Err(fail(slot, failure)),
+        None => Ok(Answered {
+            response,
+            connection,
+            slot,
+            assignment,
+        }),
+    }
+}
+
+/// Headers that concern one connection only.
+const HOP_HEADERS: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Removes the headers that concern one connection only.
+pub(crate) fn remove_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in HOP_HEADERS {
+        headers.remove(name);
+    }
+}
+
+/// How long a server keeps an idle connection, if it says so.
+pub(crate) fn idle_limit(headers: &HeaderMap) -> Option<Millis> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let timeout = value
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    timeout.trim().parse().ok().map(Millis::from_secs)
+}
--- /dev/null
+++ b/crates/gateway/src/traffic/connections.rs
@@ -0,0 +1,74 @@
+//! Connections to backend servers that wait for their next request.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+
+use carawayseam_types::{EngineId, Millis};
+
+use crate::http_client::Connection;
+use crate::shared::lock;
+
+/// Idle connections kept to one server.
+const MOST_IDLE: usize = 16;
+/// How long a connection is kept whose server names no limit.
+const USUAL_IDLE: Millis = Millis(2_500);
+/// The part of a server's own limit that is used: it may count from an earlier moment.
+const USED_PART: f64 = 0.5;
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    until: Millis,
+}
+
+/// Idle connections by server.
+#[derive(Debug, Default)]
+pub(crate) struct Connections(Mutex<HashMap<(EngineId, SocketAddr), Vec<Idle>>>);
+
+impl Connections {
+    /// Takes the connection that was used last and is clean.
+    pub(crate) fn take(&self, now: Millis, engine: &EngineId, address: SocketAddr) -> Option<Connection> {
+        let mut idle = lock(&self.0);
+        let stack = idle.get_mut(&(engine.clone(), address))?;
+        while let Some(last) = stack.pop() {
+            if now < last.until && last.connection.is_ready() {
+                return Some(last.connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose answer ended cleanly.
+    pub(crate) fn put(
+        &self,
+        now: Millis,
+        engine: &EngineId,
+        address: SocketAddr,
+        connection: Connection,
+        limit: Option<Millis>,
+    ) {
+        let keep = limit.map_or(USUAL_IDLE, |limit| Millis((limit.0 as f64 * USED_PART) as u64));
+        let mut idle = lock(&self.0);
+        let stack = idle.entry((engine.clone(), address)).or_default();
+        if stack.len() < MOST_IDLE {
+            stack.push(Idle {
+                connection,
+                until: now + keep,
+            });
+        }
+    }
+
+    /// Closes connections that were idle too long, and those to servers that are gone.
+    pub(crate) fn sweep(&self, now: Millis, is_listed: impl Fn(&EngineId) -> bool) {
+        let mut idle = lock(&self.0);
+        idle.retain(|(engine, _), stack| {
+            stack.retain(|kept| now < kept.until && kept.connection.is_ready());
+            !stack.is_empty() && is_listed(engine)
+        });
+    }
+
+    pub(crate) fn idle_count(&self) -> usize {
+        lock(&self.0).values().map(Vec::len).sum()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -0,0 +1,432 @@
+//! One request of a caller, from its head to its answer.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use carawayseam_dispatch::catalog::{LookupError, Place, Target};
+use carawayseam_dispatch::{AttemptEnd, Catalog, Job, Ticket};
+use carawayseam_types::{BackendName, EngineId, Millis, OrganisationId, Tier};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, EXPECT, HOST, HeaderMap};
+use hyper::{Method, Request, Response, Uri};
+use rand::RngExt;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use super::answer::{AnswerBody, Reason, Refusal, whole};
+use super::attempt::{self, Answered, Failure, Slot, idle_limit, remove_hop_headers};
+use super::stream;
+use crate::http_client::Connection;
+use crate::journal;
+use crate::platform::RequestHead;
+use crate::shared::{Assignment, Decision, Shared, lock};
+
+/// A host that knows no configuration, or an old one, is asked again after this time.
+const RETRY_AFTER_STALE: Millis = Millis(1_000);
+/// A refused attempt is worth another try after this time.
+const RETRY_AFTER_REJECTED: Millis = Millis(300);
+/// The part of a request's time after which it is refused if it still waits.
+const WAIT_PART: f64 = 0.45;
+/// A plain answer that may be asked for twice is given up after this many objectives.
+const SILENT_OBJECTIVES: f64 = 2.5;
+/// A stream's first event is given up after this many times the expected time, and some more.
+const SILENT_EXPECTED: u64 = 3;
+const SILENT_EXTRA: Millis = Millis(800);
+/// Connections that may fail for one request.
+const MOST_UNSENT: u32 = 4;
+/// An unknown route or key is believed only if the configuration was confirmed within this time.
+const SURE_WITHIN: Millis = Millis(1_800);
+/// The largest plain answer that is read whole before it is passed on.
+const MOST_ANSWER_BYTES: usize = 8 * 1_024 * 1_024;
+
+/// One request of a caller.
+#[derive(Debug)]
+pub(crate) struct Exchange {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) head: RequestHead,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) request_headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) place: Place,
+    pub(crate) backend: BackendName,
+    pub(crate) arrived: Millis,
+    pub(crate) deadline: Millis,
+    pub(crate) attempts: u32,
+    pub(crate) unsent: u32,
+    /// Whether an attempt may have run it.
+    pub(crate) ran: bool,
+    pub(crate) tried: Vec<EngineId>,
+    _open: OpenRequest,
+}
+
+/// A request's place in the queue, and where it hears what was decided.
+pub(crate) type Queued = (Ticket, oneshot::Receiver<Decision>);
+
+/// How a request is answered.
+enum Served {
+    Plain(Response<AnswerBody>),
+    Stream(Answered),
+}
+
+/// What became of a server's plain answer.
+enum Plain {
+    Pass(Response<AnswerBody>),
+    Again(Queued),
+    Failed(Failure),
+}
+
+/// Counts a request while its answer is not complete.
+#[derive(Debug)]
+struct OpenRequest(Arc<Shared>);
+
+impl OpenRequest {
+    fn new(shared: &Arc<Shared>) -> Self {
+        shared.open_requests.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(shared))
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open_requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Answers one request.
+pub(crate) async fn run(shared: &Arc<Shared>, req: Request<Incoming>) -> Response<AnswerBody> {
+    let id = shared.headers.read_request(req.headers()).id;
+    let arrived = shared.now();
+    match begin(shared, req).await {
+        Ok(exchange) => exchange.serve().await,
+        Err(refusal) => {
+            let known = shared.catalog().map(|catalog| catalog.revision);
+            let age = shared.configuration_age();
+            let waited = shared.now().since(arrived);
+            journal::refused(shared, id.as_deref(), None, refusal, waited, known, age);
+            refusal.response()
+        }
+    }
+}
+
+/// Reads a request and finds its place in the configuration.
+async fn begin(shared: &Arc<Shared>, req: Request<Incoming>) -> Result<Exchange, Refusal> {
+    let arrived = shared.now();
+    let open = OpenRequest::new(shared);
+    let head = shared.headers.read_request(req.headers());
+    let catalog = shared
+        .catalog()
+        .ok_or_else(|| Refusal::later(Reason::NoConfiguration, RETRY_AFTER_STALE))?;
+    let place = find_place(shared, &catalog, &req, &head)?;
+    if place.organisation.is_some() && !shared.may_use_keys() {
+        return Err(Refusal::later(Reason::StaleConfiguration, RETRY_AFTER_STALE));
+    }
+    let backend = pick_target(&place.route.targets)
+        .ok_or_else(|| Refusal::later(Reason::Unreachable, RETRY_AFTER_REJECTED))?;
+    let limit = head.time_limit.unwrap_or(Millis::MAX).min(place.route.timeout);
+    let (parts, body) = req.into_parts();
+    let most = catalog.limits.max_body.0 as usize;
+    let reading = timeout(limit.to_duration(), Limited::new(body, most).collect());
+    let body = match reading.await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(Refusal::new(Reason::BodyTooLarge)),
+        Ok(Err(_)) | Err(_) => return Err(Refusal::new(Reason::BodyBroken)),
+    };
+    let mut request_headers = parts.headers;
+    remove_hop_headers(&mut request_headers);
+    request_headers.remove(EXPECT);
+    // The HTTP library says the length of the body that it sends.
+    request_headers.remove(CONTENT_LENGTH);
+    Ok(Exchange {
+        shared: Arc::clone(shared),
+        head,
+        method: parts.method,
+        uri: origin_form(&parts.uri),
+        request_headers,
+        body,
+        place,
+        backend,
+        arrived,
+        deadline: arrived + limit,
+        attempts: 0,
+        unsent: 0,
+        ran: false,
+        tried: Vec::new(),
+        _open: open,
+    })
+}
+
+fn find_place(
+    shared: &Shared,
+    catalog: &Catalog,
+    req: &Request<Incoming>,
+    head: &RequestHead,
+) -> Result<Place, Refusal> {
+    let host = req.headers().get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| req.uri().host()).unwrap_or_default();
+    catalog
+        .place(host, req.uri().path(), head.key.as_deref())
+        .map_err(|e| {
+            let is_sure = shared.configuration_age().is_some_and(|age| age <= SURE_WITHIN);
+            match e {
+                _ if !is_sure => Refusal::later(Reason::StaleConfiguration, RETRY_AFTER_STALE),
+                LookupError::NoRoute => Refusal::new(Reason::NoRoute),
+                LookupError::UnknownKey => Refusal::new(Reason::UnknownKey),
+            }
+        })
+}
+
+/// Draws a backend by the targets' weights.
+fn pick_target(targets: &[Target]) -> Option<BackendName> {
+    let total: u32 = targets.iter().map(|target| target.weight).sum();
+    if total == 0 {
+        return targets.first().map(|target| target.backend.clone());
+    }
+    let mut drawn = rand::rng().random_range(0..total);
+    let target = targets.iter().find(|target| {
+        let hit = drawn < target.weight;
+        drawn = drawn.saturating_sub(target.weight);
+        hit
+    });
+    target.map(|target| target.backend.clone())
+}
+
+/// The path and query alone, as they are sent to a server.
+fn origin_form(uri: &Uri) -> Uri {
+    let Some(path) = uri.path_and_query() else {
+        return uri.clone();
+    };
+    Uri::from(path.clone())
+}
+
+impl Exchange {
+    pub(crate) fn time_left(&self) -> Millis {
+        self.deadline.since(self.shared.now())
+    }
+
+    pub(crate) fn is_keyed(&self) -> bool {
+        self.place.organisation.is_some()
+    }
+
+    pub(crate) fn organisation_name(&self) -> Option<&OrganisationId> {
+        self.place.organisation.as_ref().map(|org| &org.name)
+    }
+
+    pub(crate) fn tier(&self) -> Tier {
+        self.place.tier()
+    }
+
+    pub(crate) fn reuse(&self, assignment: &Assignment) -> Option<Connection> {
+        let now = self.shared.now();
+        self.shared
+            .connections
+            .take(now, &assignment.engine, assignment.address)
+    }
+
+    pub(crate) fn keep(&self, assignment: &Assignment, connection: Connection, limit: Option<Millis>) {
+        let now = self.shared.now();
+        let Assignment { engine, address, .. } = assignment;
+        self.shared
+            .connections
+            .put(now, engine, *address, connection, limit);
+    }
+
+    async fn serve(mut self) -> Response<AnswerBody> {
+        match self.try_serve().await {
+            Ok(Served::Plain(response)) => response,
+            Ok(Served::Stream(answered)) => stream::respond(self, answered),
+            Err(refusal) => {
+                let catalog = self.shared.catalog().map(|catalog| catalog.revision);
+                let age = self.shared.configuration_age();
+                let waited = self.shared.now().since(self.arrived);
+                let id = self.head.id.as_deref();
+                let route = Some(&self.place.route);
+                journal::refused(&self.shared, id, route, refusal, waited, catalog, age);
+                refusal.response()
+            }
+        }
+    }
+
+    async fn try_serve(&mut self) -> Result<Served, Refusal> {
+        self.take_quota()?;
+        let job = self.job(self.wait_limit());
+        let mut queued = lock(&self.shared.desk).submit(self.shared.now(), job);
+        loop {
+            let last_event = self.head.last_event;
+            queued = match self.attempt(queued, last_event).await? {
+                Ok(answered) if self.is_stream(&answered) => return Ok(Served::Stream(answered)),
+                Ok(answered) => match self.plain_answer(answered).await {
+                    Plain::Pass(response) => return Ok(Served::Plain(response)),
+                    Plain::Again(queued) => queued,
+                    Plain::Failed(failure) => self.queue_again(failure)?,
+                },
+                Err(failure) => self.queue_again(failure)?,
+            };
+        }
+    }
+
+    fn is_stream(&self, answered: &Answered) -> bool {
+        self.place.route.kind.is_stream() && answered.response.status().is_success()
+    }
+
+    fn take_quota(&self) -> Result<(), Refusal> {
+        let Some((organisation, quota)) = self
+            .place
+            .organisation
+            .as_ref()
+            .and_then(|org| Some((org, org.quota?)))
+        else {
+            return Ok(());
+        };
+        let tokens = match &self.head.prompt {
+            Some(prompt) => f64::from(prompt.tokens) + f64::from(prompt.max_output),
+            None => f64::from(quota.plain.0),
+        };
+        let now = self.shared.now();
+        lock(&self.shared.desk)
+            .quotas
+            .take(now, &organisation.name, quota, tokens)
+            .map_err(|wait| Refusal::later(Reason::OverQuota, wait))
+    }
+
+    /// When the request is refused if it still waits.
+    fn wait_limit(&self) -> Millis {
+        let whole = self.deadline.since(self.arrived).0 as f64;
+        self.arrived + Millis((whole * WAIT_PART) as u64)
+    }
+
+    pub(crate) fn job(&self, give_up: Millis) -> Job {
+        let prompt = self.head.prompt.as_ref();
+        Job {
+            backend: self.backend.clone(),
+            version: None,
+            tier: self.tier(),
+            objective: self.arrived + self.place.route.objective,
+            give_up,
+            prompt: prompt.map_or(0, |prompt| prompt.tokens),
+            parts: prompt.map(|prompt| prompt.parts.clone()).unwrap_or_default(),
+            tried: self.tried.clone(),
+        }
+    }
+
+    /// Waits for a server and sends the request there.
+    pub(crate) async fn attempt(
+        &mut self,
+        queued: Queued,
+        last_event: Option<u64>,
+    ) -> Result<Result<Answered, Failure>, Refusal> {
+        let (ticket, rx) = queued;
+        let slot = Slot::new(Arc::clone(&self.shared), ticket);
+        let assignment = match timeout(self.time_left().to_duration(), rx).await {
+            Ok(Ok(Decision::Start(assignment))) => assignment,
+            Ok(Ok(Decision::Refuse { retry_after })) => {
+                return Err(Refusal::later(Reason::Busy, retry_after));
+            }
+            Ok(Err(_)) | Err(_) => return Err(Refusal::later(Reason::Busy, RETRY_AFTER_REJECTED)),
+        };
+        journal::assigned(self, &assignment);
+        let silence = self.silence(&assignment);
+        let engine = assignment.engine.clone();
+        let sent = attempt::send(self, slot, assignment, last_event, silence).await;
+        match &sent {
+            Err(Failure::NotRun(AttemptEnd::Unreachable | AttemptEnd::Cancelled) | Failure::Stale) => {
+                self.unsent += 1;
+            }
+            _ => self.attempts += 1,
+        }
+        self.ran |= matches!(&sent, Ok(_) | Err(Failure::MaybeRun(_) | Failure::TimeOver));
+        self.tried.push(engine);
+        Ok(sent)
+    }
+
+    /// How long the server may stay silent before another is asked.
+    fn silence(&self, assignment: &Assignment) -> Option<Millis> {
+        let kind = self.place.route.kind;
+        let has_next = self.attempts + 1 < self.place.route.max_attempts;
+        match kind {
+            _ if !has_next || !kind.may_repeat() => None,
+            kind if kind.is_stream() => Some(assignment.expected.times(SILENT_EXPECTED) + SILENT_EXTRA),
+            _ => Some(Millis(
+                (self.place.route.objective.0 as f64 * SILENT_OBJECTIVES) as u64,
+            )),
+        }
+    }
+
+    /// Queues the request once more after a failed attempt, or says how it ends.
+    pub(crate) fn queue_again(&self, failure: Failure) -> Result<Queued, Refusal> {
+        let refusal = match failure {
+            Failure::TimeOver => return Err(Refusal::new(Reason::TimeOver)),
+            _ if self.ran => Refusal::new(Reason::AnswerLost),
+            Failure::Stale => return Err(Refusal::later(Reason::StaleConfiguration, RETRY_AFTER_STALE)),
+            Failure::NotRun(AttemptEnd::Unreachable) => {
+                Refusal::later(Reason::Unreachable, RETRY_AFTER_REJECTED)
+            }
+            _ => Refusal::later(Reason::Rejected, RETRY_AFTER_REJECTED),
+        };
+        let now = self.shared.now();
+        match failure {
+            _ if now >= self.deadline => Err(refusal),
+            Failure::NotRun(AttemptEnd::Unreachable) if self.unsent < MOST_UNSENT => {
+                let job = self.job(self.deadline);
+                Ok(lock(&self.shared.desk).submit_unsent(now, job))
+            }
+            Failure::MaybeRun(_) if !self.place.route.kind.may_repeat() => Err(refusal),
+            _ => self.send_once_more().ok_or(refusal),
+        }
+    }
+
+    /// Queues the request for another server, if its route and the retry budget allow one.
+    fn send_once_more(&self) -> Option<Queued> {
+        if self.attempts >= self.place.route.max_attempts {
+            return None;
+        }
+        let job = self.job(self.deadline);
+        let queued = lock(&self.shared.desk).submit_again(self.shared.now(), job);
+        let label = if queued.is_some() { "sent" } else { "over-budget" };
+        self.shared.metrics.count("repeats", label);
+        queued
+    }
+
+    /// Reads a plain answer whole and passes it on.
+    async fn plain_answer(&mut self, answered: Answered) -> Plain {
+        let Answered {
+            response,
+            connection,
+            slot,
+            assignment,
+        } = answered;
+        let (mut parts, body) = response.into_parts();
+        let limit = idle_limit(&parts.headers);
+        remove_hop_headers(&mut parts.headers);
+        let reading = Limited::new(body, MOST_ANSWER_BYTES).collect();
+        let body = match timeout(self.time_left().to_duration(), reading).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(e)) => {
+                log::debug!(engine:% = assignment.engine; "the answer broke off: {e}");
+                slot.end(AttemptEnd::Lost);
+                return Plain::Failed(Failure::MaybeRun(AttemptEnd::Lost));
+            }
+            Err(_) => {
+                slot.end(AttemptEnd::Silent);
+                return Plain::Failed(Failure::TimeOver);
+            }
+        };
+        let is_failure = parts.status.is_server_error();
+        if is_failure {
+            slot.end(AttemptEnd::Failed);
+        } else {
+            let now = self.shared.now();
+            lock(&self.shared.desk).dispatcher.first_event(now, slot.ticket());
+            slot.end(AttemptEnd::Complete);
+        }
+        self.keep(&assignment, connection, limit);
+        let again = (is_failure && self.place.route.kind.may_repeat()).then(|| self.send_once_more());
+        if let Some(queued) = again.flatten() {
+            return Plain::Again(queued);
+        }
+        journal::answered(self, &assignment, parts.status);
+        Plain::Pass(Response::from_parts(parts, whole(body)))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/traffic/listener.rs
@@ -0,0 +1,108 @@
+//! Accepts callers' connections and serves the requests on each.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use carawayseam_types::Millis;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::answer::AnswerBody;
+use super::exchange;
+use crate::shared::{Phase, Shared};
+use crate::sockets;
+
+/// The pause after accepting failed, as with too many open files.
+pub(crate) const ACCEPT_PAUSE: Millis = Millis(20);
+/// A caller that acknowledges nothing for so long is gone.
+const CALLER_SILENCE: Millis = Millis(5_000);
+/// Fields in a request's head.
+const MOST_FIELDS: usize = 128;
+/// The smallest buffer that the HTTP library takes, in bytes.
+const LEAST_BUFFER: usize = 8_192;
+
+/// Serves callers until the process ends.
+pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+    let open = Arc::new(AtomicU32::new(0));
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let shared = Arc::clone(&shared);
+                let counted = Counted::new(&open);
+                tokio::spawn(async move {
+                    serve_connection(shared, stream).await;
+                    drop(counted);
+                });
+            }
+            Err(e) => {
+                log::error!(error:% = e; "accepting callers failed");
+                tokio::time::sleep(ACCEPT_PAUSE.to_duration()).await;
+            }
+        }
+    }
+}
+
+/// Counts a connection while it is open.
+struct Counted(Arc<AtomicU32>);
+
+impl Counted {
+    fn new(open: &Arc<AtomicU32>) -> Self {
+        open.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(open))
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn serve_connection(shared: Arc<Shared>, stream: TcpStream) {
+    if let Err(e) = sockets::watch_for_silence(&stream, CALLER_SILENCE) {
+        log::debug!("a caller's connection cannot be set up: {e}");
+        return;
+    }
+    let limits = shared.catalog().map(|catalog| catalog.limits).unwrap_or_default();
+    let handling = Arc::clone(&shared);
+    let service = service_fn(move |req| handle(Arc::clone(&handling), req));
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout.to_duration())
+        .max_headers(MOST_FIELDS)
+        .max_buf_size((limits.max_head.0 as usize).max(LEAST_BUFFER));
+    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let mut phase = shared.phase.subscribe();
+    let closing = async move {
+        // The phase is kept by the shared state, which outlives this connection.
+        if phase.wait_for(|phase| *phase == Phase::Closing).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    };
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = closing => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(e) = ended {
+        log::debug!("a caller's connection broke: {e}");
+    }
+}
+
+async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> Result<Response<AnswerBody>, Infallible> {
+    let mut response = exchange::run(&shared, req).await;
+    if shared.phase() != Phase::Serving {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    Ok(response)
+}
--- /dev/null
+++ b/crates/gateway/src/traffic/mod.rs
@@ -0,0 +1,14 @@
+//! Callers' connections, and one request from its head to the end of its answer.
+
+mod answer;
+mod attempt;
+mod connections;
+mod events;
+mod exchange;
+mod listener;
+mod stream;
+
+pub(crate) use answer::Refusal;
+pub(crate) use connections::Connections;
+pub(crate) use exchange::Exchange;
+pub(crate) use listener::{ACCEPT_PAUSE, serve};
--- a/crates/lease/src/call.rs
+++ b/crates/lease/src/call.rs
@@ -1,6 +1,6 @@
 //! Calls to the store, and what came of them.
 
-use carawayseam_platform::kv::{Conflict, Entry, GrantRequest, Lease, LeaseRequest, PutReply, PutRequest};
+use carawayseam_external::kv::{Conflict, Entry, GrantRequest, Lease, LeaseRequest, PutReply, PutRequest};
 
 /// Tells the answers of one lease's calls apart; a late one is dropped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display)]
--- a/crates/lease/src/engine.rs
+++ b/crates/lease/src/engine.rs
@@ -1,6 +1,6 @@
 //! One engine as the planner sees it.
 
-use carawayseam_platform::engine::{EngineLoadout, EngineState};
+use carawayseam_external::engine::{EngineLoadout, EngineState};
 use carawayseam_types::Millis;
 
 /// The wait after a first failed order or reading; it doubles with each.
--- a/crates/lease/src/lease.rs
+++ b/crates/lease/src/lease.rs
@@ -1,6 +1,6 @@
 //! One host's part in the lease of one environment.
 
-use carawayseam_platform::kv::{Entry, GrantRequest, PutRequest};
+use carawayseam_external::kv::{Entry, GrantRequest, PutRequest};
 use carawayseam_types::{Clock, Millis, Nonce};
 use rand::rngs::Xoshiro256PlusPlus;
 use rand::{RngExt, SeedableRng};
--- a/crates/lease/src/permit.rs
+++ b/crates/lease/src/permit.rs
@@ -1,6 +1,6 @@
 //! The right to send one order, checked immediately before it.
 
-use carawayseam_platform::engine::{EngineLoadout, Order};
+use carawayseam_external::engine::{EngineLoadout, Order};
 use carawayseam_types::{FencingToken, Millis};
 
 use crate::LapseCause;
--- a/crates/lease/src/planner.rs
+++ b/crates/lease/src/planner.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use carawayseam_config::{BackendKind, Document, EngineSpec};
-use carawayseam_platform::engine::{EngineLoadout, EngineState, Role};
+use carawayseam_external::engine::{EngineLoadout, EngineState, Role};
 use carawayseam_types::{BackendName, EngineId, Millis, VersionId};
 use serde::Serialize;
 
--- a/crates/lease/src/state.rs
+++ b/crates/lease/src/state.rs
@@ -4,7 +4,7 @@
 //! and becomes a [`Holder`] or goes back. A holder whose lease ran out is
 //! [`Lapsed`] until it follows again.
 
-use carawayseam_platform::kv::{Lease, LeaseRequest};
+use carawayseam_external::kv::{Lease, LeaseRequest};
 use carawayseam_types::{FencingToken, Millis, Nonce};
 use serde::Serialize;
 
--- a/crates/lease/tests/lease.rs
+++ b/crates/lease/tests/lease.rs
@@ -208,11 +208,11 @@
 holder_case!(order_carries_the_lease_as_fencing_token, |bench| {
     let permit = bench.lease.permit(&bench.clock).expect("it holds");
     let token = bench.lease.dump(bench.clock.now()).token.expect("it holds");
-    let wanted = carawayseam_platform::engine::EngineLoadout {
+    let wanted = carawayseam_external::engine::EngineLoadout {
         model: "guide".parse().expect("a name"),
         version: "guide-1".parse().expect("a name"),
         adapters: Vec::new(),
-        role: carawayseam_platform::engine::Role::Whole,
+        role: carawayseam_external::engine::Role::Whole,
     };
     assert_eq!(permit.order(wanted).fencing, token);
 });
--- a/crates/lease/tests/planner.rs
+++ b/crates/lease/tests/planner.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use carawayseam_config::Document;
+use carawayseam_external::engine::{EngineLoadout, EngineState};
 use carawayseam_lease::{OrderOutcome, PlanAction, PlanEvent, Planner, PlannerLimits};
-use carawayseam_platform::engine::{EngineLoadout, EngineState};
 use carawayseam_types::{EngineId, FencingToken, Millis, VersionId};
 
 const TICK: u64 = 50;
@@ -149,7 +149,7 @@
         model: model.parse().expect("a name"),
         version: version.parse().expect("a name"),
         adapters: Vec::new(),
-        role: carawayseam_platform::engine::Role::Whole,
+        role: carawayseam_external::engine::Role::Whole,
     }
 }
 
--- a/crates/lease/tests/store/mod.rs
+++ b/crates/lease/tests/store/mod.rs
@@ -4,8 +4,8 @@
 
 use std::collections::BTreeMap;
 
+use carawayseam_external::kv::{Conflict, Entry, Lease, PutReply};
 use carawayseam_lease::{StoreAnswer, StoreCall};
-use carawayseam_platform::kv::{Conflict, Entry, Lease, PutReply};
 
 #[derive(Debug, Default)]
 pub struct Store {
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use carawayseam_platform::hosts::{HostList, HostState};
+use carawayseam_external::hosts::{HostList, HostState};
 use carawayseam_types::{HostId, Millis};
 use carawayseam_wire::{Body, Head, Item, ItemKey, News, PeerState, Record, RecordKey, Topic};
 use rand::SeedableRng;
--- a/crates/membership/src/protocol.rs
+++ b/crates/membership/src/protocol.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use carawayseam_platform::hosts::HostList;
+use carawayseam_external::hosts::HostList;
 use carawayseam_types::Revision;
 use carawayseam_wire::{Datagram, Head, Item, Peer, Record, RecordKey, Topic};
 
--- a/crates/membership/tests/bad_input.rs
+++ b/crates/membership/tests/bad_input.rs
@@ -2,8 +2,8 @@
 
 mod network;
 
+use carawayseam_external::hosts::{Host, HostList, HostState};
 use carawayseam_membership::{Action, Event, Membership, Refused};
-use carawayseam_platform::hosts::{Host, HostList, HostState};
 use carawayseam_types::{Digest, Millis, Revision};
 use carawayseam_wire::{Body, Datagram, Head, Item, ItemKey, News, Peer, PeerRole, PeerState, Topic};
 use network::{address, config, record, record_key, record_with};
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,7 +20,7 @@
 mod stored;
 mod streams;
 
-pub use logging::{LogRevision, init_logging};
+pub use logging::{LogRevision, init_logging, init_stdout_logging};
 pub use metrics::Metrics;
 pub use settings::{Settings, SettingsError};
 pub use sockets::{BindError, Sockets, receive, send};
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -3,14 +3,18 @@
 use std::io::Write;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::thread;
 
 use carawayseam_types::{Clock, HostId, Revision};
-use env_logger::fmt::Formatter;
+use env_logger::fmt::{Formatter, Target};
 use log::Record;
 use log::kv::{Error, Key, Value, VisitSource};
 use serde_json::{Map, Value as Json};
 
 const DEFAULT_FILTER: &str = "info";
+/// Lines that wait to be written.
+const QUEUED_LINES: usize = 1_024;
 
 /// Starts logging to standard error, one JSON object a line.
 ///
@@ -19,11 +23,24 @@
 /// Each line names the revision that the handle was last told, once there is one.
 #[must_use = "lines name a revision only once the handle is told one"]
 pub fn init_logging(process: &'static str, host: &HostId) -> LogRevision {
+    start(process, host, Target::Stderr)
+}
+
+/// Starts logging to standard output, one JSON object a line, without ever blocking.
+///
+/// A thread writes the lines. When it falls behind, lines are dropped and counted.
+#[must_use = "lines name a revision only once the handle is told one"]
+pub fn init_stdout_logging(process: &'static str, host: &HostId) -> LogRevision {
+    start(process, host, Target::Pipe(Box::new(LineQueue::start())))
+}
+
+fn start(process: &'static str, host: &HostId, target: Target) -> LogRevision {
     let revision = LogRevision::default();
     let told = revision.clone();
     let host = host.to_string();
     let environment = env_logger::Env::default().default_filter_or(DEFAULT_FILTER);
     let started = env_logger::Builder::from_env(environment)
+        .target(target)
         .format(move |buf, record| write_line(buf, record, process, &host, &told))
         .try_init();
     if started.is_err() {
@@ -87,3 +104,58 @@
         Ok(())
     }
 }
+
+/// Hands lines to the thread that writes them.
+#[derive(Debug)]
+struct LineQueue {
+    lines: SyncSender<Vec<u8>>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl LineQueue {
+    fn start() -> Self {
+        let (tx, rx) = sync_channel(QUEUED_LINES);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let counter = Arc::clone(&dropped);
+        let started = thread::Builder::new()
+            .name("log".to_owned())
+            .spawn(move || write_lines(&rx, &counter));
+        if let Err(e) = started {
+            eprintln!("log lines are not written: {e}");
+        }
+        Self { lines: tx, dropped }
+    }
+}
+
+impl Write for LineQueue {
+    fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
+        match self.lines.try_send(buf.to_vec()) {
+            Ok(()) => {}
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+                self.dropped.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes lines until the queue ends, and says how many were dropped.
+fn write_lines(lines: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
+    let mut out = std::io::stdout();
+    while let Ok(line) = lines.recv() {
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        let written = match lost {
+            0 => out.write_all(&line),
+            lost => writeln!(out, "{{\"message\":\"log lines dropped\",\"count\":{lost}}}")
+                .and_then(|()| out.write_all(&line)),
+        };
+        // Nowhere is left to say that standard output is gone.
+        if written.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/node/src/stored.rs
+++ b/crates/node/src/stored.rs
@@ -1,7 +1,7 @@
 //! How the store holds documents and moves.
 
 use carawayseam_clients::{CallError, KvClient};
-use carawayseam_platform::kv::Entry;
+use carawayseam_external::kv::Entry;
 use carawayseam_types::{BackendName, Digest, EnvironmentId, Millis, Nonce, Revision};
 use carawayseam_wire::{Record, RecordKey};
 use serde::{Deserialize, Serialize};
--- a/crates/standins/src/engine/batch.rs
+++ b/crates/standins/src/engine/batch.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use carawayseam_platform::engine::{AttemptRef, CacheEvents, KvExport, LoadReport};
+use carawayseam_external::engine::{AttemptRef, CacheEvents, KvExport, LoadReport};
 use carawayseam_types::{EngineId, Millis};
 use serde::{Deserialize, Serialize};
 
--- a/crates/standins/src/engine/cache.rs
+++ b/crates/standins/src/engine/cache.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use carawayseam_platform::engine::{BYTES_PER_TOKEN, CacheEvent, CacheEvents, estimate_tokens, prefix_of};
+use carawayseam_external::engine::{BYTES_PER_TOKEN, CacheEvent, CacheEvents, estimate_tokens, prefix_of};
 use carawayseam_types::{Digest, Millis, Permille};
 use xxhash_rust::xxh3::xxh3_64;
 
--- a/crates/standins/src/engine/http.rs
+++ b/crates/standins/src/engine/http.rs
@@ -9,7 +9,7 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
-use carawayseam_platform::engine::{
+use carawayseam_external::engine::{
     CACHE_EVENTS_PATH, CANCEL_PATH, CacheEvents, CancelRequest, EngineState, GENERATE_PATH, GenerateRequest,
     KV_EXPORT_PATH, KvExport, KvExportRequest, LOAD_PATH, LoadReport, ORDER_PATH, Order, STATE_PATH,
 };
--- a/crates/standins/src/engine/loadout.rs
+++ b/crates/standins/src/engine/loadout.rs
@@ -1,6 +1,6 @@
 //! Orders: what is loaded, what is being loaded, and the fencing tokens.
 
-use carawayseam_platform::engine::{EngineLoadout, EngineState, Order};
+use carawayseam_external::engine::{EngineLoadout, EngineState, Order};
 use carawayseam_types::{EngineId, FencingToken};
 
 /// What an order led to.
--- a/crates/standins/src/engine/process.rs
+++ b/crates/standins/src/engine/process.rs
@@ -4,8 +4,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use carawayseam_platform::engine::{EngineLoadout, LoadReport, Role};
-use carawayseam_platform::weights::{FETCH_PATH, FetchRequest};
+use carawayseam_external::engine::{EngineLoadout, LoadReport, Role};
+use carawayseam_external::weights::{FETCH_PATH, FetchRequest};
 use carawayseam_types::Clock;
 use tokio::sync::Notify;
 use tokio::time::Instant;
--- a/crates/standins/src/engine/sequence.rs
+++ b/crates/standins/src/engine/sequence.rs
@@ -1,6 +1,6 @@
 //! One request in the batch.
 
-use carawayseam_platform::engine::{
+use carawayseam_external::engine::{
     AttemptRef, Frame, FrameBody, GenerateRequest, KvExport, estimate_tokens,
 };
 use carawayseam_types::{AttemptId, VersionId};
--- a/crates/standins/src/hosts.rs
+++ b/crates/standins/src/hosts.rs
@@ -10,7 +10,7 @@
 use axum::routing::get;
 use axum::{Json, Router};
 use bpaf::Bpaf;
-use carawayseam_platform::hosts::{HOSTS_PATH, HostList};
+use carawayseam_external::hosts::{HOSTS_PATH, HostList};
 use carawayseam_types::{Clock, Millis};
 
 use crate::StandinError;
--- a/crates/standins/src/kv/http.rs
+++ b/crates/standins/src/kv/http.rs
@@ -9,7 +9,7 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
-use carawayseam_platform::kv::{
+use carawayseam_external::kv::{
     DELETE_PATH, DeleteRequest, Entry, GET_PATH, GRANT_PATH, GrantRequest, Lease, LeaseRequest,
     MAX_VALUE_BYTES, PUT_PATH, PutReply, PutRequest, RANGE_PATH, RENEW_PATH, REVOKE_PATH, Range, WATCH_PATH,
 };
--- a/crates/standins/src/kv/state.rs
+++ b/crates/standins/src/kv/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use carawayseam_platform::kv::{Conflict, DeleteRequest, Entry, Lease, PutReply, PutRequest, Range};
+use carawayseam_external::kv::{Conflict, DeleteRequest, Entry, Lease, PutReply, PutRequest, Range};
 use carawayseam_types::Millis;
 
 /// The store; each call passes the time.
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for the systems that carawayseam meets from outside, and a load generator.
 //!
 //! Each stand-in is a small HTTP server that keeps the shapes of
-//! `carawayseam_platform`, runs as a process or inside a test, and does wrong
+//! `carawayseam_external`, runs as a process or inside a test, and does wrong
 //! what its [`Faults`] tell it.
 //!
 //! ```no_run
--- a/crates/standins/src/loadgen/mod.rs
+++ b/crates/standins/src/loadgen/mod.rs
@@ -16,7 +16,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use carawayseam_platform::service::{COUNTS_PATH, Counts};
+use carawayseam_external::service::{COUNTS_PATH, Counts};
 use reqwest::Client;
 use serde::de::DeserializeOwned;
 use tokio::task::JoinSet;
--- a/crates/standins/src/loadgen/path.rs
+++ b/crates/standins/src/loadgen/path.rs
@@ -1,8 +1,8 @@
 //! The two ways to the same stand-in: directly, and through an entry host.
 
 use carawayseam_config::{BackendKind, Document};
-use carawayseam_platform::engine::{AttemptRef, Frame, FrameBody, GENERATE_PATH, GenerateRequest};
-use carawayseam_platform::service::{CALL_PATH, Call};
+use carawayseam_external::engine::{AttemptRef, Frame, FrameBody, GENERATE_PATH, GenerateRequest};
+use carawayseam_external::service::{CALL_PATH, Call};
 use carawayseam_types::{
     AttemptId, BackendName, EnvironmentId, Millis, OrganisationId, RouteName, VersionId,
 };
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -10,7 +10,7 @@
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use bpaf::Bpaf;
-use carawayseam_platform::service::{Answer, CALL_PATH, COUNTS_PATH, Call, Counts, STATE_PATH, ServerState};
+use carawayseam_external::service::{Answer, CALL_PATH, COUNTS_PATH, Call, Counts, STATE_PATH, ServerState};
 use carawayseam_types::{EngineId, Millis, VersionId, ZoneId};
 use serde::{Deserialize, Serialize};
 
--- a/crates/standins/src/weights.rs
+++ b/crates/standins/src/weights.rs
@@ -10,7 +10,7 @@
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use bpaf::Bpaf;
-use carawayseam_platform::weights::{FETCH_PATH, FetchRequest};
+use carawayseam_external::weights::{FETCH_PATH, FetchRequest};
 use carawayseam_types::{Clock, Millis};
 use serde::{Deserialize, Serialize};
 
--- a/crates/standins/tests/standins/engine.rs
+++ b/crates/standins/tests/standins/engine.rs
@@ -3,12 +3,12 @@
 use futures_util::FutureExt;
 
 use crate::support::{LOCAL, LONG, ask, attempt, engine_with, generate, get, name, post, status, try_post};
-use carawayseam_platform::engine::{
+use carawayseam_external::engine::{
     CACHE_EVENTS_PATH, CANCEL_PATH, CacheEvents, CancelRequest, EngineLoadout, EngineState, GENERATE_PATH,
     KV_EXPORT_PATH, KvExport, KvExportRequest, LOAD_PATH, LoadReport, ORDER_PATH, Order, Role, STATE_PATH,
     prefix_of,
 };
-use carawayseam_platform::weights::{FETCH_PATH, FetchRequest};
+use carawayseam_external::weights::{FETCH_PATH, FetchRequest};
 use carawayseam_standins::engine::Stats;
 use carawayseam_standins::{
     Answer, BadKind, BadVersion, Faults, Running, STATS_PATH, answer_length, weights,
--- a/crates/standins/tests/standins/kv.rs
+++ b/crates/standins/tests/standins/kv.rs
@@ -1,7 +1,7 @@
 //! The key-value service's rules, budget and faults.
 
 use crate::support::{client, get, post, status, try_post};
-use carawayseam_platform::kv::{
+use carawayseam_external::kv::{
     Conflict, DELETE_PATH, DeleteRequest, Entry, GRANT_PATH, GrantRequest, Lease, LeaseRequest, PUT_PATH,
     PutReply, PutRequest, RANGE_PATH, RENEW_PATH, REVOKE_PATH, Range, WATCH_PATH,
 };
--- a/crates/standins/tests/standins/service.rs
+++ b/crates/standins/tests/standins/service.rs
@@ -1,8 +1,8 @@
 //! The plain service counts runs truly, whatever became of the answers.
 
 use crate::support::{LOCAL, LONG, client, get, name, post, status, try_post};
-use carawayseam_platform::hosts::{HOSTS_PATH, Host, HostList, HostState};
-use carawayseam_platform::service::{Answer, CALL_PATH, COUNTS_PATH, Call, Counts};
+use carawayseam_external::hosts::{HOSTS_PATH, Host, HostList, HostState};
+use carawayseam_external::service::{Answer, CALL_PATH, COUNTS_PATH, Call, Counts};
 use carawayseam_standins::{BadKind, BadVersion, Faults, Running, hosts, service};
 use carawayseam_types::Millis;
 
--- a/crates/standins/tests/standins/support.rs
+++ b/crates/standins/tests/standins/support.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use carawayseam_platform::engine::{AttemptRef, Frame, FrameBody, GENERATE_PATH, GenerateRequest};
+use carawayseam_external::engine::{AttemptRef, Frame, FrameBody, GENERATE_PATH, GenerateRequest};
 use carawayseam_standins::{Running, engine};
 use carawayseam_types::{AttemptId, Millis};
 use reqwest::{Client, Response};
--- a/crates/testbed/src/caller.rs
+++ b/crates/testbed/src/caller.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use carawayseam_platform::engine::estimate_tokens;
+use carawayseam_external::engine::estimate_tokens;
 use carawayseam_standins::{answer_length, answer_token};
 use carawayseam_types::Millis;
 use serde::Deserialize;
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -9,7 +9,7 @@
 use std::path::PathBuf;
 
 use carawayseam_clients::{Http, KvClient};
-use carawayseam_platform::hosts::{HOSTS_PATH, Host, HostList, HostState};
+use carawayseam_external::hosts::{HOSTS_PATH, Host, HostList, HostState};
 use carawayseam_types::Millis;
 use serde_json::{Value, json};
 use tempfile::TempDir;
--- a/crates/testbed/src/fleet/builder.rs
+++ b/crates/testbed/src/fleet/builder.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use carawayseam_config::{BackendKind, Document, EngineSpec};
-use carawayseam_platform::hosts::{HostList, HostState};
+use carawayseam_external::hosts::{HostList, HostState};
 use carawayseam_types::{Millis, Revision};
 use tempfile::TempDir;
 
--- a/crates/testbed/src/fleet/operate.rs
+++ b/crates/testbed/src/fleet/operate.rs
@@ -2,8 +2,8 @@
 
 use carawayseam_clients::PutOutcome;
 use carawayseam_config::{BackendKind, Document};
+use carawayseam_external::kv::PutRequest;
 use carawayseam_node::{CurrentDocument, current_key};
-use carawayseam_platform::kv::PutRequest;
 use carawayseam_types::{Clock, Digest, Nonce, Revision};
 use serde_json::Value;
 
--- a/crates/types/src/clock.rs
+++ b/crates/types/src/clock.rs
@@ -11,6 +11,7 @@
 
 use crate::ParseError;
 
+const NANOS_PER_MILLI: u64 = 1_000_000;
 const MILLIS_PER_SECOND: u64 = 1_000;
 const MILLIS_PER_MINUTE: u64 = 60 * MILLIS_PER_SECOND;
 const MILLIS_PER_HOUR: u64 = 60 * MILLIS_PER_MINUTE;
@@ -96,7 +97,9 @@
     type Err = ParseError;
 
     fn from_str(text: &str) -> Result<Self, ParseError> {
-        let unit_at = text.find(|c: char| !c.is_ascii_digit()).unwrap_or(text.len());
+        let unit_at = text
+            .find(|c: char| !c.is_ascii_digit() && c != '.')
+            .unwrap_or(text.len());
         let (digits, unit) = text.split_at(unit_at);
         let factor = match unit {
             "ms" => Some(1),
@@ -106,10 +109,21 @@
             _ => None,
         };
         factor
-            .zip(digits.parse::<u64>().ok())
-            .and_then(|(factor, count)| count.checked_mul(factor))
+            .and_then(|factor| count_millis(digits, factor))
             .map(Self)
-            .ok_or_else(|| ParseError::new(text, "time span", "a whole number with a unit ms, s, m or h"))
+            .ok_or_else(|| ParseError::new(text, "time span", "a number with a unit ms, s, m or h"))
+    }
+}
+
+/// Multiplies a number by a unit's milliseconds; a fraction is rounded.
+fn count_millis(digits: &str, factor: u64) -> Option<u64> {
+    match digits.parse::<u64>() {
+        Ok(whole) => whole.checked_mul(factor),
+        Err(_) if digits.starts_with(|c: char| c.is_ascii_digit()) && digits.contains('.') => {
+            let millis = digits.parse::<f64>().ok()? * factor as f64;
+            (millis < u64::MAX as f64).then_some(millis.round() as u64)
+        }
+        Err(_) => None,
     }
 }
 
@@ -120,6 +134,7 @@
 #[derive(Debug, Clone)]
 enum Source {
     System,
+    Boot,
     Manual(Arc<AtomicU64>),
 }
 
@@ -130,6 +145,14 @@
         Self(Source::System)
     }
 
+    /// A clock that reads the time since the host's boot.
+    ///
+    /// It counts the time in which the host was suspended, and never jumps.
+    #[must_use]
+    pub const fn boot() -> Self {
+        Self(Source::Boot)
+    }
+
     /// A clock that stands still until it is set; clones share its time.
     #[must_use]
     pub fn manual(start: Millis) -> Self {
@@ -146,14 +169,22 @@
                     .unwrap_or(Duration::ZERO);
                 Millis(since_epoch.as_millis() as u64)
             }
+            Source::Boot => since_boot(),
             Source::Manual(now) => Millis(now.load(Ordering::SeqCst)),
         }
     }
 
-    /// Sets a manual clock; a system clock ignores it.
+    /// Sets a manual clock; other clocks ignore it.
     pub fn set(&self, now: Millis) {
         if let Source::Manual(time) = &self.0 {
             time.store(now.0, Ordering::SeqCst);
         }
     }
 }
+
+fn since_boot() -> Millis {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let secs = u64::try_from(time.tv_sec).unwrap_or_default();
+    let millis = u64::try_from(time.tv_nsec).unwrap_or_default() / NANOS_PER_MILLI;
+    Millis::from_secs(secs) + Millis(millis)
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -14,8 +14,8 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 //!
-//! The crate does no I/O of its own, but for [`Clock::system`], which reads
-//! the operating system's clock.
+//! The crate does no I/O of its own, but for [`Clock::system`] and
+//! [`Clock::boot`], which read the operating system's clocks.
 
 mod clock;
 mod error;
--- /dev/null
+++ b/crates/wire/src/beat.rs
@@ -0,0 +1,43 @@
+//! What hosts that route alone tell each other several times a second.
+
+use carawayseam_types::{BackendName, EngineId, HostId, Incarnation, OrganisationId, Tier};
+use serde::{Deserialize, Serialize};
+
+/// One host's heartbeat with its load.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The sender.
+    pub host: HostId,
+    /// The sender's start; a later one replaces all that an earlier one said.
+    pub incarnation: Incarnation,
+    /// Grows with each beat of one start.
+    pub seq: u64,
+    /// What the sender has running, by backend server.
+    pub engines: Vec<EngineLoad>,
+    /// Requests that wait at the sender.
+    pub waiting: Vec<WaitingLoad>,
+    /// What the sender is asked for, by organisation, in tokens a second.
+    pub demand: Vec<(OrganisationId, u32)>,
+}
+
+/// What a host has running on one backend server.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineLoad {
+    /// The backend server.
+    pub engine: EngineId,
+    /// Requests.
+    pub running: u32,
+    /// Prompt tokens sent whose first event has not come.
+    pub prompt_ahead: u32,
+}
+
+/// Requests of one tier that wait for one backend.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaitingLoad {
+    /// The backend.
+    pub backend: BackendName,
+    /// The tier.
+    pub tier: Tier,
+    /// How many.
+    pub count: u32,
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,11 +13,13 @@
 //! # Ok::<(), carawayseam_wire::WireError>(())
 //! ```
 
+mod beat;
 mod codec;
 mod datagram;
 mod digest;
 mod stream;
 
+pub use beat::{Beat, EngineLoad, WaitingLoad};
 pub use codec::{
     MAX_DATAGRAM_BYTES, MAX_STREAM_BYTES, PROTOCOL_VERSION, WireError, decode, decode_datagram, encode,
 };
--- a/tests/process/engines.rs
+++ b/tests/process/engines.rs
@@ -1,6 +1,6 @@
 //! Backend servers that leave, or that a request crashes.
 
-use carawayseam_platform::hosts::HostState;
+use carawayseam_external::hosts::HostState;
 use carawayseam_testbed::{Fleet, FleetBuilder, Reply};
 use carawayseam_types::Millis;
 use serde_json::json;
