--- a/crates/dispatch/src/catalog.rs
+++ b/crates/dispatch/src/catalog.rs
@@ -6,6 +6,9 @@
 use carawayseam_types::{BackendName, Bytes, Millis, OrganisationId, Revision, Tier, Tokens};
 use compact_str::CompactString;
 
+/// Ranks beyond this are as this one, so that two fit into one tier.
+const MOST_RANK: u8 = 15;
+
 /// A whole configuration as the operator wrote it.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Configuration {
@@ -92,6 +95,8 @@
     pub name: BackendName,
     /// The most connections that one of its servers accepts from all hosts together.
     pub max_connections: u32,
+    /// Tokens in one event of its streams.
+    pub tokens_per_event: u32,
 }
 
 /// An organisation.
@@ -160,11 +165,13 @@
 }
 
 impl Place {
-    /// The rank: the organisation's goes before the route's.
+    /// The rank by organisation first, and by route among those of equal organisations.
     #[must_use]
     pub fn tier(&self) -> Tier {
         let own = self.organisation.as_ref().and_then(|org| org.tier);
-        own.unwrap_or(self.route.tier)
+        let first = own.unwrap_or(self.route.tier).0.min(MOST_RANK);
+        let second = self.route.tier.0.min(MOST_RANK);
+        Tier(first * (MOST_RANK + 1) + second)
     }
 }
 
@@ -212,10 +219,10 @@
         }
     }
 
-    /// The backends that routes lead to.
+    /// The backend of that name.
     #[must_use]
-    pub fn backends(&self) -> &[Backend] {
-        &self.backends
+    pub fn backend(&self, name: &BackendName) -> Option<&Backend> {
+        self.backends.iter().find(|backend| backend.name == *name)
     }
 
     /// Finds the route of a host name and path: the longest prefix that begins the path.
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -34,6 +34,14 @@
     pub objective: Millis,
     /// When it is refused if it still waits.
     pub give_up: Millis,
+    /// When its answer has to be complete.
+    pub deadline: Millis,
+    /// The longest wanted pause between events.
+    pub gap_objective: Option<Millis>,
+    /// The likely number of events; 0 for plain answers.
+    pub events: u32,
+    /// Tokens in one event.
+    pub tokens_per_event: u32,
     /// The prompt's length in tokens; 0 for plain services.
     pub prompt: u32,
     /// The parts of the prompt in order.
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -14,6 +14,18 @@
 const FAILING_MS: f64 = 3_000.0;
 /// What a server counts that the request was sent to before, in milliseconds.
 const TRIED_MS: f64 = 100_000.0;
+/// The part of a request's whole time on a server that counts: a slot it holds is not another's.
+const OCCUPANCY_PART: f64 = 0.03;
+/// Estimates are multiplied by this before they are compared with an objective.
+const CAUTION: f64 = 1.25;
+/// What a missed objective counts beside the time by which it is missed, in milliseconds.
+const LATE_MS: f64 = 150.0;
+/// What a server counts that would hardly finish in time, in milliseconds.
+const UNFINISHED_MS: f64 = 1_000.0;
+/// Prompt tokens that a server reads between two tokens of other requests.
+const READ_AT_ONCE: f64 = 2_048.0;
+/// What each request counts whose events would come too far apart, in milliseconds.
+const PAUSED_MS: f64 = 40.0;
 /// Servers this much worse than the best are as good, in milliseconds.
 const AS_GOOD_MS: f64 = 4.0;
 /// Requests sent to a server beyond those that it runs at once.
@@ -136,9 +148,21 @@
         let pace = engine.speed.pace(now, &self.usual);
         let ahead = engine.prompt_ahead + f64::from(engine.peer_load(now).prompt_ahead);
         let own = job.prompt.saturating_sub(engine.kept_tokens(&job.parts));
-        let mut score = pace.first_event_ms(ahead + f64::from(own));
+        let own = f64::from(own);
+        let first_event_ms = pace.first_event_ms(ahead + own);
+        let used = f64::from(engine.used(now));
+        let whole_ms = f64::from(job.events).mul_add(pace.event_ms, first_event_ms);
+        let mut score = whole_ms.mul_add(OCCUPANCY_PART, first_event_ms);
+        let lateness = first_event_ms * CAUTION - job.objective.since(now).0 as f64;
+        if lateness > 0.0 {
+            score += lateness + LATE_MS;
+        }
+        if whole_ms * CAUTION > job.deadline.since(now).0 as f64 {
+            score += UNFINISHED_MS;
+        }
+        score += used * pause_cost(job, pace, ahead, own);
         // Each running request slows all others a little; spread them where nothing else decides.
-        score += f64::from(engine.used(now)) / f64::from(capacity(engine).max(1)) * pace.base_ms;
+        score += used / f64::from(capacity(engine).max(1)) * pace.base_ms;
         if engine.entry.zone != *zone {
             score += OTHER_ZONE_MS;
         }
@@ -150,6 +174,18 @@
     }
 }
 
+/// What a request running beside the new one loses by the reading of its prompt.
+fn pause_cost(job: &Job, pace: Pace, ahead: f64, own: f64) -> f64 {
+    let Some(objective) = job.gap_objective else {
+        return 0.0;
+    };
+    let read_between_events = READ_AT_ONCE * f64::from(job.tokens_per_event);
+    let pause = |tokens: f64| tokens.min(read_between_events).mul_add(pace.token_ms, pace.event_ms);
+    let objective = objective.0 as f64;
+    let is_long = pause(ahead + own) > objective;
+    if is_long && own > READ_AT_ONCE { PAUSED_MS } else { 0.0 }
+}
+
 /// The requests that a server is given at once by all hosts.
 fn capacity(engine: &Engine) -> u32 {
     engine.entry.slots + QUEUED_AT_ENGINE
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -38,52 +38,37 @@
     );
 }
 
-/// A stream ended at the server that was serving it.
-pub(crate) fn streamed(
-    exchange: &Exchange,
-    assignment: &Assignment,
-    outcome: &'static str,
-    events: u32,
-    first_event_at: Option<Millis>,
-    resumed: u32,
-) {
-    let shared = &exchange.shared;
-    shared.metrics.count("requests", outcome);
-    log::info!(
-        request = exchange.head.id.as_deref(),
-        route:% = exchange.place.route.name,
-        engine:% = assignment.engine,
-        outcome = outcome,
-        events = events,
-        first_event_ms = first_event_at.map(|at| at.since(exchange.arrived).0),
-        attempts = exchange.attempts,
-        resumed = resumed,
-        took_ms = shared.now().since(exchange.arrived).0,
-        prompt_tokens = exchange.head.prompt.as_ref().map(|prompt| prompt.tokens),
-        configuration_age_ms = shared.configuration_age().map(|age| age.0);
-        "streamed"
-    );
+/// How a stream went.
+#[derive(Debug)]
+pub(crate) struct StreamSummary {
+    pub(crate) outcome: &'static str,
+    pub(crate) events: u32,
+    pub(crate) first_event_at: Option<Millis>,
+    pub(crate) longest_pause: Millis,
+    pub(crate) resumed: u32,
 }
 
-/// A stream was broken off with no server left to go on.
-pub(crate) fn broken_off(
-    exchange: &Exchange,
-    outcome: &'static str,
-    events: u32,
-    first_event_at: Option<Millis>,
-    resumed: u32,
-) {
+/// A stream ended, at a server or with none left to go on.
+pub(crate) fn streamed(exchange: &Exchange, assignment: Option<&Assignment>, summary: &StreamSummary) {
     let shared = &exchange.shared;
-    shared.metrics.count("requests", outcome);
+    let prompt = exchange.head.prompt.as_ref();
+    shared.metrics.count("requests", summary.outcome);
     log::info!(
         request = exchange.head.id.as_deref(),
         route:% = exchange.place.route.name,
-        outcome = outcome,
-        events = events,
-        first_event_ms = first_event_at.map(|at| at.since(exchange.arrived).0),
+        tier = exchange.tier().0,
+        engine = assignment.map(|assignment| assignment.engine.as_str()),
+        outcome = summary.outcome,
+        events = summary.events,
+        queued_ms = exchange.assigned_at.since(exchange.arrived).0,
+        first_event_ms = summary.first_event_at.map(|at| at.since(exchange.arrived).0),
+        longest_pause_ms = summary.longest_pause.0,
+        took_ms = shared.now().since(exchange.arrived).0,
         attempts = exchange.attempts,
-        resumed = resumed,
-        took_ms = shared.now().since(exchange.arrived).0;
+        resumed = summary.resumed,
+        prompt_tokens = prompt.map(|prompt| prompt.tokens),
+        likely_output = exchange.likely_output(),
+        configuration_age_ms = shared.configuration_age().map(|age| age.0);
         "streamed"
     );
 }
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -82,6 +82,8 @@
     pub tokens: u32,
     /// The longest answer, in tokens.
     pub max_output: u32,
+    /// The caller's guess at the answer's length, in tokens.
+    pub likely_output: Option<u32>,
     /// The prompt's parts in order.
     pub parts: Vec<Part>,
 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -35,7 +35,7 @@
 /// The balancer has seen a host as not ready after this time.
 const NOTICE_TIME: Millis = Millis(3_500);
 /// The part of the time for a stop that open requests may take.
-const STOP_PART: f64 = 0.86;
+const STOP_PART: f64 = 0.96;
 const STOP_POLL: Millis = Millis(50);
 /// How long the last bytes may take to leave.
 const FLUSH_TIME: Millis = Millis(150);
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -52,10 +52,13 @@
     pub(crate) body: Bytes,
     pub(crate) place: Place,
     pub(crate) backend: BackendName,
+    pub(crate) tokens_per_event: u32,
     pub(crate) arrived: Millis,
     pub(crate) deadline: Millis,
     pub(crate) attempts: u32,
     pub(crate) unsent: u32,
+    /// When it was last given a server.
+    pub(crate) assigned_at: Millis,
     /// Whether an attempt may have run it.
     pub(crate) ran: bool,
     pub(crate) tried: Vec<EngineId>,
@@ -147,11 +150,15 @@
         request_headers,
         body,
         place,
+        tokens_per_event: catalog
+            .backend(&backend)
+            .map_or(1, |backend| backend.tokens_per_event),
         backend,
         arrived,
         deadline: arrived + limit,
         attempts: 0,
         unsent: 0,
+        assigned_at: arrived,
         ran: false,
         tried: Vec::new(),
         _open: open,
@@ -305,12 +312,25 @@
             tier: self.tier(),
             objective: self.arrived + self.place.route.objective,
             give_up,
+            deadline: self.deadline,
+            gap_objective: self.place.route.gap_objective,
+            events: self.likely_output() / self.tokens_per_event,
+            tokens_per_event: self.tokens_per_event,
             prompt: prompt.map_or(0, |prompt| prompt.tokens),
             parts: prompt.map(|prompt| prompt.parts.clone()).unwrap_or_default(),
             tried: self.tried.clone(),
         }
     }
 
+    /// The likely length of the answer, in tokens.
+    pub(crate) fn likely_output(&self) -> u32 {
+        let prompt = self.head.prompt.as_ref();
+        prompt.map_or(0, |prompt| {
+            let likely = prompt.likely_output.unwrap_or(prompt.max_output);
+            likely.min(prompt.max_output)
+        })
+    }
+
     /// Waits for a server and sends the request there.
     pub(crate) async fn attempt(
         &mut self,
@@ -326,6 +346,7 @@
             }
             Ok(Err(_)) | Err(_) => return Err(Refusal::later(Reason::Busy, RETRY_AFTER_REJECTED)),
         };
+        self.assigned_at = self.shared.now();
         journal::assigned(self, &assignment);
         let silence = self.silence(&assignment);
         let engine = assignment.engine.clone();
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -15,7 +15,7 @@
 use super::events::{EventCutter, WholeEvents};
 use super::exchange::Exchange;
 use crate::http_client::Connection;
-use crate::journal;
+use crate::journal::{self, StreamSummary};
 use crate::shared::{Assignment, lock};
 
 /// Events after which the time between them is learned.
@@ -70,6 +70,8 @@
     cutter: EventCutter,
     passed_on: u32,
     first_event_at: Option<Millis>,
+    last_event_at: Millis,
+    longest_pause: Millis,
     resumed: u32,
 }
 
@@ -96,6 +98,8 @@
         cutter: EventCutter::default(),
         passed_on: 0,
         first_event_at: None,
+        last_event_at: now,
+        longest_pause: Millis::ZERO,
         resumed: 0,
     };
     let frames = unfold(flow, |mut flow| async move {
@@ -133,6 +137,16 @@
         }
     }
 
+    const fn summary(&self, outcome: &'static str) -> StreamSummary {
+        StreamSummary {
+            outcome,
+            events: self.passed_on,
+            first_event_at: self.first_event_at,
+            longest_pause: self.longest_pause,
+            resumed: self.resumed,
+        }
+    }
+
     fn on_events(&mut self, count: u32) {
         let now = self.exchange.shared.now();
         self.passed_on += count;
@@ -141,7 +155,10 @@
             let waited = now.since(self.exchange.arrived);
             let metrics = &self.exchange.shared.metrics;
             metrics.time("first_event", self.exchange.tier(), waited);
+        } else {
+            self.longest_pause = self.longest_pause.max(now.since(self.last_event_at));
         }
+        self.last_event_at = now;
         let Some(run) = &mut self.run else {
             return;
         };
@@ -169,14 +186,7 @@
         if run.events > 0 {
             sample(&self.exchange, &mut run, now);
         }
-        journal::streamed(
-            &self.exchange,
-            &run.assignment,
-            "complete",
-            self.passed_on,
-            self.first_event_at,
-            self.resumed,
-        );
+        journal::streamed(&self.exchange, Some(&run.assignment), &self.summary("complete"));
         run.slot.end(AttemptEnd::Complete);
         self.exchange
             .keep(&run.assignment, run.connection, run.idle_limit);
@@ -216,19 +226,12 @@
             Broken::Lost => "broken off",
             Broken::TimeOver => "time over",
         };
-        let (passed_on, first, resumed) = (self.passed_on, self.first_event_at, self.resumed);
-        if let Some(run) = self.run.take() {
-            journal::streamed(
-                &self.exchange,
-                &run.assignment,
-                outcome,
-                passed_on,
-                first,
-                resumed,
-            );
+        let summary = self.summary(outcome);
+        let run = self.run.take();
+        let assignment = run.as_ref().map(|run| &run.assignment);
+        journal::streamed(&self.exchange, assignment, &summary);
+        if let Some(run) = run {
             run.slot.end(end);
-        } else {
-            journal::broken_off(&self.exchange, outcome, passed_on, first, resumed);
         }
         broken.into()
     }
