Refuse waiting streams sooner, and streams on a host that ends

cause: callers close a stream that has no first event after 2 s; requests waited 45 % of their time, up to 5.4 s, so slots went to callers who had left (586 of 991 callers who left had waited 2 s in the queue).

--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -20,8 +20,8 @@
 const CAUTION: f64 = 1.25;
 /// What a missed objective counts beside the time by which it is missed, in milliseconds.
 const LATE_MS: f64 = 150.0;
-/// What a server counts that would hardly finish in time, in milliseconds.
-const UNFINISHED_MS: f64 = 1_000.0;
+/// An answer may be this much longer than is likely.
+const LONGER_THAN_LIKELY: f64 = 2.5;
 /// Prompt tokens that a server reads between two tokens of other requests.
 const READ_AT_ONCE: f64 = 2_048.0;
 /// What each request counts whose events would come too far apart, in milliseconds.
@@ -65,51 +65,52 @@
 
     /// Takes the next request that can start, with its server's place.
     pub(crate) fn next(&mut self, now: Millis, zone: &ZoneId, rng: &mut StdRng) -> Option<(Waiting, usize)> {
-        let best = self.best_wait();
+        if self.waiting.is_empty() {
+            return None;
+        }
+        let candidates = self.candidates(now, zone);
+        let free: u32 = candidates.iter().map(|candidate| candidate.free).sum();
+        if free == 0 {
+            return None;
+        }
+        let best = best_pace(&candidates, self.usual);
         let mut order: Vec<(Rank, usize)> = self
             .waiting
             .iter()
             .enumerate()
-            .map(|(ix, waiting)| (self.rank(now, waiting, best), ix))
+            .map(|(ix, waiting)| (rank(now, waiting, best), ix))
             .collect();
         order.sort_unstable();
-        let free = self.free(now);
         for ((_, tier, _, _), ix) in order {
             if free <= self.waiting_above(tier) {
                 return None;
             }
-            let job = &self.waiting[ix].job;
-            if let Some(engine) = self.choose(now, job, zone, rng) {
+            if let Some(engine) = self.choose(now, &self.waiting[ix].job, &candidates, rng) {
                 return Some((self.waiting.swap_remove(ix), engine));
             }
         }
         None
     }
 
-    /// The shortest time to a first event that any server offers, without its load.
-    fn best_wait(&self) -> Pace {
-        let mut best = self.usual;
-        for engine in &self.engines {
-            let pace = engine.speed.pace(Millis::ZERO, &self.usual);
-            best.token_ms = best.token_ms.min(pace.token_ms);
-            best.base_ms = best.base_ms.min(pace.base_ms);
-        }
-        best
-    }
-
-    fn rank(&self, now: Millis, waiting: &Waiting, best: Pace) -> Rank {
-        let job = &waiting.job;
-        let needed = best.first_event_ms(f64::from(job.prompt));
-        let is_late = now + Millis(needed as u64) > job.objective;
-        (is_late, job.tier, job.objective, waiting.ticket)
-    }
-
-    /// Requests that the servers could start at once.
-    pub(crate) fn free(&self, now: Millis) -> u32 {
-        let usable = self.engines.iter().filter(|engine| engine.takes_work(now));
-        usable
-            .map(|engine| capacity(engine).saturating_sub(engine.used(now)))
-            .sum()
+    /// The servers that take work, with or without a free slot.
+    fn candidates(&self, now: Millis, zone: &ZoneId) -> Vec<Candidate> {
+        let engines = self.engines.iter().enumerate();
+        engines
+            .filter(|(_, engine)| engine.takes_work(now))
+            .map(|(ix, engine)| {
+                let peers = engine.peer_load(now);
+                let used = engine.running + peers.running;
+                Candidate {
+                    ix,
+                    pace: engine.speed.pace(now, &self.usual),
+                    ahead: engine.prompt_ahead + f64::from(peers.prompt_ahead),
+                    used: f64::from(used),
+                    free: capacity(engine).saturating_sub(used),
+                    failing_ms: engine.failure_share(now).powi(2) * FAILING_MS,
+                    distance_ms: if engine.entry.zone == *zone { 0.0 } else { OTHER_ZONE_MS },
+                }
+            })
+            .collect()
     }
 
     /// Requests of higher tiers that wait at peers.
@@ -121,20 +122,18 @@
         above.map(|(_, count)| *count).sum()
     }
 
-    fn choose(&self, now: Millis, job: &Job, zone: &ZoneId, rng: &mut StdRng) -> Option<usize> {
-        let usable = |engine: &Engine| {
-            let version_fits = job
-                .version
-                .as_ref()
-                .is_none_or(|wanted| *wanted == engine.entry.version);
-            version_fits && engine.takes_work(now) && engine.used(now) < capacity(engine)
+    /// The best server with a free slot; none if it is better to wait for another.
+    fn choose(&self, now: Millis, job: &Job, candidates: &[Candidate], rng: &mut StdRng) -> Option<usize> {
+        let version_fits = |candidate: &&Candidate| {
+            let entry = &self.engines[candidate.ix].entry;
+            job.version.as_ref().is_none_or(|wanted| *wanted == entry.version)
         };
-        let scored: Vec<(f64, usize)> = self
-            .engines
-            .iter()
-            .enumerate()
-            .filter(|(_, engine)| usable(engine))
-            .map(|(ix, engine)| (self.score(now, job, zone, engine), ix))
+        let fitting = candidates.iter().filter(version_fits);
+        let any_finishes = fitting.clone().any(|candidate| candidate.finishes(now, job));
+        let scored: Vec<(f64, usize)> = fitting
+            .filter(|candidate| candidate.free > 0)
+            .filter(|candidate| !any_finishes || candidate.finishes(now, job))
+            .map(|candidate| (self.score(now, job, candidate), candidate.ix))
             .collect();
         let best = scored.iter().map(|(score, _)| *score).min_by(f64::total_cmp)?;
         let as_good = scored.iter().filter(|(score, _)| *score <= best + AS_GOOD_MS);
@@ -144,29 +143,21 @@
     }
 
     /// The expected time to the first event on a server, with what speaks against it.
-    fn score(&self, now: Millis, job: &Job, zone: &ZoneId, engine: &Engine) -> f64 {
-        let pace = engine.speed.pace(now, &self.usual);
-        let ahead = engine.prompt_ahead + f64::from(engine.peer_load(now).prompt_ahead);
-        let own = job.prompt.saturating_sub(engine.kept_tokens(&job.parts));
-        let own = f64::from(own);
-        let first_event_ms = pace.first_event_ms(ahead + own);
-        let used = f64::from(engine.used(now));
+    fn score(&self, now: Millis, job: &Job, candidate: &Candidate) -> f64 {
+        let engine = &self.engines[candidate.ix];
+        let pace = candidate.pace;
+        let own = f64::from(job.prompt.saturating_sub(engine.kept_tokens(&job.parts)));
+        let first_event_ms = pace.first_event_ms(candidate.ahead + own);
         let whole_ms = f64::from(job.events).mul_add(pace.event_ms, first_event_ms);
         let mut score = whole_ms.mul_add(OCCUPANCY_PART, first_event_ms);
         let lateness = first_event_ms * CAUTION - job.objective.since(now).0 as f64;
         if lateness > 0.0 {
             score += lateness + LATE_MS;
         }
-        if whole_ms * CAUTION > job.deadline.since(now).0 as f64 {
-            score += UNFINISHED_MS;
-        }
-        score += used * pause_cost(job, pace, ahead, own);
+        score += candidate.used * pause_cost(job, pace, candidate.ahead, own);
         // Each running request slows all others a little; spread them where nothing else decides.
-        score += used / f64::from(capacity(engine).max(1)) * pace.base_ms;
-        if engine.entry.zone != *zone {
-            score += OTHER_ZONE_MS;
-        }
-        score += engine.failure_share(now).powi(2) * FAILING_MS;
+        score += candidate.used / f64::from(capacity(engine).max(1)) * pace.base_ms;
+        score += candidate.distance_ms + candidate.failing_ms;
         if job.tried.contains(&engine.entry.id) {
             score += TRIED_MS;
         }
@@ -174,6 +165,45 @@
     }
 }
 
+/// A server that takes work, as it stands now.
+struct Candidate {
+    ix: usize,
+    pace: Pace,
+    /// Prompt tokens sent to it whose first event has not come.
+    ahead: f64,
+    used: f64,
+    free: u32,
+    failing_ms: f64,
+    distance_ms: f64,
+}
+
+impl Candidate {
+    /// Whether the whole answer is likely to come in time.
+    fn finishes(&self, now: Millis, job: &Job) -> bool {
+        let events = f64::from(job.events) * LONGER_THAN_LIKELY;
+        let prompt = f64::from(job.prompt);
+        let whole_ms = events.mul_add(self.pace.event_ms, self.pace.first_event_ms(prompt));
+        whole_ms <= job.deadline.since(now).0 as f64
+    }
+}
+
+/// The best pace that any server offers, without its load.
+fn best_pace(candidates: &[Candidate], usual: Pace) -> Pace {
+    let mut best = usual;
+    for Candidate { pace, .. } in candidates {
+        best.token_ms = best.token_ms.min(pace.token_ms);
+        best.base_ms = best.base_ms.min(pace.base_ms);
+    }
+    best
+}
+
+fn rank(now: Millis, waiting: &Waiting, best: Pace) -> Rank {
+    let job = &waiting.job;
+    let needed = best.first_event_ms(f64::from(job.prompt));
+    let is_late = now + Millis(needed as u64) > job.objective;
+    (is_late, job.tier, job.objective, waiting.ticket)
+}
+
 /// What a request running beside the new one loses by the reading of its prompt.
 fn pause_cost(job: &Job, pace: Pace, ahead: f64, own: f64) -> f64 {
     let Some(objective) = job.gap_objective else {
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -12,7 +12,7 @@
 use super::state::{ControlState, Note, OwnBeat};
 
 /// Heartbeats are sent this often.
-const BEAT_INTERVAL: Millis = Millis(200);
+const BEAT_INTERVAL: Millis = Millis(100);
 
 /// Sends this host's heartbeat to all others.
 pub(crate) async fn send_beats(socket: Arc<UdpSocket>, control: ActorRef<ControlState>) {
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -1,6 +1,7 @@
 //! Log lines for decisions on requests.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use carawayseam_dispatch::catalog::Route;
 use carawayseam_types::{Millis, Revision};
@@ -22,6 +23,7 @@
 
 /// A plain answer was passed on.
 pub(crate) fn answered(exchange: &Exchange, assignment: &Assignment, status: StatusCode) {
+    exchange.concluded.store(true, Ordering::Relaxed);
     let shared = &exchange.shared;
     let took = shared.now().since(exchange.arrived);
     shared.metrics.count("requests", "answered");
@@ -50,6 +52,7 @@
 
 /// A stream ended, at a server or with none left to go on.
 pub(crate) fn streamed(exchange: &Exchange, assignment: Option<&Assignment>, summary: &StreamSummary) {
+    exchange.concluded.store(true, Ordering::Relaxed);
     let shared = &exchange.shared;
     let prompt = exchange.head.prompt.as_ref();
     shared.metrics.count("requests", summary.outcome);
@@ -73,6 +76,25 @@
     );
 }
 
+/// A caller closed its connection before its answer was complete.
+pub(crate) fn caller_left(exchange: &Exchange) {
+    let shared = &exchange.shared;
+    shared.metrics.count("requests", "caller-left");
+    log::info!(
+        request = exchange.head.id.as_deref(),
+        route:% = exchange.place.route.name,
+        tier = exchange.tier().0,
+        engine = exchange.tried.last().map(carawayseam_types::EngineId::as_str),
+        attempts = exchange.attempts,
+        events = exchange.events,
+        queued_ms = exchange.assigned_at.since(exchange.arrived).0,
+        likely_output = exchange.likely_output(),
+        prompt_tokens = exchange.head.prompt.as_ref().map(|prompt| prompt.tokens),
+        took_ms = shared.now().since(exchange.arrived).0;
+        "caller left"
+    );
+}
+
 /// The gateway answered by itself.
 pub(crate) fn refused(
     shared: &Shared,
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -33,7 +33,9 @@
 /// The control state looks at its timers this often.
 const TICK: Millis = Millis(50);
 /// The balancer has seen a host as not ready after this time.
-const NOTICE_TIME: Millis = Millis(3_500);
+const NOTICE_TIME: Millis = Millis(2_800);
+/// Idle connections are closed this much later.
+const CLOSE_AFTER: Millis = Millis(700);
 /// The part of the time for a stop that open requests may take.
 const STOP_PART: f64 = 0.96;
 const STOP_POLL: Millis = Millis(50);
@@ -174,6 +176,8 @@
     log::info!("stop asked for");
     shared.phase.send_replace(Phase::Leaving);
     sleep(NOTICE_TIME.to_duration()).await;
+    shared.phase.send_replace(Phase::Ending);
+    sleep(CLOSE_AFTER.to_duration()).await;
     shared.phase.send_replace(Phase::Closing);
     let last = began + Millis((shared.settings.stop_within.0 as f64 * STOP_PART) as u64);
     while shared.open_requests.load(Ordering::Relaxed) > 0 && shared.now() < last {
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -82,6 +82,7 @@
         phase: match shared.phase() {
             Phase::Serving => "serving",
             Phase::Leaving => "leaving",
+            Phase::Ending => "ending",
             Phase::Closing => "closing",
         },
         ready: shared.is_ready(),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -28,6 +28,8 @@
     Serving,
     /// Not ready; still serving, and asking callers to go elsewhere.
     Leaving,
+    /// Streams, which may take longer than is left, are refused.
+    Ending,
     /// Idle connections are closed.
     Closing,
 }
--- a/crates/gateway/src/traffic/answer.rs
+++ b/crates/gateway/src/traffic/answer.rs
@@ -29,6 +29,8 @@
     BodyBroken,
     #[display("the organisation's quota is used up")]
     OverQuota,
+    #[display("the host is stopping")]
+    Stopping,
     #[display("the backend is busy")]
     Busy,
     #[display("no backend server could be reached")]
@@ -52,6 +54,7 @@
             Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             Self::NoConfiguration
             | Self::StaleConfiguration
+            | Self::Stopping
             | Self::Busy
             | Self::Unreachable
             | Self::Rejected => StatusCode::SERVICE_UNAVAILABLE,
@@ -70,6 +73,7 @@
             Self::BodyTooLarge => "body-too-large",
             Self::BodyBroken => "body-broken",
             Self::OverQuota => "over-quota",
+            Self::Stopping => "stopping",
             Self::Busy => "busy",
             Self::Unreachable => "unreachable",
             Self::Rejected => "rejected",
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -1,7 +1,7 @@
 //! One request of a caller, from its head to its answer.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use bytes::Bytes;
 use carawayseam_dispatch::catalog::{LookupError, Place, Target};
@@ -21,7 +21,7 @@
 use crate::http_client::Connection;
 use crate::journal;
 use crate::platform::RequestHead;
-use crate::shared::{Assignment, Decision, Shared, lock};
+use crate::shared::{Assignment, Decision, Phase, Shared, lock};
 
 /// A host that knows no configuration, or an old one, is asked again after this time.
 const RETRY_AFTER_STALE: Millis = Millis(1_000);
@@ -29,6 +29,8 @@
 const RETRY_AFTER_REJECTED: Millis = Millis(300);
 /// The part of a request's time after which it is refused if it still waits.
 const WAIT_PART: f64 = 0.45;
+/// Objectives after which a stream is refused if it still waits: callers do not wait much longer.
+const WAIT_OBJECTIVES: f64 = 1.5;
 /// A plain answer that may be asked for twice is given up after this many objectives.
 const SILENT_OBJECTIVES: f64 = 2.5;
 /// A stream's first event is given up after this many times the expected time, and some more.
@@ -62,9 +64,21 @@
     /// Whether an attempt may have run it.
     pub(crate) ran: bool,
     pub(crate) tried: Vec<EngineId>,
+    /// Whether a log line says how it ended.
+    pub(crate) concluded: AtomicBool,
+    /// Events passed on so far.
+    pub(crate) events: u32,
     _open: OpenRequest,
 }
 
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        if !self.concluded.load(Ordering::Relaxed) {
+            journal::caller_left(self);
+        }
+    }
+}
+
 /// A request's place in the queue, and where it hears what was decided.
 pub(crate) type Queued = (Ticket, oneshot::Receiver<Decision>);
 
@@ -126,6 +140,9 @@
     if place.organisation.is_some() && !shared.may_use_keys() {
         return Err(Refusal::later(Reason::StaleConfiguration, RETRY_AFTER_STALE));
     }
+    if place.route.kind.is_stream() && shared.phase() >= Phase::Ending {
+        return Err(Refusal::later(Reason::Stopping, RETRY_AFTER_REJECTED));
+    }
     let backend = pick_target(&place.route.targets)
         .ok_or_else(|| Refusal::later(Reason::Unreachable, RETRY_AFTER_REJECTED))?;
     let limit = head.time_limit.unwrap_or(Millis::MAX).min(place.route.timeout);
@@ -161,6 +178,8 @@
         assigned_at: arrived,
         ran: false,
         tried: Vec::new(),
+        concluded: AtomicBool::new(false),
+        events: 0,
         _open: open,
     })
 }
@@ -251,6 +270,7 @@
                 let id = self.head.id.as_deref();
                 let route = Some(&self.place.route);
                 journal::refused(&self.shared, id, route, refusal, waited, catalog, age);
+                self.concluded.store(true, Ordering::Relaxed);
                 refusal.response()
             }
         }
@@ -301,7 +321,13 @@
     /// When the request is refused if it still waits.
     fn wait_limit(&self) -> Millis {
         let whole = self.deadline.since(self.arrived).0 as f64;
-        self.arrived + Millis((whole * WAIT_PART) as u64)
+        let objective = self.place.route.objective.0 as f64;
+        let most = if self.place.route.kind.is_stream() {
+            objective * WAIT_OBJECTIVES
+        } else {
+            whole
+        };
+        self.arrived + Millis(most.min(whole * WAIT_PART) as u64)
     }
 
     pub(crate) fn job(&self, give_up: Millis) -> Job {
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -150,6 +150,7 @@
     fn on_events(&mut self, count: u32) {
         let now = self.exchange.shared.now();
         self.passed_on += count;
+        self.exchange.events = self.passed_on;
         if self.first_event_at.is_none() {
             self.first_event_at = Some(now);
             let waited = now.since(self.exchange.arrived);
