Share quotas with their tolerance, wait a little for them, and bound lapsed entries

cause: quotas refused what was within them: a host's bucket held only its part of one second's burst, and a request 7 ms short was refused.

--- a/crates/dispatch/src/catalog.rs
+++ b/crates/dispatch/src/catalog.rs
@@ -219,6 +219,11 @@
         }
     }
 
+    /// The organisations that have keys.
+    pub fn organisations(&self) -> impl Iterator<Item = &OrganisationId> {
+        self.keys.values().map(|organisation| &organisation.name)
+    }
+
     /// The backend of that name.
     #[must_use]
     pub fn backend(&self, name: &BackendName) -> Option<&Backend> {
--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -1,8 +1,8 @@
 //! An organisation's quota in tokens, shared by all hosts.
 //!
 //! Callers fall on hosts unevenly, and a host that is cut off cannot ask what the
-//! others admitted. Half of each quota is divided evenly by the number of known hosts.
-//! The other half is divided the same way into parts, of which a group of
+//! others admitted. A part of each quota is divided evenly by the number of known hosts.
+//! The rest is divided the same way into parts, of which a group of
 //! hosts that hear each other pools its own and lends it by demand. However the hosts
 //! are cut into groups, the parts sum to the whole.
 
@@ -13,13 +13,13 @@
 use crate::catalog::TokenQuota;
 
 /// The part of a quota that is divided evenly; the rest follows demand.
-const EVEN_PART: f64 = 0.5;
+const EVEN_PART: f64 = 0.3;
 /// The time over which demand is averaged, in milliseconds.
 const DEMAND_SPAN_MS: f64 = 2_000.0;
 /// Demand below which a host is counted with this much, in tokens a second.
 const LEAST_DEMAND: f64 = 1.0;
-/// The part of its share that a host may use at once after its start.
-const FIRST_LEVEL: f64 = 0.1;
+/// The part of the tolerance that is used for what hosts know late of each other.
+const TOLERANCE_PART: f64 = 0.6;
 /// The part of a bucket that counts as full.
 const NEARLY_FULL: f64 = 0.9;
 
@@ -50,19 +50,33 @@
 #[derive(Debug)]
 pub struct Quotas {
     hosts: Hosts,
+    /// Tokens by which all hosts together may exceed a quota in one window.
+    tolerance: f64,
     accounts: HashMap<OrganisationId, Account>,
 }
 
-impl Default for Quotas {
-    fn default() -> Self {
+impl Quotas {
+    /// Makes the quotas of a host that is alone; all hosts together may exceed a quota by `tolerance` tokens.
+    #[must_use]
+    pub fn new(tolerance: f64) -> Self {
         Self {
             hosts: Hosts::ALONE,
+            tolerance,
             accounts: HashMap::new(),
         }
     }
-}
 
-impl Quotas {
+    /// Opens the accounts of organisations; an account is empty at first.
+    pub fn open<'a>(&mut self, now: Millis, organisations: impl Iterator<Item = &'a OrganisationId>) {
+        for organisation in organisations {
+            let account = self.account(organisation);
+            if !account.opened {
+                account.opened = true;
+                account.filled_at = now;
+            }
+        }
+    }
+
     /// Takes how many hosts there are and how many were heard lately.
     pub const fn set_hosts(&mut self, hosts: Hosts) {
         self.hosts = hosts;
@@ -78,7 +92,9 @@
         self.accounts.iter().map(|(name, account)| (name, account.demand))
     }
 
-    /// Takes the tokens of one request.
+    /// Takes the tokens of one request, if they are there within `patience`.
+    ///
+    /// Gives the time that the request has to wait for them.
     ///
     /// # Errors
     ///
@@ -89,20 +105,23 @@
         organisation: &OrganisationId,
         quota: TokenQuota,
         tokens: f64,
-    ) -> Result<(), Millis> {
-        let hosts = self.hosts;
+        patience: Millis,
+    ) -> Result<Millis, Millis> {
+        let (hosts, tolerance) = (self.hosts, self.tolerance * TOLERANCE_PART);
         let account = self.account(organisation);
         let share = share(hosts, account.demand, account.peers_demand);
-        account.refill(now, quota, share, tokens);
+        let most = most(quota, tolerance, share);
+        account.refill(now, quota, share, most, tokens);
         // A request larger than the host's whole bucket is admitted from a nearly full one.
-        let needed = tokens.min(most(quota, share) * NEARLY_FULL);
-        if account.level >= needed {
-            account.level -= tokens;
-            return Ok(());
-        }
-        let missing = needed - account.level;
+        let needed = tokens.min(most * NEARLY_FULL);
+        let missing = (needed - account.level).max(0.0);
         let rate = (quota.per_second * share).max(LEAST_DEMAND);
-        Err(Millis((missing / rate * 1_000.0).ceil() as u64))
+        let wait = Millis((missing / rate * 1_000.0).ceil() as u64);
+        if wait > patience {
+            return Err(wait);
+        }
+        account.level -= tokens;
+        Ok(wait)
     }
 
     /// Gives back the tokens of a request that was not sent.
@@ -116,17 +135,14 @@
 }
 
 impl Account {
-    fn refill(&mut self, now: Millis, quota: TokenQuota, share: f64, asked: f64) {
+    fn refill(&mut self, now: Millis, quota: TokenQuota, share: f64, most: f64, asked: f64) {
         let elapsed_ms = now.since(self.filled_at).0 as f64;
-        let most = most(quota, share);
         if self.opened {
             self.level += quota.per_second * share * elapsed_ms / 1_000.0;
             let keep = (-elapsed_ms / DEMAND_SPAN_MS).exp();
             self.demand *= keep;
-        } else {
-            self.opened = true;
-            self.level = most * FIRST_LEVEL;
         }
+        self.opened = true;
         self.demand += asked * 1_000.0 / DEMAND_SPAN_MS;
         self.level = self.level.min(most);
         self.filled_at = now;
@@ -134,8 +150,8 @@
 }
 
 /// The most tokens that this host may admit at once.
-fn most(quota: TokenQuota, share: f64) -> f64 {
-    (quota.burst.max(quota.per_second) * share).max(LEAST_DEMAND)
+fn most(quota: TokenQuota, tolerance: f64, share: f64) -> f64 {
+    ((quota.burst + tolerance) * share).max(LEAST_DEMAND)
 }
 
 /// The part of a quota that this host may use.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -18,8 +18,6 @@
 
 /// A peer that was not heard for so long is not counted on.
 const PEER_SILENCE: Millis = Millis(1_000);
-/// Entries that lapsed while the store was away may come back for so long after its return.
-const LAPSED_ENTRY_GRACE: Millis = Millis(2_300);
 /// Idle connections are looked through this often.
 const SWEEP_INTERVAL: Millis = Millis(500);
 
@@ -30,15 +28,15 @@
     Configuration(Arc<Catalog>),
     /// What is known was the newest when a call was sent.
     Confirmed { sent_at: Millis },
-    /// All backend servers that the store lists; others lapsed if the store was away, else are gone.
+    /// All backend servers that the store lists; others may come back until a time, or are gone.
     Engines {
         listed: Vec<EngineEntry>,
-        was_away: bool,
+        keep_until: Option<Millis>,
     },
     /// A backend server's entry changed.
     Engine(EngineEntry),
-    /// A backend server's entry was removed, just after the store was away or in calm times.
-    EngineRemoved { engine: EngineId, was_away: bool },
+    /// A backend server's entry was removed, and may come back until a time, or is gone.
+    EngineRemoved { engine: EngineId, keep_until: Option<Millis> },
     /// All hosts that the store lists.
     Hosts(Vec<(HostId, SocketAddr)>),
     /// A host registered itself.
@@ -54,8 +52,8 @@
 #[derive(Debug)]
 struct Listed {
     entry: EngineEntry,
-    /// Since when the entry is missing after an outage of the store.
-    missing_since: Option<Millis>,
+    /// Until when the missing entry may come back after an outage of the store.
+    missing_until: Option<Millis>,
 }
 
 #[derive(Debug, Default)]
@@ -98,9 +96,9 @@
         match note {
             Note::Configuration(catalog) => self.configuration(catalog),
             Note::Confirmed { sent_at } => lock(&self.shared.freshness).confirm(sent_at),
-            Note::Engines { listed, was_away } => self.all_engines(now, listed, was_away),
+            Note::Engines { listed, keep_until } => self.all_engines(now, listed, keep_until),
             Note::Engine(entry) => self.engine(now, entry),
-            Note::EngineRemoved { engine, was_away } => self.engine_removed(now, &engine, was_away),
+            Note::EngineRemoved { engine, keep_until } => self.engine_removed(now, &engine, keep_until),
             Note::Hosts(hosts) => {
                 self.hosts = hosts.into_iter().collect();
                 self.count_hosts(now);
@@ -123,6 +121,9 @@
     /// Applies a configuration, unless it is older than the one in force.
     fn configuration(&self, catalog: Arc<Catalog>) {
         let revision = catalog.revision;
+        lock(&self.shared.desk)
+            .quotas
+            .open(self.shared.now(), catalog.organisations());
         let applied = self.shared.catalog.send_if_modified(|current| {
             let is_newer = current.as_ref().is_none_or(|current| current.revision < revision);
             if is_newer {
@@ -136,34 +137,34 @@
         }
     }
 
-    fn all_engines(&mut self, now: Millis, listed: Vec<EngineEntry>, was_away: bool) {
+    fn all_engines(&mut self, now: Millis, listed: Vec<EngineEntry>, keep_until: Option<Millis>) {
         for known in self.engines.values_mut() {
-            known.missing_since.get_or_insert(now);
+            let until = keep_until.unwrap_or(now);
+            known.missing_until.get_or_insert(until);
         }
         for entry in listed {
             let listed = Listed {
                 entry,
-                missing_since: None,
+                missing_until: None,
             };
             self.engines.insert(listed.entry.id.clone(), listed);
         }
-        if !was_away {
-            self.engines.retain(|_, listed| listed.missing_since.is_none());
-        }
-        log::info!(engines = self.engines.len(), after_outage = was_away; "backend servers listed");
+        self.engines
+            .retain(|_, listed| listed.missing_until.is_none_or(|until| now < until));
+        log::info!(engines = self.engines.len(), after_outage = keep_until.is_some(); "backend servers listed");
         self.update_engines(now);
     }
 
     fn engine(&mut self, now: Millis, entry: EngineEntry) {
         let listed = Listed {
             entry,
-            missing_since: None,
+            missing_until: None,
         };
         let id = listed.entry.id.clone();
         let is_same = self
             .engines
             .get(&id)
-            .is_some_and(|known| known.entry == listed.entry && known.missing_since.is_none());
+            .is_some_and(|known| known.entry == listed.entry && known.missing_until.is_none());
         if is_same {
             return;
         }
@@ -172,12 +173,10 @@
         self.update_engines(now);
     }
 
-    fn engine_removed(&mut self, now: Millis, engine: &EngineId, was_away: bool) {
-        log::info!(engine:% = engine, after_outage = was_away; "backend server's entry removed");
+    fn engine_removed(&mut self, now: Millis, engine: &EngineId, keep_until: Option<Millis>) {
+        log::info!(engine:% = engine, after_outage = keep_until.is_some(); "backend server's entry removed");
         match self.engines.get_mut(engine) {
-            Some(listed) if was_away => {
-                listed.missing_since.get_or_insert(now);
-            }
+            Some(listed) if keep_until.is_some() => listed.missing_until = listed.missing_until.or(keep_until),
             _ => {
                 self.engines.remove(engine);
                 self.update_engines(now);
@@ -268,9 +267,7 @@
             .engines
             .iter()
             .filter(|(_, listed)| {
-                listed
-                    .missing_since
-                    .is_some_and(|since| now.since(since) > LAPSED_ENTRY_GRACE)
+                listed.missing_until.is_some_and(|until| now >= until)
             })
             .map(|(id, _)| id.clone())
             .collect();
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use carawayseam_dispatch::Catalog;
+use carawayseam_dispatch::outage::Outage;
 use carawayseam_types::{HostId, Millis};
 use carawayseam_wire::decode;
 use kameo::actor::ActorRef;
@@ -19,11 +20,7 @@
 const GATHER_TIME: Millis = Millis(250);
 /// The pause after a failed call; it doubles up to the longest.
 const FIRST_RETRY: Millis = Millis(100);
-const LONGEST_RETRY: Millis = Millis(800);
-/// Without an answer for so long, the store counts as away.
-const AWAY_AFTER: Millis = Millis(1_600);
-/// For so long after its return, removed entries may be back.
-const SETTLING_TIME: Millis = Millis(2_500);
+const LONGEST_RETRY: Millis = Millis(250);
 
 /// Follows the store until the process ends.
 pub(crate) async fn follow_store<P: Platform>(
@@ -34,9 +31,7 @@
     let store = platform.store(shared.settings.store);
     let mut follower = Follower {
         keys: platform.keys(),
-        answered_at: shared.now(),
-        settled_at: Millis::ZERO,
-        is_away: false,
+        outage: Outage::new(shared.now()),
         shared,
         platform,
         control,
@@ -62,10 +57,7 @@
     control: ActorRef<ControlState>,
     store: P::Store,
     keys: StoreKeys,
-    answered_at: Millis,
-    /// Until when removed entries may be back after an outage.
-    settled_at: Millis,
-    is_away: bool,
+    outage: Outage,
 }
 
 /// An outcome that never comes.
@@ -85,8 +77,8 @@
             self.put(item);
         }
         let listed = engines.iter().filter_map(|item| self.engine(item)).collect();
-        let was_away = self.is_settling();
-        self.tell(Note::Engines { listed, was_away });
+        let keep_until = self.outage.keep_until(self.shared.now());
+        self.tell(Note::Engines { listed, keep_until });
         let hosts = hosts.iter().filter_map(|item| self.host(item)).collect();
         self.tell(Note::Hosts(hosts));
         self.tell(Note::Confirmed { sent_at });
@@ -160,8 +152,8 @@
         let host = key.strip_prefix(self.keys.hosts.as_str()).map(str::parse);
         match (engine, host) {
             (Some(Ok(engine)), _) => {
-                let was_away = self.is_settling();
-                self.tell(Note::EngineRemoved { engine, was_away });
+                let keep_until = self.outage.keep_until(self.shared.now());
+                self.tell(Note::EngineRemoved { engine, keep_until });
             }
             (_, Some(Ok(host))) => self.tell(Note::HostRemoved(host)),
             (Some(Err(e)), _) => log::debug!("the removed entry {key} names no backend server: {e}"),
@@ -204,25 +196,19 @@
     }
 
     fn note_answer(&mut self) {
-        self.answered_at = self.shared.now();
-        if std::mem::take(&mut self.is_away) {
-            self.settled_at = self.answered_at + SETTLING_TIME;
+        if self.outage.on_answer(self.shared.now()) {
             log::info!(dependency = "store"; "dependency regained");
         }
     }
 
     fn note_failure(&mut self, e: &StoreError) {
         log::debug!("a call to the store failed: {e}");
-        let silent = self.shared.now().since(self.answered_at);
-        if !self.is_away && silent > AWAY_AFTER {
-            self.is_away = true;
-            log::warn!(dependency = "store", silent_ms = silent.0, error:% = e; "dependency lost");
+        let now = self.shared.now();
+        if self.outage.on_failure(now) {
+            let silence = self.outage.silence(now);
+            log::warn!(dependency = "store", silent_ms = silence.0, error:% = e; "dependency lost");
         }
     }
-
-    fn is_settling(&self) -> bool {
-        self.shared.now() < self.settled_at
-    }
 }
 
 fn note_unreadable(key: &str, e: &DecodeError) {
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -1,10 +1,8 @@
 //! Log lines for decisions on requests.
 
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use carawayseam_dispatch::catalog::Route;
-use carawayseam_types::{Millis, Revision};
+use carawayseam_types::{EngineId, Millis, OrganisationId};
 use hyper::StatusCode;
 
 use crate::shared::{Assignment, Shared};
@@ -84,7 +82,7 @@
         request = exchange.head.id.as_deref(),
         route:% = exchange.place.route.name,
         tier = exchange.tier().0,
-        engine = exchange.tried.last().map(carawayseam_types::EngineId::as_str),
+        engine = exchange.tried.last().map(EngineId::as_str),
         attempts = exchange.attempts,
         events = exchange.events,
         queued_ms = exchange.assigned_at.since(exchange.arrived).0,
@@ -95,26 +93,37 @@
     );
 }
 
-/// The gateway answered by itself.
-pub(crate) fn refused(
-    shared: &Shared,
-    request: Option<&str>,
-    route: Option<&Arc<Route>>,
-    refusal: Refusal,
-    waited: Millis,
-    configuration: Option<Revision>,
-    configuration_age: Option<Millis>,
-) {
+/// The gateway answered a request by itself before it found its place.
+pub(crate) fn turned_away(shared: &Shared, request: Option<&str>, refusal: Refusal) {
     shared.metrics.count("refusals", refusal.reason.label());
     log::info!(
         request = request,
-        route = route.map(|route| route.name.as_str()),
         reason = refusal.reason.label(),
         status = refusal.reason.status().as_u16(),
         retry_after_ms = refusal.retry_after.map(|after| after.0),
-        waited_ms = waited.0,
-        configuration = configuration.map(|revision| revision.0),
-        configuration_age_ms = configuration_age.map(|age| age.0);
+        configuration_age_ms = shared.configuration_age().map(|age| age.0);
+        "refused"
+    );
+}
+
+/// The gateway answered by itself.
+pub(crate) fn refused(exchange: &Exchange, refusal: Refusal) {
+    exchange.concluded.store(true, Ordering::Relaxed);
+    let shared = &exchange.shared;
+    shared.metrics.count("refusals", refusal.reason.label());
+    log::info!(
+        request = exchange.head.id.as_deref(),
+        route:% = exchange.place.route.name,
+        organisation = exchange.organisation_name().map(OrganisationId::as_str),
+        tier = exchange.tier().0,
+        engine = exchange.tried.last().map(EngineId::as_str),
+        reason = refusal.reason.label(),
+        status = refusal.reason.status().as_u16(),
+        retry_after_ms = refusal.retry_after.map(|after| after.0),
+        attempts = exchange.attempts,
+        waited_ms = shared.now().since(exchange.arrived).0,
+        prompt_tokens = exchange.head.prompt.as_ref().map(|prompt| prompt.tokens),
+        configuration_age_ms = shared.configuration_age().map(|age| age.0);
         "refused"
     );
 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -7,6 +7,7 @@
 
 use carawayseam_dispatch::Dispatcher;
 use carawayseam_dispatch::freshness::Freshness;
+use carawayseam_dispatch::quota::Quotas;
 use carawayseam_dispatch::retries::RetryBounds;
 use carawayseam_node::{LogRevision, init_stdout_logging, wait_for_stop};
 use carawayseam_types::{Clock, Incarnation, Millis};
@@ -104,13 +105,14 @@
     };
     let max_age = settings.max_key_age - KEY_AGE_MARGIN;
     let dispatcher = Dispatcher::new(settings.zone.clone(), bounds, incarnation.0);
+    let quotas = Quotas::new(settings.quota_tolerance);
     Shared {
         headers: platform.headers(),
         settings,
         clock: Clock::boot(),
         catalog: watch::Sender::new(None),
         freshness: Mutex::new(Freshness::new(max_age)),
-        desk: Mutex::new(Desk::new(dispatcher)),
+        desk: Mutex::new(Desk::new(dispatcher, quotas)),
         connections: Connections::default(),
         phase: watch::Sender::new(Phase::Serving),
         metrics: Metrics::default(),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -38,6 +38,8 @@
     /// How long a planned stop may take.
     #[serde_as(as = "DisplayFromStr")]
     pub stop_within: Millis,
+    /// Tokens by which all hosts together may exceed an organisation's quota in one window.
+    pub quota_tolerance: f64,
     /// Bounds on sending a request to one more backend server.
     pub retries: RetrySettings,
 }
@@ -125,6 +127,9 @@
             s if !s.ready_path.starts_with('/') => Err(wrong("ready_path", "a path that begins with /")),
             s if s.max_key_age == Millis::ZERO => Err(wrong("max_key_age", "more than 0ms")),
             s if s.stop_within == Millis::ZERO => Err(wrong("stop_within", "more than 0ms")),
+            s if s.quota_tolerance.is_nan() || s.quota_tolerance < 0.0 => {
+                Err(wrong("quota_tolerance", "0 tokens or more"))
+            }
             s if !is_share(s.retries.ratio) => Err(wrong("retries.ratio", "a share from 0 to 1")),
             s if s.retries.extra.is_nan() || s.retries.extra < 0.0 => {
                 Err(wrong("retries.extra", "0 or more"))
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -59,10 +59,10 @@
 }
 
 impl Desk {
-    pub(crate) fn new(dispatcher: Dispatcher) -> Self {
+    pub(crate) fn new(dispatcher: Dispatcher, quotas: Quotas) -> Self {
         Self {
             dispatcher,
-            quotas: Quotas::default(),
+            quotas,
             waiters: HashMap::new(),
         }
     }
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -13,7 +13,7 @@
 use hyper::{Method, Request, Response, Uri};
 use rand::RngExt;
 use tokio::sync::oneshot;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::answer::{AnswerBody, Reason, Refusal, whole};
 use super::attempt::{self, Answered, Failure, Slot, idle_limit, remove_hop_headers};
@@ -29,6 +29,8 @@
 const RETRY_AFTER_REJECTED: Millis = Millis(300);
 /// The part of a request's time after which it is refused if it still waits.
 const WAIT_PART: f64 = 0.45;
+/// The part of a request's objective for which it may wait for its organisation's quota.
+const QUOTA_PATIENCE: f64 = 0.35;
 /// Objectives after which a stream is refused if it still waits: callers do not wait much longer.
 const WAIT_OBJECTIVES: f64 = 1.5;
 /// A plain answer that may be asked for twice is given up after this many objectives.
@@ -115,14 +117,10 @@
 /// Answers one request.
 pub(crate) async fn run(shared: &Arc<Shared>, req: Request<Incoming>) -> Response<AnswerBody> {
     let id = shared.headers.read_request(req.headers()).id;
-    let arrived = shared.now();
     match begin(shared, req).await {
         Ok(exchange) => exchange.serve().await,
         Err(refusal) => {
-            let known = shared.catalog().map(|catalog| catalog.revision);
-            let age = shared.configuration_age();
-            let waited = shared.now().since(arrived);
-            journal::refused(shared, id.as_deref(), None, refusal, waited, known, age);
+            journal::turned_away(shared, id.as_deref(), refusal);
             refusal.response()
         }
     }
@@ -264,20 +262,14 @@
             Ok(Served::Plain(response)) => response,
             Ok(Served::Stream(answered)) => stream::respond(self, answered),
             Err(refusal) => {
-                let catalog = self.shared.catalog().map(|catalog| catalog.revision);
-                let age = self.shared.configuration_age();
-                let waited = self.shared.now().since(self.arrived);
-                let id = self.head.id.as_deref();
-                let route = Some(&self.place.route);
-                journal::refused(&self.shared, id, route, refusal, waited, catalog, age);
-                self.concluded.store(true, Ordering::Relaxed);
+                journal::refused(&self, refusal);
                 refusal.response()
             }
         }
     }
 
     async fn try_serve(&mut self) -> Result<Served, Refusal> {
-        self.take_quota()?;
+        self.take_quota().await?;
         let job = self.job(self.wait_limit());
         let mut queued = lock(&self.shared.desk).submit(self.shared.now(), job);
         loop {
@@ -298,7 +290,8 @@
         self.place.route.kind.is_stream() && answered.response.status().is_success()
     }
 
-    fn take_quota(&self) -> Result<(), Refusal> {
+    /// Takes the request's tokens from its organisation's quota, and waits a little for them.
+    async fn take_quota(&self) -> Result<(), Refusal> {
         let Some((organisation, quota)) = self
             .place
             .organisation
@@ -312,10 +305,15 @@
             None => f64::from(quota.plain.0),
         };
         let now = self.shared.now();
-        lock(&self.shared.desk)
+        let patience = Millis((self.place.route.objective.0 as f64 * QUOTA_PATIENCE) as u64);
+        let taken = lock(&self.shared.desk)
             .quotas
-            .take(now, &organisation.name, quota, tokens)
-            .map_err(|wait| Refusal::later(Reason::OverQuota, wait))
+            .take(now, &organisation.name, quota, tokens, patience);
+        let wait = taken.map_err(|wait| Refusal::later(Reason::OverQuota, wait))?;
+        if wait > Millis::ZERO {
+            sleep(wait.to_duration()).await;
+        }
+        Ok(())
     }
 
     /// When the request is refused if it still waits.
