Send callers elsewhere at once from a host that may not use keys

Requests were also the probes of servers behind a cut: each waited 250 ms for a connection. ruled out: long answers: p50 there was 25 ms. change: heartbeats say whether a host may use keys; if one may, Retry-After is 20 ms and the connection closes.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -282,6 +282,28 @@
         }
     }
 
+    /// Servers that could not be reached and should be connected to again now.
+    pub fn due_probes(&mut self, now: Millis) -> Vec<(EngineId, SocketAddr)> {
+        let engines = self.pools.values_mut().flat_map(|pool| &mut pool.engines);
+        engines
+            .filter_map(|engine| {
+                let is_due = engine.take_probe(now);
+                is_due.then(|| (engine.entry.id.clone(), engine.entry.address))
+            })
+            .collect()
+    }
+
+    /// A server can be reached again.
+    pub fn reached(&mut self, now: Millis, engine: &EngineId) -> Vec<Action> {
+        self.now = self.now.max(now);
+        for pool in self.pools.values_mut() {
+            if let Some(engine) = pool.engine_mut(engine) {
+                engine.reached();
+            }
+        }
+        self.pump_all()
+    }
+
     /// Time passed.
     pub fn tick(&mut self, now: Millis) -> Vec<Action> {
         self.now = self.now.max(now);
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -13,10 +13,10 @@
 const OUTCOME_WEIGHT: f64 = 0.2;
 /// Without outcomes for this long, half of the share of failures is forgotten.
 const FAILURES_HALF_LIFE_MS: f64 = 2_500.0;
-/// How long a server is passed over after a connection to it failed; it doubles with each failure.
-const UNREACHABLE_PAUSE: Millis = Millis(250);
-/// The longest such pause.
-const LONGEST_PAUSE: Millis = Millis::from_secs(2);
+/// A server that could not be reached is connected to this often, until it can be.
+const PROBE_INTERVAL: Millis = Millis(350);
+/// How long a server is passed over whose address another server has.
+const MISDIRECTED_PAUSE: Millis = Millis::from_secs(2);
 /// How long a server is passed over that said it takes no more.
 const FULL_PAUSE: Millis = Millis(100);
 /// Shared beginnings remembered for one server.
@@ -105,8 +105,9 @@
     peers: HashMap<HostId, (Millis, PeerLoad)>,
     failures: f64,
     judged_at: Millis,
-    unreachable: u32,
     paused_until: Millis,
+    /// When to connect again to see whether it can be reached; none while it can.
+    probe_at: Option<Millis>,
     /// Parts that were read here, with the time of their last use.
     parts: HashMap<u64, Millis>,
 }
@@ -121,14 +122,28 @@
             peers: HashMap::new(),
             failures: 0.0,
             judged_at: Millis::ZERO,
-            unreachable: 0,
             paused_until: Millis::ZERO,
+            probe_at: None,
             parts: HashMap::new(),
         }
     }
 
     pub(crate) fn takes_work(&self, now: Millis) -> bool {
-        !self.entry.leaving && now >= self.paused_until
+        !self.entry.leaving && now >= self.paused_until && self.probe_at.is_none()
+    }
+
+    /// Whether it is time to connect again to a server that could not be reached.
+    pub(crate) fn take_probe(&mut self, now: Millis) -> bool {
+        let is_due = self.probe_at.is_some_and(|at| now >= at);
+        if is_due {
+            self.probe_at = Some(now + PROBE_INTERVAL);
+        }
+        is_due
+    }
+
+    /// A connection could be made again.
+    pub(crate) const fn reached(&mut self) {
+        self.probe_at = None;
     }
 
     pub(crate) fn on_peer_load(&mut self, now: Millis, host: &HostId, load: PeerLoad) {
@@ -156,13 +171,9 @@
         match end {
             AttemptEnd::Cancelled => {}
             AttemptEnd::Rejected => self.paused_until = now + FULL_PAUSE,
-            AttemptEnd::Misdirected => self.paused_until = now + LONGEST_PAUSE,
-            AttemptEnd::Unreachable => {
-                let pause = UNREACHABLE_PAUSE.times(1 << self.unreachable.min(3));
-                self.paused_until = now + pause.min(LONGEST_PAUSE);
-                self.unreachable += 1;
-            }
-            _ => self.unreachable = 0,
+            AttemptEnd::Misdirected => self.paused_until = now + MISDIRECTED_PAUSE,
+            AttemptEnd::Unreachable | AttemptEnd::Silent => self.probe_at = Some(now),
+            _ => {}
         }
         if end != AttemptEnd::Cancelled {
             let outcome = if end.is_failure() { 1.0 } else { 0.0 };
@@ -198,6 +209,6 @@
         self.parts.clear();
         self.failures = 0.0;
         self.paused_until = Millis::ZERO;
-        self.unreachable = 0;
+        self.probe_at = None;
     }
 }
--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -19,7 +19,7 @@
 /// Demand below which a host is counted with this much, in tokens a second.
 const LEAST_DEMAND: f64 = 1.0;
 /// The part of the tolerance that is used for what hosts know late of each other.
-const TOLERANCE_PART: f64 = 0.6;
+const TOLERANCE_PART: f64 = 0.75;
 /// The part of a bucket that counts as full.
 const NEARLY_FULL: f64 = 0.9;
 
@@ -69,7 +69,7 @@
     /// Opens the accounts of organisations; an account is empty at first.
     pub fn open<'a>(&mut self, now: Millis, organisations: impl Iterator<Item = &'a OrganisationId>) {
         for organisation in organisations {
-            let account = self.account(organisation);
+            let account = self.accounts.entry(organisation.clone()).or_default();
             if !account.opened {
                 account.opened = true;
                 account.filled_at = now;
@@ -108,7 +108,7 @@
         patience: Millis,
     ) -> Result<Millis, Millis> {
         let (hosts, tolerance) = (self.hosts, self.tolerance * TOLERANCE_PART);
-        let account = self.account(organisation);
+        let account = self.accounts.entry(organisation.clone()).or_default();
         let share = share(hosts, account.demand, account.peers_demand);
         let most = most(quota, tolerance, share);
         account.refill(now, quota, share, most, tokens);
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use carawayseam_dispatch::dispatcher::OwnLoad;
 use carawayseam_dispatch::engine::PeerLoad;
@@ -15,9 +16,12 @@
 use kameo::message::{Context, Message};
 
 use crate::shared::{Shared, lock};
+use crate::sockets;
 
 /// A peer that was not heard for so long is not counted on.
 const PEER_SILENCE: Millis = Millis(1_000);
+/// How long connecting may take to a server that could not be reached before.
+const PROBE_LIMIT: Millis = Millis(250);
 /// Idle connections are looked through this often.
 const SWEEP_INTERVAL: Millis = Millis(500);
 
@@ -61,6 +65,7 @@
     incarnation: Incarnation,
     seq: u64,
     at: Millis,
+    serves_keys: bool,
     demand: Vec<(OrganisationId, u32)>,
 }
 
@@ -204,6 +209,7 @@
             incarnation: beat.incarnation,
             seq: beat.seq,
             at: now,
+            serves_keys: beat.serves_keys,
             demand: beat.demand,
         };
         if was_silent {
@@ -243,11 +249,13 @@
     fn count_hosts(&mut self, now: Millis) {
         let me = &self.shared.settings.host;
         let listed = self.hosts.keys().filter(|host| *host != me).count() as u32;
-        let heard = self
+        let fresh = self
             .heard
             .values()
-            .filter(|heard| now.since(heard.at) <= PEER_SILENCE)
-            .count() as u32;
+            .filter(|heard| now.since(heard.at) <= PEER_SILENCE);
+        let heard = fresh.clone().count() as u32;
+        let others_serve = fresh.clone().any(|heard| heard.serves_keys);
+        self.shared.others_serve_keys.store(others_serve, Ordering::Relaxed);
         let hosts = Hosts {
             known: listed.max(heard) + 1,
             heard: heard + 1,
@@ -278,6 +286,7 @@
         }
         self.count_hosts(now);
         self.share_demand(now);
+        self.probe_engines(now);
         if now.since(self.swept_at) >= SWEEP_INTERVAL {
             self.swept_at = now;
             let engines = &self.engines;
@@ -290,6 +299,14 @@
         desk.carry_out(now, actions);
     }
 
+    /// Connects to servers that could not be reached, so that no request has to try.
+    fn probe_engines(&self, now: Millis) {
+        let due = lock(&self.shared.desk).dispatcher.due_probes(now);
+        for (engine, address) in due {
+            tokio::spawn(probe(Arc::clone(&self.shared), engine, address));
+        }
+    }
+
     /// This host's heartbeat, and the addresses that should get it.
     fn own_beat(&self, seq: u64) -> (Beat, Vec<SocketAddr>) {
         let desk = lock(&self.shared.desk);
@@ -305,6 +322,7 @@
             host: self.shared.settings.host.clone(),
             incarnation: self.incarnation,
             seq,
+            serves_keys: self.shared.may_use_keys(),
             engines: load
                 .engines
                 .into_iter()
@@ -327,6 +345,17 @@
     }
 }
 
+async fn probe(shared: Arc<Shared>, engine: EngineId, address: SocketAddr) {
+    let reached = sockets::connect(address, PROBE_LIMIT, PROBE_LIMIT).await;
+    if reached.is_ok() {
+        let now = shared.now();
+        log::info!(engine:% = engine; "backend server reached again");
+        let mut desk = lock(&shared.desk);
+        let actions = desk.dispatcher.reached(now, &engine);
+        desk.carry_out(now, actions);
+    }
+}
+
 fn engine_load(load: EngineLoad) -> (EngineId, PeerLoad) {
     let EngineLoad {
         engine,
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -1,7 +1,7 @@
 //! Starts the threads and stops them in order.
 
 use std::path::Path;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
@@ -116,6 +116,7 @@
         connections: Connections::default(),
         phase: watch::Sender::new(Phase::Serving),
         metrics: Metrics::default(),
+        others_serve_keys: AtomicBool::new(false),
         open_requests: AtomicUsize::new(0),
     }
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::{AtomicBool, AtomicUsize};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use carawayseam_dispatch::freshness::Freshness;
@@ -151,6 +151,8 @@
     pub(crate) connections: Connections,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) metrics: Metrics,
+    /// Whether a peer said lately that it may serve requests with keys.
+    pub(crate) others_serve_keys: AtomicBool,
     /// Requests whose answers are not complete.
     pub(crate) open_requests: AtomicUsize,
 }
--- a/crates/gateway/src/traffic/answer.rs
+++ b/crates/gateway/src/traffic/answer.rs
@@ -118,8 +118,12 @@
                 headers.insert(RETRY_AFTER, value);
             }
         }
-        // Bytes of a body that was not read must not be taken for a request.
-        if matches!(self.reason, Reason::BodyTooLarge | Reason::BodyBroken) {
+        // Bytes of a body that was not read must not be taken for a request, and a caller of a
+        // host that cannot serve it should come back by way of the balancer.
+        if matches!(
+            self.reason,
+            Reason::BodyTooLarge | Reason::BodyBroken | Reason::StaleConfiguration | Reason::NoConfiguration
+        ) {
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -25,6 +25,8 @@
 
 /// A host that knows no configuration, or an old one, is asked again after this time.
 const RETRY_AFTER_STALE: Millis = Millis(1_000);
+/// The same where another host can serve the request now.
+const RETRY_AFTER_ELSEWHERE: Millis = Millis(20);
 /// A refused attempt is worth another try after this time.
 const RETRY_AFTER_REJECTED: Millis = Millis(300);
 /// The part of a request's time after which it is refused if it still waits.
@@ -136,7 +138,7 @@
         .ok_or_else(|| Refusal::later(Reason::NoConfiguration, RETRY_AFTER_STALE))?;
     let place = find_place(shared, &catalog, &req, &head)?;
     if place.organisation.is_some() && !shared.may_use_keys() {
-        return Err(Refusal::later(Reason::StaleConfiguration, RETRY_AFTER_STALE));
+        return Err(stale(shared));
     }
     if place.route.kind.is_stream() && shared.phase() >= Phase::Ending {
         return Err(Refusal::later(Reason::Stopping, RETRY_AFTER_REJECTED));
@@ -195,13 +197,24 @@
         .map_err(|e| {
             let is_sure = shared.configuration_age().is_some_and(|age| age <= SURE_WITHIN);
             match e {
-                _ if !is_sure => Refusal::later(Reason::StaleConfiguration, RETRY_AFTER_STALE),
+                _ if !is_sure => stale(shared),
                 LookupError::NoRoute => Refusal::new(Reason::NoRoute),
                 LookupError::UnknownKey => Refusal::new(Reason::UnknownKey),
             }
         })
 }
 
+/// Refuses for want of a fresh configuration; another host may serve the request at once.
+fn stale(shared: &Shared) -> Refusal {
+    let others_serve = shared.others_serve_keys.load(Ordering::Relaxed);
+    let retry_after = if others_serve {
+        RETRY_AFTER_ELSEWHERE
+    } else {
+        RETRY_AFTER_STALE
+    };
+    Refusal::later(Reason::StaleConfiguration, retry_after)
+}
+
 /// Draws a backend by the targets' weights.
 fn pick_target(targets: &[Target]) -> Option<BackendName> {
     let total: u32 = targets.iter().map(|target| target.weight).sum();
@@ -404,7 +417,7 @@
         let refusal = match failure {
             Failure::TimeOver => return Err(Refusal::new(Reason::TimeOver)),
             _ if self.ran => Refusal::new(Reason::AnswerLost),
-            Failure::Stale => return Err(Refusal::later(Reason::StaleConfiguration, RETRY_AFTER_STALE)),
+            Failure::Stale => return Err(stale(&self.shared)),
             Failure::NotRun(AttemptEnd::Unreachable) => {
                 Refusal::later(Reason::Unreachable, RETRY_AFTER_REJECTED)
             }
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -12,6 +12,8 @@
     pub incarnation: Incarnation,
     /// Grows with each beat of one start.
     pub seq: u64,
+    /// Whether the sender may serve requests with keys.
+    pub serves_keys: bool,
     /// What the sender has running, by backend server.
     pub engines: Vec<EngineLoad>,
     /// Requests that wait at the sender.
