--- /dev/null
+++ b/crates/dispatch/tests/catalog.rs
@@ -0,0 +1,86 @@
+//! Look-ups of routes, organisations and keys.
+
+use carawayseam_dispatch::catalog::{
+    Catalog, Configuration, LookupError, Organisation, Place, Route, RouteKind, Target,
+};
+use carawayseam_types::{Millis, Revision, Tier};
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: "Rails.example".into(),
+        path_prefix: prefix.into(),
+        kind: RouteKind::Idempotent,
+        timeout: Millis::from_secs(2),
+        objective: Millis(100),
+        gap_objective: None,
+        tier: Tier(2),
+        targets: vec![Target {
+            backend: "stock".parse().expect("a valid name"),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        public: false,
+    }
+}
+
+fn catalog() -> Catalog {
+    let mut open = route("open", "/open/");
+    open.public = true;
+    Catalog::new(Configuration {
+        revision: Revision(7),
+        routes: vec![route("short", "/stock/"), route("long", "/stock/rails/"), open],
+        organisations: Some(vec![Organisation {
+            name: "dealer".parse().expect("a valid name"),
+            keys: vec!["key-1".into(), "key-2".into()],
+            tier: Some(Tier(1)),
+            quota: None,
+        }]),
+        ..Configuration::default()
+    })
+}
+
+fn place(host: &str, path: &str, key: Option<&str>) -> Result<Place, LookupError> {
+    catalog().place(host, path, key)
+}
+
+macro_rules! finds {
+    ($name:ident: $host:expr, $path:expr, $key:expr => $route:expr) => {
+        #[test]
+        fn $name() {
+            let found = place($host, $path, $key).map(|place| place.route.name.clone());
+            assert_eq!(found, $route);
+        }
+    };
+}
+
+finds!(the_longest_prefix_wins: "rails.example", "/stock/rails/7", Some("key-1") => Ok("long".into()));
+finds!(a_shorter_prefix_serves_the_rest: "rails.example", "/stock/glass", Some("key-2") => Ok("short".into()));
+finds!(the_host_is_compared_without_case_and_port: "RAILS.example:80", "/stock/1", Some("key-1") => Ok("short".into()));
+finds!(a_prefix_ends_at_its_slash: "rails.example", "/stockroom/", Some("key-1") => Err(LookupError::NoRoute));
+finds!(another_host_has_no_route: "doors.example", "/stock/1", Some("key-1") => Err(LookupError::NoRoute));
+finds!(an_unknown_key_is_refused: "rails.example", "/stock/1", Some("key-9") => Err(LookupError::UnknownKey));
+finds!(a_missing_key_is_refused: "rails.example", "/stock/1", None => Err(LookupError::UnknownKey));
+finds!(a_public_route_needs_no_key: "rails.example", "/open/1", None => Ok("open".into()));
+
+#[test]
+fn a_public_route_has_no_organisation() {
+    let place = place("rails.example", "/open/1", Some("key-1")).expect("the route is there");
+    assert!(place.organisation.is_none());
+}
+
+#[test]
+fn the_organisations_rank_goes_before_the_routes() {
+    let own = place("rails.example", "/stock/1", Some("key-1")).expect("the route is there");
+    let open = place("rails.example", "/open/1", None).expect("the route is there");
+    assert!(own.tier().outranks(open.tier()));
+}
+
+#[test]
+fn without_organisations_no_key_is_needed() {
+    let catalog = Catalog::new(Configuration {
+        routes: vec![route("short", "/stock/")],
+        ..Configuration::default()
+    });
+    assert!(catalog.place("rails.example", "/stock/1", None).is_ok());
+}
--- /dev/null
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -0,0 +1,257 @@
+//! Who waits, who is refused, and where work goes.
+
+use carawayseam_dispatch::dispatcher::OwnLoad;
+use carawayseam_dispatch::engine::{Part, PeerLoad};
+use carawayseam_dispatch::retries::RetryBounds;
+use carawayseam_dispatch::{Action, AttemptEnd, Dispatcher, EngineEntry, Job, Ticket};
+use carawayseam_types::{EngineId, Millis, Tier};
+
+const BOUNDS: RetryBounds = RetryBounds {
+    ratio: 0.2,
+    extra: 8.0,
+};
+const OBJECTIVE: u64 = 300;
+
+fn id(name: &str) -> EngineId {
+    name.parse().expect("a valid name")
+}
+
+fn engine(name: &str, slots: u32) -> EngineEntry {
+    EngineEntry {
+        id: id(name),
+        backend: "guides".parse().expect("a valid name"),
+        address: ([10, 0, 0, 1], 80).into(),
+        zone: "zone-a".parse().expect("a valid name"),
+        version: "v1".parse().expect("a valid name"),
+        slots,
+        leaving: false,
+        started: Some(1),
+    }
+}
+
+fn job(now: u64, tier: u8) -> Job {
+    Job {
+        backend: "guides".parse().expect("a valid name"),
+        version: None,
+        tier: Tier(tier),
+        objective: Millis(now + OBJECTIVE),
+        give_up: Millis(now + 1_000),
+        deadline: Millis(now + 10_000),
+        gap_objective: Some(Millis(250)),
+        events: 10,
+        tokens_per_event: 6,
+        prompt: 500,
+        parts: Vec::new(),
+        tried: Vec::new(),
+    }
+}
+
+fn dispatcher(engines: &[(&str, u32)]) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new("zone-a".parse().expect("a valid name"), BOUNDS, 7);
+    let entries = engines.iter().map(|(name, slots)| engine(name, *slots)).collect();
+    assert!(dispatcher.set_engines(Millis(0), entries).is_empty());
+    dispatcher
+}
+
+/// The requests that were given a server, with its name.
+fn started(actions: &[Action]) -> Vec<(Ticket, &str)> {
+    let starts = actions.iter().filter_map(|action| match action {
+        Action::Start { ticket, engine, .. } => Some((*ticket, engine.as_str())),
+        Action::Refuse { .. } => None,
+    });
+    starts.collect()
+}
+
+#[test]
+fn a_request_starts_at_once_where_a_slot_is_free() {
+    let mut dispatcher = dispatcher(&[("a", 1)]);
+    let (ticket, actions) = dispatcher.submit(Millis(1), job(1, 0));
+    assert_eq!(started(&actions), [(ticket, "a")]);
+}
+
+#[test]
+fn a_freed_slot_goes_to_the_highest_tier() {
+    let mut dispatcher = dispatcher(&[("a", 1)]);
+    let (first, _) = dispatcher.submit(Millis(1), job(1, 0));
+    let (_, none) = dispatcher.submit(Millis(2), job(2, 2));
+    let (urgent, also_none) = dispatcher.submit(Millis(3), job(3, 1));
+    assert!(none.is_empty() && also_none.is_empty());
+    let actions = dispatcher.ended(Millis(10), first, AttemptEnd::Complete);
+    assert_eq!(started(&actions), [(urgent, "a")]);
+}
+
+#[test]
+fn a_request_that_is_late_already_yields_to_one_that_can_be_in_time() {
+    let mut dispatcher = dispatcher(&[("a", 1)]);
+    let (first, _) = dispatcher.submit(Millis(1), job(1, 0));
+    dispatcher.submit(Millis(2), job(2, 0));
+    let now = 2 + OBJECTIVE;
+    let (in_time, _) = dispatcher.submit(Millis(now), job(now, 1));
+    let actions = dispatcher.ended(Millis(now + 1), first, AttemptEnd::Complete);
+    assert_eq!(started(&actions), [(in_time, "a")]);
+}
+
+#[test]
+fn a_request_that_waited_too_long_is_refused_with_a_time_to_come_back() {
+    let mut dispatcher = dispatcher(&[("a", 1)]);
+    dispatcher.submit(Millis(1), job(1, 0));
+    let (ticket, _) = dispatcher.submit(Millis(2), job(2, 0));
+    assert!(dispatcher.tick(Millis(900)).is_empty());
+    match dispatcher.tick(Millis(1_002)).as_slice() {
+        [Action::Refuse { ticket: refused, retry_after }] => {
+            assert_eq!(*refused, ticket);
+            assert!(*retry_after > Millis::ZERO);
+        }
+        other => panic!("expected one refusal, got {other:?}"),
+    }
+}
+
+#[test]
+fn a_caller_that_left_gets_no_slot() {
+    let mut dispatcher = dispatcher(&[("a", 1)]);
+    let (first, _) = dispatcher.submit(Millis(1), job(1, 0));
+    let (left, _) = dispatcher.submit(Millis(2), job(2, 0));
+    dispatcher.withdraw(left);
+    assert!(dispatcher.ended(Millis(3), first, AttemptEnd::Complete).is_empty());
+    assert_eq!(dispatcher.counts(), (0, 0));
+}
+
+#[test]
+fn a_leaving_server_gets_no_new_work() {
+    let mut dispatcher = dispatcher(&[("a", 4), ("b", 4)]);
+    let mut leaving = engine("a", 4);
+    leaving.leaving = true;
+    dispatcher.set_engines(Millis(1), vec![leaving, engine("b", 4)]);
+    for now in 2..6 {
+        let (_, actions) = dispatcher.submit(Millis(now), job(now, 0));
+        assert_eq!(started(&actions)[0].1, "b");
+    }
+}
+
+#[test]
+fn a_server_that_cannot_be_reached_is_probed_before_it_gets_work() {
+    let mut dispatcher = dispatcher(&[("a", 4)]);
+    let (ticket, _) = dispatcher.submit(Millis(1), job(1, 0));
+    dispatcher.ended(Millis(2), ticket, AttemptEnd::Unreachable);
+    let (again, actions) = dispatcher.submit_unsent(Millis(3), job(3, 0));
+    assert!(actions.is_empty());
+    assert_eq!(dispatcher.due_probes(Millis(4)).len(), 1);
+    assert!(dispatcher.due_probes(Millis(5)).is_empty(), "probes are paced");
+    let actions = dispatcher.reached(Millis(6), &id("a"));
+    assert_eq!(started(&actions), [(again, "a")]);
+}
+
+#[test]
+fn a_server_that_fails_requests_gets_few_more() {
+    let mut dispatcher = dispatcher(&[("bad", 50), ("good", 50)]);
+    let mut at_bad = 0;
+    for now in 1..60 {
+        let (ticket, actions) = dispatcher.submit(Millis(now), job(now, 0));
+        let is_bad = started(&actions)[0].1 == "bad";
+        at_bad += u32::from(is_bad);
+        dispatcher.first_event(Millis(now), ticket);
+        let end = if is_bad { AttemptEnd::Failed } else { AttemptEnd::Complete };
+        dispatcher.ended(Millis(now), ticket, end);
+    }
+    assert!(at_bad <= 6, "{at_bad} of 59 requests went to the failing server");
+}
+
+#[test]
+fn a_long_answer_waits_for_a_server_that_ends_it_in_time() {
+    let mut dispatcher = dispatcher(&[("slow", 4), ("fast", 1)]);
+    teach_pace(&mut dispatcher);
+    let (first, actions) = dispatcher.submit(Millis(2_000), job(2_000, 0));
+    assert_eq!(started(&actions)[0].1, "fast", "the fast server is first");
+    let mut long = job(2_001, 0);
+    long.events = 100;
+    let (ticket, actions) = dispatcher.submit(Millis(2_001), long);
+    assert!(actions.is_empty(), "the slow server would take too long");
+    let actions = dispatcher.ended(Millis(2_100), first, AttemptEnd::Complete);
+    assert_eq!(started(&actions), [(ticket, "fast")]);
+}
+
+/// Lets a server answer ten times slower than the other.
+fn teach_pace(dispatcher: &mut Dispatcher) {
+    for now in 1..40 {
+        let (ticket, actions) = dispatcher.submit(Millis(now), job(now, 0));
+        let event_ms = if started(&actions)[0].1 == "slow" { 100.0 } else { 10.0 };
+        dispatcher.first_event(Millis(now), ticket);
+        dispatcher.events(Millis(now), ticket, event_ms);
+        dispatcher.ended(Millis(now), ticket, AttemptEnd::Complete);
+    }
+}
+
+#[test]
+fn a_prompt_goes_where_its_beginning_was_read() {
+    let mut dispatcher = dispatcher(&[("a", 8), ("b", 8)]);
+    let with_parts = |now| Job {
+        prompt: 8_000,
+        parts: vec![Part { id: 1, tokens: 7_900 }, Part { id: now, tokens: 100 }],
+        ..job(now, 0)
+    };
+    let (ticket, actions) = dispatcher.submit(Millis(1), with_parts(1));
+    let home = started(&actions)[0].1.to_owned();
+    dispatcher.first_event(Millis(90), ticket);
+    dispatcher.ended(Millis(200), ticket, AttemptEnd::Complete);
+    for now in 300..310 {
+        let (ticket, actions) = dispatcher.submit(Millis(now), with_parts(now));
+        assert_eq!(started(&actions)[0].1, home);
+        dispatcher.first_event(Millis(now), ticket);
+        dispatcher.ended(Millis(now), ticket, AttemptEnd::Complete);
+    }
+}
+
+#[test]
+fn slots_that_peers_use_are_not_given_away() {
+    let mut dispatcher = dispatcher(&[("a", 2)]);
+    let load = OwnLoad {
+        engines: vec![(
+            id("a"),
+            PeerLoad {
+                running: 2,
+                prompt_ahead: 0,
+            },
+        )],
+        waiting: Vec::new(),
+    };
+    let peer = "peer".parse().expect("a valid name");
+    dispatcher.peer_load(Millis(1), &peer, load);
+    let (ticket, actions) = dispatcher.submit(Millis(2), job(2, 0));
+    assert!(actions.is_empty());
+    let actions = dispatcher.peer_load(Millis(100), &peer, OwnLoad::default());
+    assert_eq!(started(&actions), [(ticket, "a")]);
+}
+
+#[test]
+fn a_free_slot_is_left_to_a_higher_tier_that_waits_at_a_peer() {
+    let mut dispatcher = dispatcher(&[("a", 1)]);
+    let load = OwnLoad {
+        engines: Vec::new(),
+        waiting: vec![("guides".parse().expect("a valid name"), Tier(0), 1)],
+    };
+    let peer = "peer".parse().expect("a valid name");
+    dispatcher.peer_load(Millis(1), &peer, load);
+    let (_, actions) = dispatcher.submit(Millis(2), job(2, 3));
+    assert!(actions.is_empty());
+    let (urgent, actions) = dispatcher.submit(Millis(3), job(3, 0));
+    assert_eq!(started(&actions), [(urgent, "a")]);
+}
+
+#[test]
+fn repeats_end_with_the_budget() {
+    let mut dispatcher = dispatcher(&[("a", 100)]);
+    let granted = (0..20).filter(|_| dispatcher.submit_again(Millis(1), job(1, 0)).is_some());
+    assert!(granted.count() <= 8);
+}
+
+#[test]
+fn a_server_that_started_anew_under_its_id_is_reachable_again() {
+    let mut dispatcher = dispatcher(&[("a", 1)]);
+    let (ticket, _) = dispatcher.submit(Millis(1), job(1, 0));
+    dispatcher.ended(Millis(2), ticket, AttemptEnd::Unreachable);
+    let mut reborn = engine("a", 1);
+    reborn.started = Some(2);
+    dispatcher.set_engines(Millis(3), vec![reborn]);
+    let (_, actions) = dispatcher.submit(Millis(4), job(4, 0));
+    assert_eq!(started(&actions).len(), 1);
+}
