--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -107,7 +107,11 @@
                     used: f64::from(used),
                     free: capacity(engine).saturating_sub(used),
                     failing_ms: engine.failure_share(now).powi(2) * FAILING_MS,
-                    distance_ms: if engine.entry.zone == *zone { 0.0 } else { OTHER_ZONE_MS },
+                    distance_ms: if engine.entry.zone == *zone {
+                        0.0
+                    } else {
+                        OTHER_ZONE_MS
+                    },
                 }
             })
             .collect()
@@ -210,10 +214,18 @@
         return 0.0;
     };
     let read_between_events = READ_AT_ONCE * f64::from(job.tokens_per_event);
-    let pause = |tokens: f64| tokens.min(read_between_events).mul_add(pace.token_ms, pace.event_ms);
+    let pause = |tokens: f64| {
+        tokens
+            .min(read_between_events)
+            .mul_add(pace.token_ms, pace.event_ms)
+    };
     let objective = objective.0 as f64;
     let is_long = pause(ahead + own) > objective;
-    if is_long && own > READ_AT_ONCE { PAUSED_MS } else { 0.0 }
+    if is_long && own > READ_AT_ONCE {
+        PAUSED_MS
+    } else {
+        0.0
+    }
 }
 
 /// The requests that a server is given at once by all hosts.
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -98,7 +98,12 @@
     let (ticket, _) = dispatcher.submit(Millis(2), job(2, 0));
     assert!(dispatcher.tick(Millis(900)).is_empty());
     match dispatcher.tick(Millis(1_002)).as_slice() {
-        [Action::Refuse { ticket: refused, retry_after }] => {
+        [
+            Action::Refuse {
+                ticket: refused,
+                retry_after,
+            },
+        ] => {
             assert_eq!(*refused, ticket);
             assert!(*retry_after > Millis::ZERO);
         }
@@ -112,7 +117,11 @@
     let (first, _) = dispatcher.submit(Millis(1), job(1, 0));
     let (left, _) = dispatcher.submit(Millis(2), job(2, 0));
     dispatcher.withdraw(left);
-    assert!(dispatcher.ended(Millis(3), first, AttemptEnd::Complete).is_empty());
+    assert!(
+        dispatcher
+            .ended(Millis(3), first, AttemptEnd::Complete)
+            .is_empty()
+    );
     assert_eq!(dispatcher.counts(), (0, 0));
 }
 
@@ -150,7 +159,11 @@
         let is_bad = started(&actions)[0].1 == "bad";
         at_bad += u32::from(is_bad);
         dispatcher.first_event(Millis(now), ticket);
-        let end = if is_bad { AttemptEnd::Failed } else { AttemptEnd::Complete };
+        let end = if is_bad {
+            AttemptEnd::Failed
+        } else {
+            AttemptEnd::Complete
+        };
         dispatcher.ended(Millis(now), ticket, end);
     }
     assert!(at_bad <= 6, "{at_bad} of 59 requests went to the failing server");
@@ -174,7 +187,11 @@
 fn teach_pace(dispatcher: &mut Dispatcher) {
     for now in 1..40 {
         let (ticket, actions) = dispatcher.submit(Millis(now), job(now, 0));
-        let event_ms = if started(&actions)[0].1 == "slow" { 100.0 } else { 10.0 };
+        let event_ms = if started(&actions)[0].1 == "slow" {
+            100.0
+        } else {
+            10.0
+        };
         dispatcher.first_event(Millis(now), ticket);
         dispatcher.events(Millis(now), ticket, event_ms);
         dispatcher.ended(Millis(now), ticket, AttemptEnd::Complete);
--- a/crates/dispatch/tests/quota.rs
+++ b/crates/dispatch/tests/quota.rs
@@ -98,9 +98,18 @@
     let mut quotas = Quotas::new(0.0);
     let name = organisation();
     quotas.open(Millis(0), std::iter::once(&name));
-    assert_eq!(quotas.take(Millis(1_000), &name, QUOTA, 9_000.0, Millis(100)), Ok(Millis(0)));
-    assert_eq!(quotas.take(Millis(1_000), &name, QUOTA, 1_500.0, Millis(100)), Ok(Millis(50)));
-    assert_eq!(quotas.take(Millis(1_000), &name, QUOTA, 1_000.0, Millis(100)), Err(Millis(150)));
+    assert_eq!(
+        quotas.take(Millis(1_000), &name, QUOTA, 9_000.0, Millis(100)),
+        Ok(Millis(0))
+    );
+    assert_eq!(
+        quotas.take(Millis(1_000), &name, QUOTA, 1_500.0, Millis(100)),
+        Ok(Millis(50))
+    );
+    assert_eq!(
+        quotas.take(Millis(1_000), &name, QUOTA, 1_000.0, Millis(100)),
+        Err(Millis(150))
+    );
 }
 
 #[test]
@@ -108,7 +117,11 @@
     let mut quotas = Quotas::new(0.0);
     let name = organisation();
     quotas.open(Millis(0), std::iter::once(&name));
-    assert!(quotas.take(Millis(10), &name, QUOTA, 1_000.0, Millis::ZERO).is_err());
+    assert!(
+        quotas
+            .take(Millis(10), &name, QUOTA, 1_000.0, Millis::ZERO)
+            .is_err()
+    );
 }
 
 #[test]
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -40,7 +40,10 @@
     /// A backend server's entry changed.
     Engine(EngineEntry),
     /// A backend server's entry was removed, and may come back until a time, or is gone.
-    EngineRemoved { engine: EngineId, keep_until: Option<Millis> },
+    EngineRemoved {
+        engine: EngineId,
+        keep_until: Option<Millis>,
+    },
     /// All hosts that the store lists.
     Hosts(Vec<(HostId, SocketAddr)>),
     /// A host registered itself.
@@ -181,7 +184,9 @@
     fn engine_removed(&mut self, now: Millis, engine: &EngineId, keep_until: Option<Millis>) {
         log::info!(engine:% = engine, after_outage = keep_until.is_some(); "backend server's entry removed");
         match self.engines.get_mut(engine) {
-            Some(listed) if keep_until.is_some() => listed.missing_until = listed.missing_until.or(keep_until),
+            Some(listed) if keep_until.is_some() => {
+                listed.missing_until = listed.missing_until.or(keep_until)
+            }
             _ => {
                 self.engines.remove(engine);
                 self.update_engines(now);
@@ -255,7 +260,9 @@
             .filter(|heard| now.since(heard.at) <= PEER_SILENCE);
         let heard = fresh.clone().count() as u32;
         let others_serve = fresh.clone().any(|heard| heard.serves_keys);
-        self.shared.others_serve_keys.store(others_serve, Ordering::Relaxed);
+        self.shared
+            .others_serve_keys
+            .store(others_serve, Ordering::Relaxed);
         let hosts = Hosts {
             known: listed.max(heard) + 1,
             heard: heard + 1,
@@ -274,9 +281,7 @@
         let lapsed: Vec<EngineId> = self
             .engines
             .iter()
-            .filter(|(_, listed)| {
-                listed.missing_until.is_some_and(|until| now >= until)
-            })
+            .filter(|(_, listed)| listed.missing_until.is_some_and(|until| now >= until))
             .map(|(id, _)| id.clone())
             .collect();
         if !lapsed.is_empty() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 use std::process::ExitCode;
 
 pub use platform::Platform;
+pub use process::serve;
 
 /// Runs the process until it is told to stop; prints a start-up error.
 pub fn main<P: Platform>(platform: P) -> ExitCode {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -52,6 +52,17 @@
         println!("{}: valid", flags.settings.display());
         return Ok(());
     }
+    serve(settings, &flags.settings, platform)
+}
+
+/// Serves until a signal asks the process to stop.
+///
+/// `file` is where the settings were read from; changes in it are taken over.
+///
+/// # Errors
+///
+/// When an address cannot be listened on, or a thread cannot be started.
+pub fn serve<P: Platform>(settings: Settings, file: &Path, platform: P) -> eyre::Result<()> {
     let log_revision = init_stdout_logging("gateway", &settings.host);
     let platform = Arc::new(platform);
     let incarnation = Incarnation(Clock::system().now().0);
@@ -64,7 +75,7 @@
         .wrap_err("cannot listen for callers")?;
     let (stop, stopped) = oneshot::channel();
     let control_shared = Arc::clone(&shared);
-    let file = flags.settings.clone();
+    let file = file.to_owned();
     let control = thread::Builder::new().name("control".to_owned()).spawn(move || {
         let ended = run_control(control_shared, platform, incarnation, log_revision, &file);
         if stop.send(()).is_err() {
