--- a/crates/dispatch/src/catalog.rs
+++ b/crates/dispatch/src/catalog.rs
@@ -195,7 +195,7 @@
     pub fn new(configuration: Configuration) -> Self {
         let mut routes: HashMap<CompactString, Vec<Arc<Route>>> = HashMap::new();
         for route in configuration.routes {
-            let host = CompactString::from(route.host.to_ascii_lowercase());
+            let host = route.host.to_ascii_lowercase();
             routes.entry(host).or_default().push(Arc::new(route));
         }
         for same_host in routes.values_mut() {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -88,13 +88,24 @@
     parts: Vec<Part>,
 }
 
+/// How many requests of a tier wait for a backend.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WaitingCount {
+    /// The backend.
+    pub backend: BackendName,
+    /// The tier.
+    pub tier: Tier,
+    /// How many.
+    pub count: u32,
+}
+
 /// What this host announces to its peers.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct OwnLoad {
     /// What this host has running, by server.
     pub engines: Vec<(EngineId, PeerLoad)>,
     /// Requests that wait here, by backend and tier.
-    pub waiting: Vec<(BackendName, Tier, u32)>,
+    pub waiting: Vec<WaitingCount>,
 }
 
 /// What this host knows of one server, for operators.
@@ -133,7 +144,7 @@
     hosts: u32,
     running: HashMap<Ticket, Running>,
     waiting_at: HashMap<Ticket, BackendName>,
-    peers_waiting: HashMap<HostId, (Millis, Vec<(BackendName, Tier, u32)>)>,
+    peers_waiting: HashMap<HostId, (Millis, Vec<WaitingCount>)>,
 }
 
 impl Dispatcher {
@@ -348,7 +359,7 @@
                 .collect(),
             waiting: waiting
                 .into_iter()
-                .map(|((backend, tier), count)| (backend, tier, count))
+                .map(|((backend, tier), count)| WaitingCount { backend, tier, count })
                 .collect(),
         }
     }
@@ -375,8 +386,8 @@
                     running: engine.running,
                     used: engine.used(now),
                     failure_share: engine.failure_share(now),
-                    event_ms: pace.event_ms,
-                    thousand_tokens_ms: pace.token_ms * 1_000.0,
+                    event_ms: pace.event,
+                    thousand_tokens_ms: pace.token * 1_000.0,
                 }
             })
             .collect()
@@ -396,9 +407,9 @@
         for pool in self.pools.values_mut() {
             pool.peers_waiting.clear();
         }
-        for (backend, tier, count) in self.peers_waiting.values().flat_map(|(_, waiting)| waiting) {
-            if let Some(pool) = self.pools.get_mut(backend) {
-                pool.peers_waiting.push((*tier, *count));
+        for waiting in self.peers_waiting.values().flat_map(|(_, waiting)| waiting) {
+            if let Some(pool) = self.pools.get_mut(&waiting.backend) {
+                pool.peers_waiting.push((waiting.tier, waiting.count));
             }
         }
     }
@@ -475,7 +486,7 @@
 /// The time in which the queue of a pool should have passed.
 fn retry_after(pool: &Pool) -> Millis {
     let slots: u32 = pool.engines.iter().map(|engine| engine.entry.slots).sum();
-    let request_ms = pool.usual.event_ms * 32.0;
+    let request_ms = pool.usual.event * 32.0;
     let wait_ms = pool.waiting.len() as f64 * request_ms / f64::from(slots.max(1));
     Millis(wait_ms as u64).clamp(LEAST_RETRY_AFTER, MOST_RETRY_AFTER)
 }
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -169,7 +169,6 @@
 
     pub(crate) fn on_end(&mut self, now: Millis, end: AttemptEnd) {
         match end {
-            AttemptEnd::Cancelled => {}
             AttemptEnd::Rejected => self.paused_until = now + FULL_PAUSE,
             AttemptEnd::Misdirected => self.paused_until = now + MISDIRECTED_PAUSE,
             AttemptEnd::Unreachable | AttemptEnd::Silent => self.probe_at = Some(now),
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -152,7 +152,7 @@
         let pace = candidate.pace;
         let own = f64::from(job.prompt.saturating_sub(engine.kept_tokens(&job.parts)));
         let first_event_ms = pace.first_event_ms(candidate.ahead + own);
-        let whole_ms = f64::from(job.events).mul_add(pace.event_ms, first_event_ms);
+        let whole_ms = f64::from(job.events).mul_add(pace.event, first_event_ms);
         let mut score = whole_ms.mul_add(OCCUPANCY_PART, first_event_ms);
         let lateness = first_event_ms * CAUTION - job.objective.since(now).0 as f64;
         if lateness > 0.0 {
@@ -160,7 +160,7 @@
         }
         score += candidate.used * pause_cost(job, pace, candidate.ahead, own);
         // Each running request slows all others a little; spread them where nothing else decides.
-        score += candidate.used / f64::from(capacity(engine).max(1)) * pace.base_ms;
+        score += candidate.used / f64::from(capacity(engine).max(1)) * pace.base;
         score += candidate.distance_ms + candidate.failing_ms;
         if job.tried.contains(&engine.entry.id) {
             score += TRIED_MS;
@@ -186,7 +186,7 @@
     fn finishes(&self, now: Millis, job: &Job) -> bool {
         let events = f64::from(job.events) * LONGER_THAN_LIKELY;
         let prompt = f64::from(job.prompt);
-        let whole_ms = events.mul_add(self.pace.event_ms, self.pace.first_event_ms(prompt));
+        let whole_ms = events.mul_add(self.pace.event, self.pace.first_event_ms(prompt));
         whole_ms <= job.deadline.since(now).0 as f64
     }
 }
@@ -195,8 +195,8 @@
 fn best_pace(candidates: &[Candidate], usual: Pace) -> Pace {
     let mut best = usual;
     for Candidate { pace, .. } in candidates {
-        best.token_ms = best.token_ms.min(pace.token_ms);
-        best.base_ms = best.base_ms.min(pace.base_ms);
+        best.token = best.token.min(pace.token);
+        best.base = best.base.min(pace.base);
     }
     best
 }
@@ -214,11 +214,7 @@
         return 0.0;
     };
     let read_between_events = READ_AT_ONCE * f64::from(job.tokens_per_event);
-    let pause = |tokens: f64| {
-        tokens
-            .min(read_between_events)
-            .mul_add(pace.token_ms, pace.event_ms)
-    };
+    let pause = |tokens: f64| tokens.min(read_between_events).mul_add(pace.token, pace.event);
     let objective = objective.0 as f64;
     let is_long = pause(ahead + own) > objective;
     if is_long && own > READ_AT_ONCE {
--- a/crates/dispatch/src/speed.rs
+++ b/crates/dispatch/src/speed.rs
@@ -13,24 +13,24 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct Pace {
     /// Reading one prompt token, in milliseconds.
-    pub(crate) token_ms: f64,
+    pub(crate) token: f64,
     /// Making one event, in milliseconds.
-    pub(crate) event_ms: f64,
+    pub(crate) event: f64,
     /// Answering at all, in milliseconds.
-    pub(crate) base_ms: f64,
+    pub(crate) base: f64,
 }
 
 impl Pace {
     /// What is assumed before the first answer.
     pub(crate) const ASSUMED: Self = Self {
-        token_ms: 0.012,
-        event_ms: 25.0,
-        base_ms: 12.0,
+        token: 0.012,
+        event: 25.0,
+        base: 12.0,
     };
 
     /// The time to a first event with `tokens` to read before it.
     pub(crate) fn first_event_ms(&self, tokens: f64) -> f64 {
-        tokens.mul_add(self.token_ms, self.base_ms)
+        tokens.mul_add(self.token, self.base)
     }
 }
 
@@ -66,39 +66,39 @@
 /// What is learned of one server.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Speed {
-    token_ms: Learned,
-    event_ms: Learned,
-    base_ms: Learned,
+    token: Learned,
+    event: Learned,
+    base: Learned,
 }
 
 impl Speed {
     /// Takes the time to a first event, with `tokens` to read before it.
     pub(crate) fn on_first_event(&mut self, now: Millis, tokens: f64, millis: f64, usual: &mut Pace) {
         if tokens >= TELLING_PROMPT {
-            let sample = (millis - usual.base_ms).max(millis * 0.3) / tokens;
-            self.token_ms.sample(now, sample);
-            usual.token_ms = drift(usual.token_ms, sample);
+            let sample = (millis - usual.base).max(millis * 0.3) / tokens;
+            self.token.sample(now, sample);
+            usual.token = drift(usual.token, sample);
         } else {
-            self.base_ms.sample(now, millis);
-            usual.base_ms = drift(usual.base_ms, millis);
+            self.base.sample(now, millis);
+            usual.base = drift(usual.base, millis);
         }
     }
 
     /// Takes the mean time between events.
     pub(crate) fn on_events(&mut self, now: Millis, millis: f64, usual: &mut Pace) {
-        self.event_ms.sample(now, millis);
-        usual.event_ms = drift(usual.event_ms, millis);
+        self.event.sample(now, millis);
+        usual.event = drift(usual.event, millis);
     }
 
     /// The server's pace; what is not learned follows what is.
     pub(crate) fn pace(&self, now: Millis, usual: &Pace) -> Pace {
-        let event_ms = self.event_ms.get(now, usual.event_ms);
-        let ratio = event_ms / usual.event_ms;
-        let token_ms = self.token_ms.get(now, usual.token_ms * ratio);
+        let event = self.event.get(now, usual.event);
+        let ratio = event / usual.event;
+        let token = self.token.get(now, usual.token * ratio);
         Pace {
-            token_ms,
-            event_ms,
-            base_ms: self.base_ms.get(now, usual.base_ms),
+            token,
+            event,
+            base: self.base.get(now, usual.base),
         }
     }
 }
--- a/crates/dispatch/tests/catalog.rs
+++ b/crates/dispatch/tests/catalog.rs
@@ -82,5 +82,6 @@
         routes: vec![route("short", "/stock/")],
         ..Configuration::default()
     });
-    assert!(catalog.place("rails.example", "/stock/1", None).is_ok());
+    let place = catalog.place("rails.example", "/stock/1", None);
+    assert_eq!(place.map(|place| place.organisation.is_none()), Ok(true));
 }
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -1,6 +1,6 @@
 //! Who waits, who is refused, and where work goes.
 
-use carawayseam_dispatch::dispatcher::OwnLoad;
+use carawayseam_dispatch::dispatcher::{OwnLoad, WaitingCount};
 use carawayseam_dispatch::engine::{Part, PeerLoad};
 use carawayseam_dispatch::retries::RetryBounds;
 use carawayseam_dispatch::{Action, AttemptEnd, Dispatcher, EngineEntry, Job, Ticket};
@@ -244,7 +244,11 @@
     let mut dispatcher = dispatcher(&[("a", 1)]);
     let load = OwnLoad {
         engines: Vec::new(),
-        waiting: vec![("guides".parse().expect("a valid name"), Tier(0), 1)],
+        waiting: vec![WaitingCount {
+            backend: "guides".parse().expect("a valid name"),
+            tier: Tier(0),
+            count: 1,
+        }],
     };
     let peer = "peer".parse().expect("a valid name");
     dispatcher.peer_load(Millis(1), &peer, load);
--- a/crates/dispatch/tests/quota.rs
+++ b/crates/dispatch/tests/quota.rs
@@ -117,10 +117,9 @@
     let mut quotas = Quotas::new(0.0);
     let name = organisation();
     quotas.open(Millis(0), std::iter::once(&name));
-    assert!(
-        quotas
-            .take(Millis(10), &name, QUOTA, 1_000.0, Millis::ZERO)
-            .is_err()
+    assert_eq!(
+        quotas.take(Millis(10), &name, QUOTA, 1_000.0, Millis::ZERO),
+        Err(Millis(90))
     );
 }
 
@@ -130,6 +129,12 @@
     let name = organisation();
     quotas.open(Millis(0), std::iter::once(&name));
     let full = Millis(5_000);
-    assert!(quotas.take(full, &name, QUOTA, 30_000.0, Millis::ZERO).is_ok());
-    assert!(quotas.take(full, &name, QUOTA, 100.0, Millis::ZERO).is_err());
+    assert_eq!(
+        quotas.take(full, &name, QUOTA, 30_000.0, Millis::ZERO),
+        Ok(Millis::ZERO)
+    );
+    assert_eq!(
+        quotas.take(full, &name, QUOTA, 100.0, Millis::ZERO),
+        Err(Millis(2_010))
+    );
 }
--- a/crates/gateway/src/control/registration.rs
+++ b/crates/gateway/src/control/registration.rs
@@ -70,15 +70,11 @@
     key: &str,
     value: &[u8],
 ) -> Result<LeaseId, StoreError> {
-    match lease {
-        Some(lease) => {
-            store.renew(lease).await?;
-            Ok(lease)
-        }
-        None => {
-            let lease = store.grant(REGISTRATION_TTL).await?;
-            store.put(key, value, None, Some(lease)).await?;
-            Ok(lease)
-        }
+    if let Some(lease) = lease {
+        store.renew(lease).await?;
+        return Ok(lease);
     }
+    let lease = store.grant(REGISTRATION_TTL).await?;
+    store.put(key, value, None, Some(lease)).await?;
+    Ok(lease)
 }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use carawayseam_dispatch::dispatcher::OwnLoad;
+use carawayseam_dispatch::dispatcher::{OwnLoad, WaitingCount};
 use carawayseam_dispatch::engine::PeerLoad;
 use carawayseam_dispatch::quota::Hosts;
 use carawayseam_dispatch::{Catalog, EngineEntry};
@@ -185,7 +185,7 @@
         log::info!(engine:% = engine, after_outage = keep_until.is_some(); "backend server's entry removed");
         match self.engines.get_mut(engine) {
             Some(listed) if keep_until.is_some() => {
-                listed.missing_until = listed.missing_until.or(keep_until)
+                listed.missing_until = listed.missing_until.or(keep_until);
             }
             _ => {
                 self.engines.remove(engine);
@@ -227,7 +227,11 @@
             waiting: beat
                 .waiting
                 .into_iter()
-                .map(|waiting| (waiting.backend, waiting.tier, waiting.count))
+                .map(|waiting| WaitingCount {
+                    backend: waiting.backend,
+                    tier: waiting.tier,
+                    count: waiting.count,
+                })
                 .collect(),
         };
         let mut desk = lock(&self.shared.desk);
@@ -340,7 +344,11 @@
             waiting: load
                 .waiting
                 .into_iter()
-                .map(|(backend, tier, count)| WaitingLoad { backend, tier, count })
+                .map(|waiting| WaitingLoad {
+                    backend: waiting.backend,
+                    tier: waiting.tier,
+                    count: waiting.count,
+                })
                 .collect(),
             demand,
         };
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -74,7 +74,7 @@
         let hosts = self.list_all(&self.keys.hosts.clone(), &mut revision).await?;
         self.note_answer();
         for item in configuration {
-            self.put(item);
+            self.put(&item);
         }
         let listed = engines.iter().filter_map(|item| self.engine(item)).collect();
         let keep_until = self.outage.keep_until(self.shared.now());
@@ -124,12 +124,12 @@
 
     fn change(&self, change: Change) {
         match change {
-            Change::Put(item) => self.put(item),
+            Change::Put(item) => self.put(&item),
             Change::Removed(key) => self.removed(&key),
         }
     }
 
-    fn put(&self, item: Item) {
+    fn put(&self, item: &Item) {
         if item.key == self.keys.configuration {
             match self.platform.configuration(&item.value) {
                 Ok(configuration) => {
@@ -139,10 +139,10 @@
                 Err(e) => log::error!(key:% = item.key; "the configuration cannot be read: {e}"),
             }
         } else if item.key.starts_with(self.keys.engines.as_str()) {
-            if let Some(entry) = self.engine(&item) {
+            if let Some(entry) = self.engine(item) {
                 self.tell(Note::Engine(entry));
             }
-        } else if let Some((host, address)) = self.host(&item) {
+        } else if let Some((host, address)) = self.host(item) {
             self.tell(Note::Host(host, address));
         }
     }
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -13,6 +13,7 @@
     log::debug!(
         request = exchange.head.id.as_deref(),
         engine:% = assignment.engine,
+        version:% = assignment.version,
         expected_ms = assignment.expected.0,
         waited_ms = exchange.shared.now().since(exchange.arrived).0;
         "assigned"
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -77,7 +77,7 @@
     let control_shared = Arc::clone(&shared);
     let file = file.to_owned();
     let control = thread::Builder::new().name("control".to_owned()).spawn(move || {
-        let ended = run_control(control_shared, platform, incarnation, log_revision, &file);
+        let ended = run_control(&control_shared, platform, incarnation, log_revision, &file);
         if stop.send(()).is_err() {
             log::debug!("the traffic threads ended first");
         }
@@ -133,7 +133,7 @@
 }
 
 fn run_control<P: Platform>(
-    shared: Arc<Shared>,
+    shared: &Arc<Shared>,
     platform: Arc<P>,
     incarnation: Incarnation,
     log_revision: LogRevision,
@@ -148,9 +148,9 @@
             .await
             .wrap_err("cannot listen for peers")?;
         let peers = Arc::new(peers);
-        let state = ControlState::new(Arc::clone(&shared), incarnation, log_revision);
+        let state = ControlState::new(Arc::clone(shared), incarnation, log_revision);
         let control = ControlState::spawn_with_mailbox(state, mailbox::unbounded());
-        tokio::spawn(readiness::serve(Arc::clone(&shared), admin));
+        tokio::spawn(readiness::serve(Arc::clone(shared), admin));
         tokio::spawn(tick(control.clone()));
         tokio::spawn(control::receive_beats(Arc::clone(&peers), control.clone()));
         tokio::spawn(control::send_beats(peers, control.clone()));
@@ -160,15 +160,15 @@
         };
         let store = platform.store(shared.settings.store);
         tokio::spawn(control::register(
-            Arc::clone(&shared),
+            Arc::clone(shared),
             store,
             platform.keys(),
             record,
         ));
-        tokio::spawn(control::follow_store(Arc::clone(&shared), platform, control));
-        tokio::spawn(reload(Arc::clone(&shared), file.to_owned()));
+        tokio::spawn(control::follow_store(Arc::clone(shared), platform, control));
+        tokio::spawn(reload(Arc::clone(shared), file.to_owned()));
         wait_for_stop().await.wrap_err("cannot wait for signals")?;
-        stop(&shared).await;
+        stop(shared).await;
         Ok(())
     })
 }
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -24,7 +24,10 @@
             Ok((stream, _)) => {
                 let shared = Arc::clone(&shared);
                 tokio::spawn(async move {
-                    let service = service_fn(move |req| answer(Arc::clone(&shared), req));
+                    let service = service_fn(|req| {
+                        let answered = answer(&shared, &req);
+                        async { Ok::<_, Infallible>(answered) }
+                    });
                     let served = hyper::server::conn::http1::Builder::new()
                         .serve_connection(TokioIo::new(stream), service)
                         .await;
@@ -41,19 +44,24 @@
     }
 }
 
-async fn answer(shared: Arc<Shared>, req: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+fn readiness(shared: &Shared) -> (StatusCode, String) {
+    if shared.is_ready() {
+        (StatusCode::OK, "ready".to_owned())
+    } else {
+        (StatusCode::SERVICE_UNAVAILABLE, "not ready".to_owned())
+    }
+}
+
+fn answer(shared: &Shared, req: &Request<Incoming>) -> Response<Full<Bytes>> {
     let (status, text) = match req.uri().path() {
-        path if path == shared.settings.ready_path => match shared.is_ready() {
-            true => (StatusCode::OK, "ready".to_owned()),
-            false => (StatusCode::SERVICE_UNAVAILABLE, "not ready".to_owned()),
-        },
+        path if path == shared.settings.ready_path => readiness(shared),
         METRICS_PATH => (StatusCode::OK, shared.metrics.text()),
-        DUMP_PATH => dump(&shared),
+        DUMP_PATH => dump(shared),
         _ => (StatusCode::NOT_FOUND, "no such page".to_owned()),
     };
     let mut response = Response::new(Full::new(Bytes::from(text)));
     *response.status_mut() = status;
-    Ok(response)
+    response
 }
 
 /// The state of the process, for operators.
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -88,29 +88,33 @@
     last_event: Option<u64>,
     silence: Option<Millis>,
 ) -> Result<Answered, Failure> {
-    let mut is_new = false;
-    loop {
-        let connection = match exchange.reuse(&assignment).filter(|_| !is_new) {
-            Some(connection) => connection,
-            None => {
-                is_new = true;
-                match open(exchange, &assignment).await {
-                    Ok(connection) => connection,
-                    Err(failure) => return Err(fail(slot, failure)),
-                }
-            }
-        };
-        match send_on(exchange, connection, &assignment, last_event, silence).await {
-            Ok((response, connection)) => {
-                return judge(exchange, response, connection, slot, assignment);
-            }
-            // The server closed the kept connection before a byte left.
-            Err(Failure::NotRun(AttemptEnd::Unreachable)) if !is_new => is_new = true,
-            Err(failure) => return Err(fail(slot, failure)),
+    let on_kept = match exchange.reuse(&assignment) {
+        Some(kept) => send_on(exchange, kept, &assignment, last_event, silence).await,
+        None => Err(Failure::NotRun(AttemptEnd::Unreachable)),
+    };
+    let sent = match on_kept {
+        // There was no kept connection, or the server closed it before a byte left.
+        Err(Failure::NotRun(AttemptEnd::Unreachable)) => {
+            send_on_new(exchange, &assignment, last_event, silence).await
         }
+        other => other,
+    };
+    match sent {
+        Ok((response, connection)) => judge(exchange, response, connection, slot, assignment),
+        Err(failure) => Err(fail(slot, failure)),
     }
 }
 
+async fn send_on_new(
+    exchange: &Exchange,
+    assignment: &Assignment,
+    last_event: Option<u64>,
+    silence: Option<Millis>,
+) -> Result<(Response<Incoming>, Connection), Failure> {
+    let connection = open(exchange, assignment).await?;
+    send_on(exchange, connection, assignment, last_event, silence).await
+}
+
 fn fail(slot: Slot, failure: Failure) -> Failure {
     match failure {
         Failure::NotRun(end) | Failure::MaybeRun(end) => slot.end(end),
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -252,9 +252,10 @@
         let left = exchange.time_left();
         let may_resume =
             exchange.place.route.kind.may_repeat() && exchange.attempts < exchange.place.route.max_attempts;
-        let pause = match run.had_event {
-            true => LONGEST_PAUSE,
-            false => run.assignment.expected.times(FIRST_EXPECTED) + FIRST_EXTRA,
+        let pause = if run.had_event {
+            LONGEST_PAUSE
+        } else {
+            run.assignment.expected.times(FIRST_EXPECTED) + FIRST_EXTRA
         };
         let within = if may_resume { left.min(pause) } else { left };
         match timeout(within.to_duration(), run.body.frame()).await {
