--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -15,17 +15,17 @@
 /// What a server counts that the request was sent to before, in milliseconds.
 const TRIED_MS: f64 = 100_000.0;
 /// The part of a request's whole time on a server that counts: a slot it holds is not another's.
-const OCCUPANCY_PART: f64 = 0.03;
+const OCCUPANCY_PART: f64 = 0.01;
 /// Estimates are multiplied by this before they are compared with an objective.
 const CAUTION: f64 = 1.25;
 /// What a missed objective counts beside the time by which it is missed, in milliseconds.
 const LATE_MS: f64 = 150.0;
+/// The part of all slots that requests leave free which are late already.
+const KEPT_FROM_LATE: f64 = 0.12;
 /// An answer may be this much longer than is likely.
 const LONGER_THAN_LIKELY: f64 = 2.5;
 /// Prompt tokens that a server reads between two tokens of other requests.
 const READ_AT_ONCE: f64 = 2_048.0;
-/// What each request counts whose events would come too far apart, in milliseconds.
-const PAUSED_MS: f64 = 40.0;
 /// Servers this much worse than the best are as good, in milliseconds.
 const AS_GOOD_MS: f64 = 4.0;
 /// Requests sent to a server beyond those that it runs at once.
@@ -81,8 +81,10 @@
             .map(|(ix, waiting)| (rank(now, waiting, best), ix))
             .collect();
         order.sort_unstable();
-        for ((_, tier, _, _), ix) in order {
-            if free <= self.waiting_above(tier) {
+        let kept_free = self.kept_free(&candidates);
+        for ((is_late, tier, _, _), ix) in order {
+            let kept = if is_late { kept_free } else { 0 };
+            if free <= self.waiting_above(tier) + kept {
                 return None;
             }
             if let Some(engine) = self.choose(now, &self.waiting[ix].job, &candidates, rng) {
@@ -92,6 +94,15 @@
         None
     }
 
+    /// Slots that requests which are late already must leave to those that can be in time.
+    fn kept_free(&self, candidates: &[Candidate]) -> u32 {
+        let slots: u32 = candidates
+            .iter()
+            .map(|candidate| capacity(&self.engines[candidate.ix]))
+            .sum();
+        (f64::from(slots) * KEPT_FROM_LATE) as u32
+    }
+
     /// The servers that take work, with or without a free slot.
     fn candidates(&self, now: Millis, zone: &ZoneId) -> Vec<Candidate> {
         let engines = self.engines.iter().enumerate();
@@ -133,10 +144,10 @@
             job.version.as_ref().is_none_or(|wanted| *wanted == entry.version)
         };
         let fitting = candidates.iter().filter(version_fits);
-        let any_finishes = fitting.clone().any(|candidate| candidate.finishes(now, job));
+        let any_suits = fitting.clone().any(|candidate| candidate.suits(now, job));
         let scored: Vec<(f64, usize)> = fitting
             .filter(|candidate| candidate.free > 0)
-            .filter(|candidate| !any_finishes || candidate.finishes(now, job))
+            .filter(|candidate| !any_suits || candidate.suits(now, job))
             .map(|candidate| (self.score(now, job, candidate), candidate.ix))
             .collect();
         let best = scored.iter().map(|(score, _)| *score).min_by(f64::total_cmp)?;
@@ -158,7 +169,6 @@
         if lateness > 0.0 {
             score += lateness + LATE_MS;
         }
-        score += candidate.used * pause_cost(job, pace, candidate.ahead, own);
         // Each running request slows all others a little; spread them where nothing else decides.
         score += candidate.used / f64::from(capacity(engine).max(1)) * pace.base;
         score += candidate.distance_ms + candidate.failing_ms;
@@ -182,6 +192,23 @@
 }
 
 impl Candidate {
+    /// Whether the request is served well here and harms no other.
+    fn suits(&self, now: Millis, job: &Job) -> bool {
+        self.finishes(now, job) && !self.pauses_others(job)
+    }
+
+    /// Whether reading the prompt would keep the events of others too far apart.
+    fn pauses_others(&self, job: &Job) -> bool {
+        let Some(objective) = job.gap_objective else {
+            return false;
+        };
+        let prompt = f64::from(job.prompt);
+        let read_between_events = READ_AT_ONCE * f64::from(job.tokens_per_event);
+        let read = (self.ahead + prompt).min(read_between_events);
+        let pause_ms = read.mul_add(self.pace.token, self.pace.event);
+        self.used > 0.0 && prompt > READ_AT_ONCE && pause_ms > objective.0 as f64
+    }
+
     /// Whether the whole answer is likely to come in time.
     fn finishes(&self, now: Millis, job: &Job) -> bool {
         let events = f64::from(job.events) * LONGER_THAN_LIKELY;
@@ -208,22 +235,6 @@
     (is_late, job.tier, job.objective, waiting.ticket)
 }
 
-/// What a request running beside the new one loses by the reading of its prompt.
-fn pause_cost(job: &Job, pace: Pace, ahead: f64, own: f64) -> f64 {
-    let Some(objective) = job.gap_objective else {
-        return 0.0;
-    };
-    let read_between_events = READ_AT_ONCE * f64::from(job.tokens_per_event);
-    let pause = |tokens: f64| tokens.min(read_between_events).mul_add(pace.token, pace.event);
-    let objective = objective.0 as f64;
-    let is_long = pause(ahead + own) > objective;
-    if is_long && own > READ_AT_ONCE {
-        PAUSED_MS
-    } else {
-        0.0
-    }
-}
-
 /// The requests that a server is given at once by all hosts.
 fn capacity(engine: &Engine) -> u32 {
     engine.entry.slots + QUEUED_AT_ENGINE
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -38,10 +38,12 @@
 /// Idle connections are closed this much later.
 const CLOSE_AFTER: Millis = Millis(700);
 /// The part of the time for a stop that open requests may take.
-const STOP_PART: f64 = 0.96;
+const STOP_PART: f64 = 0.95;
+/// The part of the time for a stop in which connections are accepted.
+const ACCEPT_PART: f64 = 0.8;
 const STOP_POLL: Millis = Millis(50);
 /// How long the last bytes may take to leave.
-const FLUSH_TIME: Millis = Millis(150);
+const FLUSH_TIME: Millis = Millis(100);
 /// Settings that changed without a signal are seen within this time.
 const SETTINGS_POLL: Millis = Millis::from_secs(5);
 
@@ -193,15 +195,24 @@
     shared.phase.send_replace(Phase::Ending);
     sleep(CLOSE_AFTER.to_duration()).await;
     shared.phase.send_replace(Phase::Closing);
-    let last = began + Millis((shared.settings.stop_within.0 as f64 * STOP_PART) as u64);
-    while shared.open_requests.load(Ordering::Relaxed) > 0 && shared.now() < last {
-        sleep(STOP_POLL.to_duration()).await;
-    }
+    let part = |part: f64| began + Millis((shared.settings.stop_within.0 as f64 * part) as u64);
+    let last = part(STOP_PART);
+    wait_until_idle(shared, part(ACCEPT_PART)).await;
+    shared.phase.send_replace(Phase::Deaf);
+    // A request may have come just before the listener closed.
+    sleep(FLUSH_TIME.to_duration()).await;
+    wait_until_idle(shared, last).await;
     sleep(FLUSH_TIME.to_duration()).await;
     let open = shared.open_requests.load(Ordering::Relaxed);
     log::info!(open_requests = open, took_ms = shared.now().since(began).0; "stopped");
 }
 
+async fn wait_until_idle(shared: &Shared, last: Millis) {
+    while shared.open_requests.load(Ordering::Relaxed) > 0 && shared.now() < last {
+        sleep(STOP_POLL.to_duration()).await;
+    }
+}
+
 /// Takes over changed settings that need no restart.
 async fn reload(shared: Arc<Shared>, file: std::path::PathBuf) {
     let mut hangup = match signal(SignalKind::hangup()) {
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -92,6 +92,7 @@
             Phase::Leaving => "leaving",
             Phase::Ending => "ending",
             Phase::Closing => "closing",
+            Phase::Deaf => "deaf",
         },
         ready: shared.is_ready(),
         configuration: shared.catalog().map(|catalog| catalog.revision.0),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -30,8 +30,6 @@
     /// Threads for traffic; control state has one of its own.
     #[serde(default = "default_traffic_threads")]
     pub traffic_threads: usize,
-    /// The most connections open at once, to callers and backend servers together.
-    pub max_connections: u32,
     /// How old the knowledge of the configuration may be for requests with keys.
     #[serde_as(as = "DisplayFromStr")]
     pub max_key_age: Millis,
@@ -123,7 +121,6 @@
         };
         match &settings {
             s if s.traffic_threads == 0 => Err(wrong("traffic_threads", "at least 1 thread")),
-            s if s.max_connections == 0 => Err(wrong("max_connections", "at least 1 connection")),
             s if !s.ready_path.starts_with('/') => Err(wrong("ready_path", "a path that begins with /")),
             s if s.max_key_age == Millis::ZERO => Err(wrong("max_key_age", "more than 0ms")),
             s if s.stop_within == Millis::ZERO => Err(wrong("stop_within", "more than 0ms")),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -32,6 +32,8 @@
     Ending,
     /// Idle connections are closed.
     Closing,
+    /// No connection is accepted any more.
+    Deaf,
 }
 
 /// Where a request may be sent.
--- a/crates/gateway/src/traffic/listener.rs
+++ b/crates/gateway/src/traffic/listener.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
 
 use carawayseam_types::Millis;
 use hyper::body::Incoming;
@@ -27,18 +26,17 @@
 /// The smallest buffer that the HTTP library takes, in bytes.
 const LEAST_BUFFER: usize = 8_192;
 
-/// Serves callers until the process ends.
+/// Serves callers until the process accepts no more.
 pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
-    let open = Arc::new(AtomicU32::new(0));
+    let mut phase = shared.phase.subscribe();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = phase.wait_for(|phase| *phase == Phase::Deaf) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
-                let shared = Arc::clone(&shared);
-                let counted = Counted::new(&open);
-                tokio::spawn(async move {
-                    serve_connection(shared, stream).await;
-                    drop(counted);
-                });
+                tokio::spawn(serve_connection(Arc::clone(&shared), stream));
             }
             Err(e) => {
                 log::error!(error:% = e; "accepting callers failed");
@@ -48,22 +46,6 @@
     }
 }
 
-/// Counts a connection while it is open.
-struct Counted(Arc<AtomicU32>);
-
-impl Counted {
-    fn new(open: &Arc<AtomicU32>) -> Self {
-        open.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(open))
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 async fn serve_connection(shared: Arc<Shared>, stream: TcpStream) {
     if let Err(e) = sockets::watch_for_silence(&stream, CALLER_SILENCE) {
         log::debug!("a caller's connection cannot be set up: {e}");
@@ -82,7 +64,7 @@
     let mut phase = shared.phase.subscribe();
     let closing = async move {
         // The phase is kept by the shared state, which outlives this connection.
-        if phase.wait_for(|phase| *phase == Phase::Closing).await.is_err() {
+        if phase.wait_for(|phase| *phase >= Phase::Closing).await.is_err() {
             std::future::pending::<()>().await;
         }
     };
--- /dev/null
+++ b/tests/planned_stop.rs
@@ -0,0 +1,97 @@
+//! A gateway process that is asked to stop while callers keep coming.
+
+#![expect(dead_code, reason = "the stand-ins are shared with the tests of platform/")]
+
+#[path = "../platform/tests/support/mod.rs"]
+mod support;
+
+use std::io::Write;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+use support::engine::{answer, event, stream_head};
+use support::{Answer, Engine, Fleet, Received, Step, call};
+use tokio::task::JoinSet;
+
+const KEY: &str = "X-Credential: key-1\r\n";
+/// A caller comes this often.
+const PACE: Duration = Duration::from_millis(15);
+/// Callers come for this long after the signal, beyond the process's end.
+const CALLERS: u32 = 600;
+const SIGNAL_AFTER: u32 = 40;
+
+fn start(settings: &str) -> (Child, tempfile::NamedTempFile) {
+    let mut file = tempfile::NamedTempFile::new().expect("a file can be made");
+    file.write_all(settings.as_bytes()).expect("it can be written");
+    let child = Command::new(env!("CARGO_BIN_EXE_carawayseam-gateway"))
+        .arg("--settings")
+        .arg(file.path())
+        .stdout(Stdio::null())
+        .spawn()
+        .expect("the gateway starts");
+    (child, file)
+}
+
+/// Calls take 60 ms, streams half a second.
+fn paced(received: &Received, _: usize) -> Vec<Step> {
+    if received.head.contains("/guides/") {
+        return vec![
+            Step::Write(stream_head(received) + &event(1)),
+            Step::Wait(500),
+            Step::Write(event(2) + "0\r\n\r\n"),
+        ];
+    }
+    vec![Step::Wait(60), Step::Write(answer(received, "200 OK", "whole"))]
+}
+
+/// Whether a caller got all of an answer, or the gateway did not take its request.
+fn is_whole_or_untaken(answer: &Answer) -> bool {
+    match answer.status {
+        200 => answer.body == "whole" || answer.has_end(),
+        503 => answer.header("retry-after").is_some(),
+        _ => answer.head.is_empty(),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_planned_stop_cuts_no_request() {
+    let engine = Engine::start(paced).await;
+    let (mut fleet, settings) = Fleet::prepare().await;
+    let (mut child, _file) = start(&settings);
+    fleet.wait_until_listening().await;
+    fleet.serve(&[&engine]).await;
+
+    let pid = Pid::from_raw(i32::try_from(child.id()).expect("ids fit")).expect("it runs");
+    let mut callers = JoinSet::new();
+    for number in 0..CALLERS {
+        if number == SIGNAL_AFTER {
+            kill_process(pid, Signal::TERM).expect("it runs");
+        }
+        let (gateway, path) = (
+            fleet.gateway,
+            if number % 5 == 0 { "/guides/1" } else { "/calls/1" },
+        );
+        callers.spawn(async move {
+            let reached = tokio::net::TcpStream::connect(gateway).await.is_ok();
+            if reached {
+                Some(call(gateway, "POST", path, KEY, "{}").await)
+            } else {
+                None
+            }
+        });
+        tokio::time::sleep(PACE).await;
+    }
+    let answers: Vec<Answer> = callers.join_all().await.into_iter().flatten().collect();
+    let exit = child.wait().expect("it ends");
+    assert!(exit.success(), "{exit}");
+    for answer in &answers {
+        assert!(is_whole_or_untaken(answer), "{answer:?}");
+    }
+    let complete = answers.iter().filter(|answer| answer.status == 200).count();
+    assert_eq!(
+        complete,
+        engine.received().len(),
+        "each request that ran was answered whole"
+    );
+}
