--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use crate::engine::{AttemptEnd, Engine, EngineEntry, Part, PeerLoad};
+use crate::moves::VersionRule;
 use crate::pool::{Pool, Waiting};
 use crate::retries::{RetryBounds, RetryBudget};
 
@@ -26,8 +27,8 @@
 pub struct Job {
     /// The backend.
     pub backend: BackendName,
-    /// The version that must run it, during a move.
-    pub version: Option<VersionId>,
+    /// Which versions may run it, during a move.
+    pub version: VersionRule,
     /// Its rank.
     pub tier: Tier,
     /// When its first event or its answer is wanted.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 //! | --- | --- |
 //! | [`catalog`] | routes, organisations and keys of one configuration |
 //! | [`freshness`] | how old the knowledge of the configuration may be |
+//! | [`moves`] | moves of traffic between versions |
 //! | [`outage`] | which entries may come back after an outage of the store |
 //! | [`quota`] | an organisation's tokens a second, shared by all hosts |
 //! | [`retries`] | the budget for sending a request once more |
@@ -31,6 +32,7 @@
 pub mod dispatcher;
 pub mod engine;
 pub mod freshness;
+pub mod moves;
 pub mod outage;
 mod pool;
 pub mod quota;
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -144,7 +144,7 @@
     fn choose(&self, now: Millis, job: &Job, candidates: &[Candidate], rng: &mut StdRng) -> Option<usize> {
         let version_fits = |candidate: &&Candidate| {
             let entry = &self.engines[candidate.ix].entry;
-            job.version.as_ref().is_none_or(|wanted| *wanted == entry.version)
+            job.version.allows(&entry.version)
         };
         let fitting = candidates.iter().filter(version_fits);
         let any_suits = fitting.clone().any(|candidate| candidate.suits(now, job));
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -2,6 +2,7 @@
 
 use carawayseam_dispatch::dispatcher::{OwnLoad, WaitingCount};
 use carawayseam_dispatch::engine::{Part, PeerLoad};
+use carawayseam_dispatch::moves::VersionRule;
 use carawayseam_dispatch::retries::RetryBounds;
 use carawayseam_dispatch::{Action, AttemptEnd, Dispatcher, EngineEntry, Job, Ticket};
 use carawayseam_types::{EngineId, Millis, Tier};
@@ -32,7 +33,7 @@
 fn job(now: u64, tier: u8) -> Job {
     Job {
         backend: "guides".parse().expect("a valid name"),
-        version: None,
+        version: VersionRule::Any,
         tier: Tier(tier),
         objective: Millis(now + OBJECTIVE),
         give_up: Millis(now + 1_000),
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -1,10 +1,12 @@
 //! What this host believes about configuration, backend servers and peers.
 
+mod moves;
 mod peers;
 mod registration;
 mod state;
 mod sync;
 
+pub(crate) use moves::write_decisions;
 pub(crate) use peers::{receive_beats, send_beats};
 pub(crate) use registration::{HostRecord, register};
 pub(crate) use state::{ControlState, Note};
--- /dev/null
+++ b/crates/gateway/src/control/moves.rs
@@ -0,0 +1,44 @@
+//! Writes the outcomes of moves to the store.
+
+use std::sync::Arc;
+
+use carawayseam_dispatch::moves::Decision;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use crate::platform::{MoveStatus, Platform, Store, StoreError};
+use crate::shared::Shared;
+
+/// Writes decisions as they are made, until the control state ends.
+///
+/// Each write expects the state that the decision was made from, so of two hosts that decide at
+/// once one is told so. What took effect is heard from the store, never assumed.
+pub(crate) async fn write_decisions<P: Platform>(
+    shared: Arc<Shared>,
+    platform: Arc<P>,
+    mut decisions: UnboundedReceiver<Decision>,
+) {
+    let mut store = platform.store(shared.settings.store);
+    let keys = platform.keys();
+    while let Some(decision) = decisions.recv().await {
+        let key = format!("{}{}", keys.move_states, decision.backend);
+        let status = MoveStatus {
+            backend: decision.backend,
+            to: decision.order.to,
+            state: decision.state,
+        };
+        let value = platform.write_move_status(&status);
+        let outcome = match store.put(&key, &value, Some(decision.expected), None).await {
+            Ok(_) => "written".to_owned(),
+            Err(StoreError::Conflict) => "another host wrote first".to_owned(),
+            Err(e) => e.to_string(),
+        };
+        log::info!(
+            backend:% = status.backend,
+            version:% = status.to,
+            state:% = status.state,
+            expected_revision = decision.expected,
+            outcome = outcome.as_str();
+            "move decided"
+        );
+    }
+}
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -7,14 +7,17 @@
 
 use carawayseam_dispatch::dispatcher::{OwnLoad, WaitingCount};
 use carawayseam_dispatch::engine::PeerLoad;
+use carawayseam_dispatch::moves::{Answers, Decision, Evidence, MoveNews, Order};
 use carawayseam_dispatch::quota::Hosts;
 use carawayseam_dispatch::{Catalog, EngineEntry};
 use carawayseam_node::LogRevision;
 use carawayseam_types::{EngineId, HostId, Incarnation, Millis, OrganisationId};
-use carawayseam_wire::{Beat, EngineLoad, WaitingLoad};
+use carawayseam_wire::{Beat, EngineLoad, MoveCounts, WaitingLoad};
 use kameo::Actor;
 use kameo::message::{Context, Message};
+use tokio::sync::mpsc::UnboundedSender;
 
+use crate::platform::{MoveOrder, MoveStatus};
 use crate::shared::{Shared, lock};
 use crate::sockets;
 
@@ -44,6 +47,10 @@
         engine: EngineId,
         keep_until: Option<Millis>,
     },
+    /// The operator ordered a move.
+    MoveOrdered { order: MoveOrder, revision: u64 },
+    /// The store holds how a move stands.
+    MoveStands { status: MoveStatus, revision: u64 },
     /// All hosts that the store lists.
     Hosts(Vec<(HostId, SocketAddr)>),
     /// A host registered itself.
@@ -78,6 +85,7 @@
     shared: Arc<Shared>,
     incarnation: Incarnation,
     log_revision: LogRevision,
+    decisions: UnboundedSender<Decision>,
     engines: BTreeMap<EngineId, Listed>,
     hosts: BTreeMap<HostId, SocketAddr>,
     heard: HashMap<HostId, Heard>,
@@ -86,11 +94,17 @@
 }
 
 impl ControlState {
-    pub(crate) fn new(shared: Arc<Shared>, incarnation: Incarnation, log_revision: LogRevision) -> Self {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        incarnation: Incarnation,
+        log_revision: LogRevision,
+        decisions: UnboundedSender<Decision>,
+    ) -> Self {
         Self {
             shared,
             incarnation,
             log_revision,
+            decisions,
             engines: BTreeMap::new(),
             hosts: BTreeMap::new(),
             heard: HashMap::new(),
@@ -107,6 +121,8 @@
             Note::Engines { listed, keep_until } => self.all_engines(now, listed, keep_until),
             Note::Engine(entry) => self.engine(now, entry),
             Note::EngineRemoved { engine, keep_until } => self.engine_removed(now, &engine, keep_until),
+            Note::MoveOrdered { order, revision } => self.move_ordered(now, order, revision),
+            Note::MoveStands { status, revision } => self.move_stands(&status, revision),
             Note::Hosts(hosts) => {
                 self.hosts = hosts.into_iter().collect();
                 self.count_hosts(now);
@@ -145,6 +161,34 @@
         }
     }
 
+    fn move_ordered(&self, now: Millis, order: MoveOrder, revision: u64) {
+        log::info!(backend:% = order.backend, version:% = order.to, within_ms = order.within.0, order = revision; "move ordered");
+        let MoveOrder { backend, to, within } = order;
+        let order = Order { revision, to, within };
+        lock(&self.shared.moves).ordered(now, backend, order);
+    }
+
+    fn move_stands(&self, status: &MoveStatus, revision: u64) {
+        log::info!(backend:% = status.backend, version:% = status.to, state:% = status.state, item = revision; "move stands");
+        lock(&self.shared.moves).told(&status.backend, &status.to, status.state, revision);
+    }
+
+    /// Hands on what this host should write of moves now; only one that hears the store decides.
+    fn decide_moves(&self, now: Millis) {
+        if !self.shared.may_use_keys() {
+            return;
+        }
+        let me = &self.shared.settings.host;
+        let heard = self.heard.iter();
+        let before = heard.filter(|(host, heard)| *host < me && now.since(heard.at) <= PEER_SILENCE);
+        let rank = before.count() as u32;
+        for decision in lock(&self.shared.moves).decide(now, rank) {
+            if let Err(e) = self.decisions.send(decision) {
+                log::error!("a decision on a move was not written: {e}");
+            }
+        }
+    }
+
     fn all_engines(&mut self, now: Millis, listed: Vec<EngineEntry>, keep_until: Option<Millis>) {
         for known in self.engines.values_mut() {
             let until = keep_until.unwrap_or(now);
@@ -222,6 +266,9 @@
             self.count_hosts(now);
         }
         self.share_demand(now);
+        for counts in &beat.moves {
+            lock(&self.shared.moves).heard(now, &beat.host, &move_news(counts));
+        }
         let load = OwnLoad {
             engines: beat.engines.into_iter().map(engine_load).collect(),
             waiting: beat
@@ -296,6 +343,7 @@
         self.count_hosts(now);
         self.share_demand(now);
         self.probe_engines(now);
+        self.decide_moves(now);
         if now.since(self.swept_at) >= SWEEP_INTERVAL {
             self.swept_at = now;
             let engines = &self.engines;
@@ -317,7 +365,7 @@
     }
 
     /// This host's heartbeat, and the addresses that should get it.
-    fn own_beat(&self, seq: u64) -> (Beat, Vec<SocketAddr>) {
+    fn own_beat(&self, now: Millis, seq: u64) -> (Beat, Vec<SocketAddr>) {
         let desk = lock(&self.shared.desk);
         let load = desk.dispatcher.own_load();
         let demand = desk
@@ -351,6 +399,11 @@
                 })
                 .collect(),
             demand,
+            moves: lock(&self.shared.moves)
+                .news(now)
+                .into_iter()
+                .map(move_counts)
+                .collect(),
         };
         let me = &self.shared.settings.host;
         let others = self.hosts.iter().filter(|(host, _)| *host != me);
@@ -369,6 +422,32 @@
     }
 }
 
+fn move_news(counts: &MoveCounts) -> MoveNews {
+    let answers = |all, bad| Answers { all, bad };
+    MoveNews {
+        backend: counts.backend.clone(),
+        revision: counts.revision,
+        elapsed: counts.elapsed,
+        evidence: Evidence {
+            new: answers(counts.new_all, counts.new_bad),
+            old: answers(counts.old_all, counts.old_bad),
+        },
+    }
+}
+
+fn move_counts(news: MoveNews) -> MoveCounts {
+    let Evidence { new, old } = news.evidence;
+    MoveCounts {
+        backend: news.backend,
+        revision: news.revision,
+        elapsed: news.elapsed,
+        new_all: new.all,
+        new_bad: new.bad,
+        old_all: old.all,
+        old_bad: old.bad,
+    }
+}
+
 fn engine_load(load: EngineLoad) -> (EngineId, PeerLoad) {
     let EngineLoad {
         engine,
@@ -404,6 +483,6 @@
 
     async fn handle(&mut self, msg: OwnBeat, _ctx: &mut Context<Self, ()>) {
         // A receiver that is gone no longer wants its answer.
-        drop(msg.reply.send(self.own_beat(msg.seq)));
+        drop(msg.reply.send(self.own_beat(self.shared.now(), msg.seq)));
     }
 }
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -72,8 +72,12 @@
             .await?;
         let engines = self.list_all(&self.keys.engines.clone(), &mut revision).await?;
         let hosts = self.list_all(&self.keys.hosts.clone(), &mut revision).await?;
+        let orders = self.list_all(&self.keys.moves.clone(), &mut revision).await?;
+        let states = self
+            .list_all(&self.keys.move_states.clone(), &mut revision)
+            .await?;
         self.note_answer();
-        for item in configuration {
+        for item in configuration.into_iter().chain(orders).chain(states) {
             self.put(&item);
         }
         let listed = engines.iter().filter_map(|item| self.engine(item)).collect();
@@ -142,11 +146,35 @@
             if let Some(entry) = self.engine(item) {
                 self.tell(Note::Engine(entry));
             }
+        } else if item.key.starts_with(self.keys.moves.as_str()) {
+            self.move_order(item);
+        } else if item.key.starts_with(self.keys.move_states.as_str()) {
+            self.move_status(item);
         } else if let Some((host, address)) = self.host(item) {
             self.tell(Note::Host(host, address));
         }
     }
 
+    fn move_order(&self, item: &Item) {
+        match self.platform.move_order(&item.value) {
+            Ok(order) => self.tell(Note::MoveOrdered {
+                order,
+                revision: item.revision,
+            }),
+            Err(e) => log::error!(key:% = item.key; "the order to move cannot be read: {e}"),
+        }
+    }
+
+    fn move_status(&self, item: &Item) {
+        match self.platform.read_move_status(&item.value) {
+            Ok(status) => self.tell(Note::MoveStands {
+                status,
+                revision: item.revision,
+            }),
+            Err(e) => log::error!(key:% = item.key; "the state of a move cannot be read: {e}"),
+        }
+    }
+
     fn removed(&self, key: &str) {
         let engine = key.strip_prefix(self.keys.engines.as_str()).map(str::parse);
         let host = key.strip_prefix(self.keys.hosts.as_str()).map(str::parse);
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use carawayseam_dispatch::engine::Part;
+use carawayseam_dispatch::moves::MoveState;
 use carawayseam_dispatch::{Configuration, EngineEntry};
 use carawayseam_types::{BackendName, EngineId, Millis, OrganisationId, VersionId};
 use compact_str::CompactString;
@@ -45,7 +46,14 @@
     fn move_order(&self, value: &[u8]) -> Result<MoveOrder, DecodeError>;
 
     /// Encodes how a move stands.
-    fn move_status(&self, order: &MoveOrder, state: MoveState) -> Vec<u8>;
+    fn write_move_status(&self, status: &MoveStatus) -> Vec<u8>;
+
+    /// Decodes how a move stands.
+    ///
+    /// # Errors
+    ///
+    /// [`DecodeError`] when the status cannot be read.
+    fn read_move_status(&self, value: &[u8]) -> Result<MoveStatus, DecodeError>;
 }
 
 /// Reads and writes the headers of requests and answers.
@@ -138,18 +146,15 @@
     pub within: Millis,
 }
 
-/// How a move stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
-pub enum MoveState {
-    /// Under way.
-    #[display("running")]
-    Running,
-    /// All traffic goes to the new version.
-    #[display("complete")]
-    Complete,
-    /// All traffic goes to the old version.
-    #[display("rolled back")]
-    RolledBack,
+/// How a move stands, as the store holds it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MoveStatus {
+    /// The backend.
+    pub backend: BackendName,
+    /// The version moved to.
+    pub to: VersionId,
+    /// How the move stands.
+    pub state: MoveState,
 }
 
 /// A value that cannot be used.
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -7,6 +7,7 @@
 
 use carawayseam_dispatch::Dispatcher;
 use carawayseam_dispatch::freshness::Freshness;
+use carawayseam_dispatch::moves::Moves;
 use carawayseam_dispatch::quota::Quotas;
 use carawayseam_dispatch::retries::RetryBounds;
 use carawayseam_node::{LogRevision, init_stdout_logging, wait_for_stop};
@@ -17,7 +18,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::control::{self, ControlState, HostRecord, Note};
@@ -126,6 +127,7 @@
         catalog: watch::Sender::new(None),
         freshness: Mutex::new(Freshness::new(max_age)),
         desk: Mutex::new(Desk::new(dispatcher, quotas)),
+        moves: Mutex::new(Moves::default()),
         connections: Connections::default(),
         phase: watch::Sender::new(Phase::Serving),
         metrics: Metrics::default(),
@@ -150,8 +152,14 @@
             .await
             .wrap_err("cannot listen for peers")?;
         let peers = Arc::new(peers);
-        let state = ControlState::new(Arc::clone(shared), incarnation, log_revision);
+        let (tx, decisions) = mpsc::unbounded_channel();
+        let state = ControlState::new(Arc::clone(shared), incarnation, log_revision, tx);
         let control = ControlState::spawn_with_mailbox(state, mailbox::unbounded());
+        tokio::spawn(control::write_decisions(
+            Arc::clone(shared),
+            Arc::clone(&platform),
+            decisions,
+        ));
         tokio::spawn(readiness::serve(Arc::clone(shared), admin));
         tokio::spawn(tick(control.clone()));
         tokio::spawn(control::receive_beats(Arc::clone(&peers), control.clone()));
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use carawayseam_dispatch::freshness::Freshness;
+use carawayseam_dispatch::moves::Moves;
 use carawayseam_dispatch::quota::Quotas;
 use carawayseam_dispatch::{Action, AttemptEnd, Catalog, Dispatcher, Job, Ticket};
 use carawayseam_types::{Clock, EngineId, Millis, VersionId};
@@ -150,6 +151,7 @@
     pub(crate) catalog: watch::Sender<Option<Arc<Catalog>>>,
     pub(crate) freshness: Mutex<Freshness>,
     pub(crate) desk: Mutex<Desk>,
+    pub(crate) moves: Mutex<Moves>,
     pub(crate) connections: Connections,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) metrics: Metrics,
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use carawayseam_dispatch::{AttemptEnd, Ticket};
-use carawayseam_types::Millis;
+use carawayseam_types::{BackendName, Millis, VersionId};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderMap, HeaderName};
@@ -23,11 +23,26 @@
 /// What may be lost on the way when times are compared.
 const TIMER_SLACK: Millis = Millis(2);
 
+/// A first event or plain answer that takes this many times the expected time, and some more, is bad.
+const SLOW_TIMES: u64 = 4;
+const SLOW_EXTRA: Millis = Millis(150);
+
+/// What a request's place at a server was given for.
+#[derive(Debug)]
+struct Assigned {
+    backend: BackendName,
+    version: VersionId,
+    at: Millis,
+    expected: Millis,
+    is_slow: bool,
+}
+
 /// A request's place at a backend server, given back when it is dropped.
 #[derive(Debug)]
 pub(crate) struct Slot {
     shared: Arc<Shared>,
     ticket: Ticket,
+    assigned: Option<Assigned>,
     ended: bool,
 }
 
@@ -36,6 +51,7 @@
         Self {
             shared,
             ticket,
+            assigned: None,
             ended: false,
         }
     }
@@ -44,10 +60,48 @@
         self.ticket
     }
 
+    /// Notes the server that the request goes to.
+    pub(crate) fn assign(&mut self, backend: &BackendName, assignment: &Assignment) {
+        self.assigned = Some(Assigned {
+            backend: backend.clone(),
+            version: assignment.version.clone(),
+            at: self.shared.now(),
+            expected: assignment.expected,
+            is_slow: false,
+        });
+    }
+
+    /// The first event, or a plain answer, came.
+    pub(crate) fn first_event(&mut self) {
+        let now = self.shared.now();
+        if let Some(assigned) = &mut self.assigned {
+            let most = assigned.expected.times(SLOW_TIMES) + SLOW_EXTRA;
+            assigned.is_slow = now.since(assigned.at) > most;
+        }
+        lock(&self.shared.desk).dispatcher.first_event(now, self.ticket);
+    }
+
     pub(crate) fn end(mut self, end: AttemptEnd) {
         self.ended = true;
+        self.judge_version(end);
         lock(&self.shared.desk).ended(self.shared.now(), self.ticket, end);
     }
+
+    /// Counts the attempt for or against its version, if it says something of it.
+    fn judge_version(&self, end: AttemptEnd) {
+        let Some(assigned) = &self.assigned else {
+            return;
+        };
+        let is_bad = match end {
+            AttemptEnd::Complete => assigned.is_slow,
+            AttemptEnd::Failed | AttemptEnd::Lost | AttemptEnd::Silent => true,
+            AttemptEnd::Unreachable
+            | AttemptEnd::Rejected
+            | AttemptEnd::Misdirected
+            | AttemptEnd::Cancelled => return,
+        };
+        lock(&self.shared.moves).observed(&assigned.backend, &assigned.version, is_bad);
+    }
 }
 
 impl Drop for Slot {
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use carawayseam_dispatch::catalog::{LookupError, Place, Target};
+use carawayseam_dispatch::moves::VersionRule;
 use carawayseam_dispatch::{AttemptEnd, Catalog, Job, Ticket};
 use carawayseam_types::{BackendName, EngineId, Millis, OrganisationId, Tier};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -59,6 +60,8 @@
     pub(crate) place: Place,
     pub(crate) backend: BackendName,
     pub(crate) tokens_per_event: u32,
+    /// Which versions may run it.
+    pub(crate) versions: VersionRule,
     pub(crate) arrived: Millis,
     pub(crate) deadline: Millis,
     pub(crate) attempts: u32,
@@ -89,7 +92,7 @@
 /// How a request is answered.
 enum Served {
     Plain(Response<AnswerBody>),
-    Stream(Answered),
+    Stream(Box<Answered>),
 }
 
 /// What became of a server's plain answer.
@@ -170,6 +173,12 @@
         tokens_per_event: catalog
             .backend(&backend)
             .map_or(1, |backend| backend.tokens_per_event),
+        versions: lock(&shared.moves).rule(
+            shared.now(),
+            &backend,
+            shared.may_use_keys(),
+            rand::rng().random(),
+        ),
         backend,
         arrived,
         deadline: arrived + limit,
@@ -273,7 +282,7 @@
     async fn serve(mut self) -> Response<AnswerBody> {
         match self.try_serve().await {
             Ok(Served::Plain(response)) => response,
-            Ok(Served::Stream(answered)) => stream::respond(self, answered),
+            Ok(Served::Stream(answered)) => stream::respond(self, *answered),
             Err(refusal) => {
                 journal::refused(&self, refusal);
                 refusal.response()
@@ -288,7 +297,7 @@
         loop {
             let last_event = self.head.last_event;
             queued = match self.attempt(queued, last_event).await? {
-                Ok(answered) if self.is_stream(&answered) => return Ok(Served::Stream(answered)),
+                Ok(answered) if self.is_stream(&answered) => return Ok(Served::Stream(Box::new(answered))),
                 Ok(answered) => match self.plain_answer(answered).await {
                     Plain::Pass(response) => return Ok(Served::Plain(response)),
                     Plain::Again(queued) => queued,
@@ -345,7 +354,7 @@
         let prompt = self.head.prompt.as_ref();
         Job {
             backend: self.backend.clone(),
-            version: None,
+            version: self.versions.clone(),
             tier: self.tier(),
             objective: self.arrived + self.place.route.objective,
             give_up,
@@ -375,7 +384,7 @@
         last_event: Option<u64>,
     ) -> Result<Result<Answered, Failure>, Refusal> {
         let (ticket, rx) = queued;
-        let slot = Slot::new(Arc::clone(&self.shared), ticket);
+        let mut slot = Slot::new(Arc::clone(&self.shared), ticket);
         let assignment = match timeout(self.time_left().to_duration(), rx).await {
             Ok(Ok(Decision::Start(assignment))) => assignment,
             Ok(Ok(Decision::Refuse { retry_after })) => {
@@ -384,6 +393,7 @@
             Ok(Err(_)) | Err(_) => return Err(Refusal::later(Reason::Busy, RETRY_AFTER_REJECTED)),
         };
         self.assigned_at = self.shared.now();
+        slot.assign(&self.backend, &assignment);
         journal::assigned(self, &assignment);
         let silence = self.silence(&assignment);
         let engine = assignment.engine.clone();
@@ -452,7 +462,7 @@
         let Answered {
             response,
             connection,
-            slot,
+            mut slot,
             assignment,
         } = answered;
         let (mut parts, body) = response.into_parts();
@@ -475,8 +485,7 @@
         if is_failure {
             slot.end(AttemptEnd::Failed);
         } else {
-            let now = self.shared.now();
-            lock(&self.shared.desk).dispatcher.first_event(now, slot.ticket());
+            slot.first_event();
             slot.end(AttemptEnd::Complete);
         }
         self.keep(&assignment, connection, limit);
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -163,13 +163,10 @@
         let Some(run) = &mut self.run else {
             return;
         };
-        let ticket = run.slot.ticket();
         if !run.had_event {
             run.had_event = true;
             run.sampled_at = now;
-            lock(&self.exchange.shared.desk)
-                .dispatcher
-                .first_event(now, ticket);
+            run.slot.first_event();
             return;
         }
         run.events += count;
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -1,6 +1,6 @@
 //! What hosts that route alone tell each other several times a second.
 
-use carawayseam_types::{BackendName, EngineId, HostId, Incarnation, OrganisationId, Tier};
+use carawayseam_types::{BackendName, EngineId, HostId, Incarnation, Millis, OrganisationId, Tier};
 use serde::{Deserialize, Serialize};
 
 /// One host's heartbeat with its load.
@@ -20,6 +20,27 @@
     pub waiting: Vec<WaitingLoad>,
     /// What the sender is asked for, by organisation, in tokens a second.
     pub demand: Vec<(OrganisationId, u32)>,
+    /// What the sender knows of moves between versions.
+    pub moves: Vec<MoveCounts>,
+}
+
+/// What a host counted during one move.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MoveCounts {
+    /// The backend.
+    pub backend: BackendName,
+    /// The order's revision in the store.
+    pub revision: u64,
+    /// The time since the order.
+    pub elapsed: Millis,
+    /// Answers of the new version.
+    pub new_all: u32,
+    /// Those of them that were failures or came much too late.
+    pub new_bad: u32,
+    /// Answers of the old versions.
+    pub old_all: u32,
+    /// Those of them that were failures or came much too late.
+    pub old_bad: u32,
 }
 
 /// What a host has running on one backend server.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -19,7 +19,7 @@
 mod digest;
 mod stream;
 
-pub use beat::{Beat, EngineLoad, WaitingLoad};
+pub use beat::{Beat, EngineLoad, MoveCounts, WaitingLoad};
 pub use codec::{
     MAX_DATAGRAM_BYTES, MAX_STREAM_BYTES, PROTOCOL_VERSION, WireError, decode, decode_datagram, encode,
 };
