--- a/crates/dispatch/src/freshness.rs
+++ b/crates/dispatch/src/freshness.rs
@@ -47,3 +47,24 @@
         self.age(now).is_some_and(|age| age <= self.max_age)
     }
 }
+
+/// What a host reaches.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Reach {
+    /// The store did not answer lately.
+    pub store_is_away: bool,
+    /// A host that is listed was not heard lately.
+    pub misses_peers: bool,
+    /// A peer said that it serves requests with keys.
+    pub others_serve: bool,
+}
+
+impl Reach {
+    /// Whether others can serve callers better than this host soon can.
+    ///
+    /// An outage of the store alone hits all hosts alike, and sending callers elsewhere helps nobody.
+    #[must_use]
+    pub const fn is_cut_off(self) -> bool {
+        self.store_is_away && (self.misses_peers || self.others_serve)
+    }
+}
--- a/crates/dispatch/tests/bounds.rs
+++ b/crates/dispatch/tests/bounds.rs
@@ -1,6 +1,6 @@
 //! Freshness of the configuration, and the budget for repeats.
 
-use carawayseam_dispatch::freshness::Freshness;
+use carawayseam_dispatch::freshness::{Freshness, Reach};
 use carawayseam_dispatch::retries::{RetryBounds, RetryBudget};
 use carawayseam_types::Millis;
 
@@ -62,3 +62,22 @@
 fn a_small_fleet_may_repeat_after_a_loss() {
     assert!(repeats(4, 20) >= 10);
 }
+
+macro_rules! cut_off {
+    ($name:ident: $store_is_away:expr, $misses_peers:expr, $others_serve:expr => $cut_off:expr) => {
+        #[test]
+        fn $name() {
+            let reach = Reach {
+                store_is_away: $store_is_away,
+                misses_peers: $misses_peers,
+                others_serve: $others_serve,
+            };
+            assert_eq!(reach.is_cut_off(), $cut_off);
+        }
+    };
+}
+
+cut_off!(a_host_that_reaches_the_store_is_not_cut_off: false, true, true => false);
+cut_off!(an_outage_that_hits_all_hosts_cuts_off_none: true, false, false => false);
+cut_off!(a_host_that_alone_is_turned_away_is_cut_off: true, false, true => true);
+cut_off!(a_zone_without_store_and_other_zones_is_cut_off: true, true, false => true);
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -3,7 +3,6 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use carawayseam_dispatch::dispatcher::{OwnLoad, WaitingCount};
 use carawayseam_dispatch::engine::PeerLoad;
@@ -311,9 +310,10 @@
             .filter(|heard| now.since(heard.at) <= PEER_SILENCE);
         let heard = fresh.clone().count() as u32;
         let others_serve = fresh.clone().any(|heard| heard.serves_keys);
-        self.shared
-            .others_serve_keys
-            .store(others_serve, Ordering::Relaxed);
+        let mut reach = lock(&self.shared.reach);
+        reach.others_serve = others_serve;
+        reach.misses_peers = heard < listed;
+        drop(reach);
         let hosts = Hosts {
             known: listed.max(heard) + 1,
             heard: heard + 1,
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -12,12 +12,12 @@
 use super::registration::HostRecord;
 use super::state::{ControlState, Note};
 use crate::platform::{Change, DecodeError, Item, Platform, Store, StoreError, StoreKeys};
-use crate::shared::Shared;
+use crate::shared::{Shared, lock};
 
 /// A watch returns after this time even if nothing changed, and so proves that nothing did.
-const WATCH_WAIT: Millis = Millis(1_000);
+const WATCH_WAIT: Millis = Millis(500);
 /// The pause between watches, in which changes gather.
-const GATHER_TIME: Millis = Millis(250);
+const GATHER_TIME: Millis = Millis(200);
 /// The pause after a failed call; it doubles up to the longest.
 const FIRST_RETRY: Millis = Millis(100);
 const LONGEST_RETRY: Millis = Millis(250);
@@ -225,6 +225,7 @@
 
     fn note_answer(&mut self) {
         if self.outage.on_answer(self.shared.now()) {
+            lock(&self.shared.reach).store_is_away = false;
             log::info!(dependency = "store"; "dependency regained");
         }
     }
@@ -233,6 +234,7 @@
         log::debug!("a call to the store failed: {e}");
         let now = self.shared.now();
         if self.outage.on_failure(now) {
+            lock(&self.shared.reach).store_is_away = true;
             let silence = self.outage.silence(now);
             log::warn!(dependency = "store", silent_ms = silence.0, error:% = e; "dependency lost");
         }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -1,12 +1,12 @@
 //! Starts the threads and stops them in order.
 
 use std::path::Path;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
 use carawayseam_dispatch::Dispatcher;
-use carawayseam_dispatch::freshness::Freshness;
+use carawayseam_dispatch::freshness::{Freshness, Reach};
 use carawayseam_dispatch::moves::Moves;
 use carawayseam_dispatch::quota::Quotas;
 use carawayseam_dispatch::retries::RetryBounds;
@@ -131,7 +131,8 @@
         connections: Connections::default(),
         phase: watch::Sender::new(Phase::Serving),
         metrics: Metrics::default(),
-        others_serve_keys: AtomicBool::new(false),
+        reach: Mutex::new(Reach::default()),
+        unready_since: Mutex::new(None),
         open_requests: AtomicUsize::new(0),
     }
 }
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -45,7 +45,7 @@
 }
 
 fn readiness(shared: &Shared) -> (StatusCode, String) {
-    if shared.is_ready() {
+    if shared.answer_balancer() {
         (StatusCode::OK, "ready".to_owned())
     } else {
         (StatusCode::SERVICE_UNAVAILABLE, "not ready".to_owned())
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -2,10 +2,10 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize};
+use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use carawayseam_dispatch::freshness::Freshness;
+use carawayseam_dispatch::freshness::{Freshness, Reach};
 use carawayseam_dispatch::moves::Moves;
 use carawayseam_dispatch::quota::Quotas;
 use carawayseam_dispatch::{Action, AttemptEnd, Catalog, Dispatcher, Job, Ticket};
@@ -17,6 +17,13 @@
 use crate::settings::Settings;
 use crate::traffic::Connections;
 
+/// The balancer sends callers elsewhere after it was told twice, a second apart.
+const BALANCER_NOTICE: Millis = Millis(2_200);
+/// When to come back where another host can serve the request now.
+const COME_BACK_AT_ONCE: Millis = Millis(20);
+/// When to come back where no host may use keys.
+const COME_BACK_AFTER_OUTAGE: Millis = Millis(1_000);
+
 /// Locks, also after a panic of another holder: the state is a plain value.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -155,8 +162,10 @@
     pub(crate) connections: Connections,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) metrics: Metrics,
-    /// Whether a peer said lately that it may serve requests with keys.
-    pub(crate) others_serve_keys: AtomicBool,
+    /// What this host reaches.
+    pub(crate) reach: Mutex<Reach>,
+    /// When the balancer was first told to send callers elsewhere; none while it is not.
+    pub(crate) unready_since: Mutex<Option<Millis>>,
     /// Requests whose answers are not complete.
     pub(crate) open_requests: AtomicUsize,
 }
@@ -182,6 +191,19 @@
         *self.phase.borrow()
     }
 
+    /// When a caller that cannot be served here should come back: once the balancer sends it elsewhere.
+    pub(crate) fn time_to_come_back(&self) -> Millis {
+        let reach = *lock(&self.reach);
+        let unready = lock(&self.unready_since).map_or(Millis::ZERO, |since| self.now().since(since));
+        match reach {
+            Reach {
+                others_serve: true, ..
+            } => COME_BACK_AT_ONCE,
+            reach if reach.is_cut_off() => (BALANCER_NOTICE - unready).max(COME_BACK_AT_ONCE),
+            _ => COME_BACK_AFTER_OUTAGE,
+        }
+    }
+
     /// The age of what is known of the configuration, if it is known at all.
     pub(crate) fn configuration_age(&self) -> Option<Millis> {
         lock(&self.freshness).age(self.now())
@@ -194,6 +216,21 @@
 
     /// Whether callers should be sent here.
     pub(crate) fn is_ready(&self) -> bool {
-        self.phase() == Phase::Serving && self.catalog.borrow().is_some() && self.may_use_keys()
+        self.phase() == Phase::Serving
+            && self.catalog.borrow().is_some()
+            && self.may_use_keys()
+            && !lock(&self.reach).is_cut_off()
+    }
+
+    /// Whether callers should be sent here, noting since when they should not.
+    pub(crate) fn answer_balancer(&self) -> bool {
+        let is_ready = self.is_ready();
+        let mut since = lock(&self.unready_since);
+        *since = if is_ready {
+            None
+        } else {
+            since.or(Some(self.now()))
+        };
+        is_ready
     }
 }
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -24,10 +24,6 @@
 use crate::platform::RequestHead;
 use crate::shared::{Assignment, Decision, Phase, Shared, lock};
 
-/// A host that knows no configuration, or an old one, is asked again after this time.
-const RETRY_AFTER_STALE: Millis = Millis(1_000);
-/// The same where another host can serve the request now.
-const RETRY_AFTER_ELSEWHERE: Millis = Millis(20);
 /// A refused attempt is worth another try after this time.
 const RETRY_AFTER_REJECTED: Millis = Millis(300);
 /// The part of a request's time after which it is refused if it still waits.
@@ -138,7 +134,7 @@
     let head = shared.headers.read_request(req.headers());
     let catalog = shared
         .catalog()
-        .ok_or_else(|| Refusal::later(Reason::NoConfiguration, RETRY_AFTER_STALE))?;
+        .ok_or_else(|| Refusal::later(Reason::NoConfiguration, shared.time_to_come_back()))?;
     let place = find_place(shared, &catalog, &req, &head)?;
     if place.organisation.is_some() && !shared.may_use_keys() {
         return Err(stale(shared));
@@ -213,14 +209,9 @@
         })
 }
 
-/// Refuses for want of a fresh configuration; another host may serve the request at once.
+/// Refuses for want of a fresh configuration.
 fn stale(shared: &Shared) -> Refusal {
-    let others_serve = shared.others_serve_keys.load(Ordering::Relaxed);
-    let retry_after = if others_serve {
-        RETRY_AFTER_ELSEWHERE
-    } else {
-        RETRY_AFTER_STALE
-    };
+    let retry_after = shared.time_to_come_back();
     Refusal::later(Reason::StaleConfiguration, retry_after)
 }
 
