--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -6,7 +6,7 @@
 use hyper::StatusCode;
 
 use crate::shared::{Assignment, Shared};
-use crate::traffic::{Exchange, Refusal};
+use crate::traffic::{Exchange, Failure, Refusal};
 
 /// A request was given a server.
 pub(crate) fn assigned(exchange: &Exchange, assignment: &Assignment) {
@@ -20,6 +20,22 @@
     );
 }
 
+/// A server brought no answer to pass on.
+pub(crate) fn attempt_failed(exchange: &Exchange, engine: &EngineId, failure: Failure) {
+    let shared = &exchange.shared;
+    shared.metrics.count("attempts", "failed");
+    log::info!(
+        request = exchange.head.id.as_deref(),
+        route:% = exchange.place.route.name,
+        engine:% = engine,
+        outcome:% = failure,
+        attempts = exchange.attempts,
+        took_ms = shared.now().since(exchange.assigned_at).0,
+        time_left_ms = exchange.time_left().0;
+        "attempt failed"
+    );
+}
+
 /// A plain answer was passed on.
 pub(crate) fn answered(exchange: &Exchange, assignment: &Assignment, status: StatusCode) {
     exchange.concluded.store(true, Ordering::Relaxed);
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -162,6 +162,12 @@
             decisions,
         ));
         tokio::spawn(readiness::serve(Arc::clone(shared), admin));
+        if let Some(address) = shared.settings.metrics {
+            let metrics = TcpListener::bind(address)
+                .await
+                .wrap_err("cannot listen on the metrics address")?;
+            tokio::spawn(readiness::serve(Arc::clone(shared), metrics));
+        }
         tokio::spawn(tick(control.clone()));
         tokio::spawn(control::receive_beats(Arc::clone(&peers), control.clone()));
         tokio::spawn(control::send_beats(peers, control.clone()));
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -23,6 +23,9 @@
     pub admin: SocketAddr,
     /// The path that the balancer asks for readiness.
     pub ready_path: CompactString,
+    /// Where metrics are served besides; none for the admin address alone.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
     /// Where peers send datagrams.
     pub peers: SocketAddr,
     /// The platform's store.
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -122,15 +122,19 @@
 }
 
 /// Why an attempt brought no answer to pass on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
 pub(crate) enum Failure {
     /// It ended so; the request did not run.
+    #[display("{_0}, not run")]
     NotRun(AttemptEnd),
     /// It ended so; the request may have run.
+    #[display("{_0}, may have run")]
     MaybeRun(AttemptEnd),
     /// The configuration was not confirmed lately; nothing was sent.
+    #[display("the configuration was not confirmed lately, not run")]
     Stale,
     /// The request's time is over; it may have run.
+    #[display("time over, may have run")]
     TimeOver,
 }
 
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -395,6 +395,9 @@
             }
             _ => self.attempts += 1,
         }
+        if let Err(failure) = &sent {
+            journal::attempt_failed(self, &engine, *failure);
+        }
         self.ran |= matches!(&sent, Ok(_) | Err(Failure::MaybeRun(_) | Failure::TimeOver));
         self.tried.push(engine);
         Ok(sent)
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -9,6 +9,7 @@
 mod stream;
 
 pub(crate) use answer::Refusal;
+pub(crate) use attempt::Failure;
 pub(crate) use connections::Connections;
 pub(crate) use exchange::Exchange;
 pub(crate) use listener::{ACCEPT_PAUSE, serve};
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -11,7 +11,7 @@
 use tokio::time::timeout;
 
 use super::answer::{AnswerBody, BodyError};
-use super::attempt::{Answered, Slot, idle_limit, remove_hop_headers};
+use super::attempt::{Answered, Failure, Slot, idle_limit, remove_hop_headers};
 use super::events::{EventCutter, WholeEvents};
 use super::exchange::Exchange;
 use crate::http_client::Connection;
@@ -126,6 +126,8 @@
                 Next::TimeOver => return Some(Err(self.break_off(AttemptEnd::Cancelled, Broken::TimeOver))),
                 Next::Broken(end) => {
                     if let Some(run) = self.run.take() {
+                        let failure = Failure::MaybeRun(end);
+                        journal::attempt_failed(&self.exchange, &run.assignment.engine, failure);
                         run.slot.end(end);
                     }
                     self.cutter.drop_partial();
@@ -197,7 +199,7 @@
             return Err(Broken::Lost);
         }
         let last_event = self.cutter.last_id().or(exchange.head.last_event);
-        let mut failure = super::attempt::Failure::MaybeRun(AttemptEnd::Lost);
+        let mut failure = Failure::MaybeRun(AttemptEnd::Lost);
         loop {
             let queued = exchange.queue_again(failure).map_err(|_refusal| Broken::Lost)?;
             match exchange.attempt(queued, last_event).await {
@@ -210,7 +212,7 @@
                 }
                 Ok(Ok(answered)) => {
                     answered.slot.end(AttemptEnd::Failed);
-                    failure = super::attempt::Failure::MaybeRun(AttemptEnd::Failed);
+                    failure = Failure::MaybeRun(AttemptEnd::Failed);
                 }
                 Ok(Err(next)) => failure = next,
                 Err(_refusal) => return Err(Broken::Lost),
