--- /dev/null
+++ b/crates/gateway/tests/settings.rs
@@ -0,0 +1,58 @@
+//! Settings of a gateway, and the deploy file's template of them.
+
+use carawayseam_gateway::settings::Settings;
+use carawayseam_types::Millis;
+
+const VALID: &str = "host: front-a1\nzone: zone-a\ncallers: 10.0.0.1:80\nadmin: 10.0.0.1:81\n\
+ready_path: /ready\npeers: 10.0.0.1:82\nstore: 10.0.0.9:83\nmax_key_age: 5000ms\nstop_within: 7.5s\n\
+quota_tolerance: 140000\nretries: { ratio: 0.2, extra: 54 }\n";
+
+#[test]
+fn valid_settings_are_read() {
+    let settings = Settings::from_yaml("a.yaml", VALID).expect("they are valid");
+    assert_eq!(settings.stop_within, Millis(7_500));
+    assert_eq!(settings.traffic_threads, 1);
+    assert_eq!(settings.metrics, None);
+}
+
+macro_rules! refused {
+    ($name:ident: $from:expr => $to:expr, $error:expr) => {
+        #[test]
+        fn $name() {
+            let text = VALID.replace($from, $to);
+            assert_ne!(text, VALID);
+            let e = Settings::from_yaml("a.yaml", &text).expect_err("they are not valid");
+            assert!(e.to_string().contains($error), "{e}");
+        }
+    };
+}
+
+refused!(an_unknown_field: "zone:" => "region: r\nzone:", "a.yaml:2");
+refused!(a_missing_field: "store: 10.0.0.9:83\n" => "", "store");
+refused!(no_threads: "stop_within" => "traffic_threads: 0\nstop_within", "traffic_threads: expected at least 1 thread");
+refused!(a_path_without_a_slash: "/ready" => "ready", "ready_path: expected a path that begins with /");
+refused!(a_share_above_one: "0.2" => "2.0", "retries.ratio: expected a share from 0 to 1");
+refused!(a_negative_number: "54" => "-1", "retries.extra: expected 0 or more");
+refused!(a_negative_tolerance: "140000" => "-1", "quota_tolerance: expected 0 tokens or more");
+refused!(a_key_age_of_nothing: "5000ms" => "0ms", "max_key_age: expected more than 0ms");
+refused!(an_address_without_a_port: "10.0.0.9:83" => "10.0.0.9", "a.yaml:7");
+
+#[test]
+fn the_deploy_files_template_names_only_known_settings() {
+    let template = include_str!("../../../deploy/settings.yaml");
+    let filled = template
+        .replace("{{listen.front}}", "10.0.0.1:80")
+        .replace("{{listen.ready}}", "10.0.0.1:81")
+        .replace("{{ip_addr}}", "10.0.0.1")
+        .replace("{{port_range.0}}", "7600")
+        .replace("{{platform.address}}", "10.0.0.9:83")
+        .replace("{{bounds.revoke_ms}}", "5000")
+        .replace("{{bounds.grace_s}}", "8")
+        .replace("{{bounds.retry_ratio}}", "0.2")
+        .replace("{{bounds.retry_slack}}", "54")
+        .replace("{{bounds.quota_slack}}", "140000")
+        .replace("{{node}}", "front-a1")
+        .replace("{{zone}}", "zone-a");
+    assert!(!filled.contains("{{"), "{filled}");
+    Settings::from_yaml("settings.yaml", &filled).expect("the template is valid");
+}
--- a/tests/proofs.rs
+++ b/tests/proofs.rs
@@ -1,7 +1,8 @@
 //! Keeps docs/PROOFS.md true: what it names as proof exists and runs.
 //!
 //! A test is named `process::module::test` for the root package, and
-//! `crate::target::test` for a crate under `crates/`.
+//! `crate::target::test` for a crate under `crates/` or `platform/`; `root::target::test` for the
+//! root package's other targets.
 
 use std::collections::BTreeSet;
 use std::fmt::{self, Display};
@@ -83,6 +84,8 @@
     let inner = rest.replace("::", "/");
     let file = match first {
         "process" => format!("tests/process/{inner}.rs"),
+        "root" => format!("tests/{inner}.rs"),
+        "platform" => format!("platform/tests/{inner}.rs"),
         krate => format!("crates/{krate}/tests/{inner}.rs"),
     };
     (file.into(), test)
@@ -135,7 +138,7 @@
 /// Whether a source has a test of this name, as a function or as a macro's case.
 fn has_test(source: &str, name: &str) -> bool {
     around(source, name).any(|(before, after)| match before.strip_suffix("!(") {
-        Some(before) if after.starts_with(',') => {
+        Some(before) if after.starts_with([',', ':']) => {
             let is_word = |c: char| c.is_alphanumeric() || c == '_';
             let start = before.rfind(|c: char| !is_word(c)).map_or(0, |at| at + 1);
             makes_tests(&before[start..], source)
