--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use carawayseam_types::{BackendName, EngineId, HostId, Millis, Tier, VersionId, ZoneId};
-use rand::SeedableRng;
 use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use serde::Serialize;
 
 use crate::engine::{AttemptEnd, Engine, EngineEntry, Part, PeerLoad};
@@ -14,10 +14,15 @@
 use crate::retries::{RetryBounds, RetryBudget};
 
 /// The time to come back that a refused caller is told at least.
-const LEAST_RETRY_AFTER: Millis = Millis(250);
+const LEAST_RETRY_AFTER: Millis = Millis(400);
 /// The time to come back that a refused caller is told at most.
 const MOST_RETRY_AFTER: Millis = Millis(2_000);
 
+/// Refused callers come back at times up to this much later, so that they do not come together.
+const RETRY_SPREAD: f64 = 1.4;
+/// A request whose expected wait is this part of the time to its objective is refused at once.
+const HOPELESS_PART: f64 = 1.3;
+
 /// Names a request while it waits or runs on this host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display)]
 pub struct Ticket(pub u64);
@@ -195,7 +200,33 @@
     /// Takes a new request.
     pub fn submit(&mut self, now: Millis, job: Job) -> (Ticket, Vec<Action>) {
         self.budget(&job.backend).on_request();
-        self.enqueue(now, job)
+        let (backend, tier, objective) = (job.backend.clone(), job.tier, job.objective);
+        let (ticket, mut actions) = self.enqueue(now, job);
+        if let Some(retry_after) = self.hopeless(ticket, &backend, tier, objective) {
+            self.withdraw(ticket);
+            actions.push(Action::Refuse { ticket, retry_after });
+        }
+        (ticket, actions)
+    }
+
+    /// When to come back, if a new request has to wait so long that it cannot be in time.
+    fn hopeless(
+        &mut self,
+        ticket: Ticket,
+        backend: &BackendName,
+        tier: Tier,
+        objective: Millis,
+    ) -> Option<Millis> {
+        if !self.waiting_at.contains_key(&ticket) {
+            return None;
+        }
+        let pool = self.pools.get(backend)?;
+        let wait = pool.expected_wait(self.now, tier);
+        let left = objective.since(self.now);
+        let is_hopeless = wait.0 as f64 > left.0 as f64 * HOPELESS_PART;
+        let spread = self.rng.random_range(1.0..RETRY_SPREAD);
+        let after = wait.clamp(LEAST_RETRY_AFTER, MOST_RETRY_AFTER).0 as f64 * spread;
+        is_hopeless.then_some(Millis(after as u64))
     }
 
     /// Takes a request once more, if the budget allows it.
@@ -436,6 +467,7 @@
         };
         while let Some((waiting, ix)) = pool.next(self.now, &self.zone, &mut self.rng) {
             self.waiting_at.remove(&waiting.ticket);
+            pool.count_start(self.now, waiting.job.tier);
             let peers_ahead = pool.engines[ix].peer_load(self.now).prompt_ahead;
             let engine = &mut pool.engines[ix];
             let job = waiting.job;
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -1,5 +1,7 @@
 //! The servers of one backend, and the requests that wait for one of them.
 
+use std::collections::BTreeMap;
+
 use carawayseam_types::{EngineId, Millis, Tier, ZoneId};
 use rand::RngExt;
 use rand::rngs::StdRng;
@@ -25,6 +27,10 @@
 const LENGTH_PART: f64 = 0.4;
 /// The part of all slots that requests leave free which are late already.
 const KEPT_FROM_LATE: f64 = 0.12;
+/// The time over which starts are averaged, in milliseconds.
+const START_SPAN_MS: f64 = 1_000.0;
+/// Starts in that time that are assumed at least.
+const LEAST_STARTS: f64 = 4.0;
 /// An answer may be this much longer than is likely.
 const LONGER_THAN_LIKELY: f64 = 2.5;
 /// Prompt tokens that a server reads between two tokens of other requests.
@@ -50,6 +56,31 @@
     pub(crate) usual: Pace,
     /// Requests of each tier that wait at peers.
     pub(crate) peers_waiting: Vec<(Tier, u32)>,
+    /// How often requests of each tier start here.
+    starts: BTreeMap<Tier, StartRate>,
+}
+
+/// How often requests of a tier start, averaged over the last while.
+#[derive(Debug, Default)]
+struct StartRate {
+    weight: f64,
+    at: Millis,
+}
+
+impl StartRate {
+    fn count(&mut self, now: Millis) {
+        self.weight = self.weight(now) + 1.0;
+        self.at = now;
+    }
+
+    fn weight(&self, now: Millis) -> f64 {
+        self.weight * (-(now.since(self.at).0 as f64) / START_SPAN_MS).exp()
+    }
+
+    /// The time between two starts, in milliseconds.
+    fn gap_ms(&self, now: Millis) -> f64 {
+        START_SPAN_MS / self.weight(now).max(LEAST_STARTS)
+    }
 }
 
 impl Pool {
@@ -59,9 +90,26 @@
             waiting: Vec::new(),
             usual: Pace::ASSUMED,
             peers_waiting: Vec::new(),
+            starts: BTreeMap::new(),
         }
     }
 
+    /// The time that the last request of a tier has to wait, by what started lately.
+    pub(crate) fn expected_wait(&self, now: Millis, tier: Tier) -> Millis {
+        let in_time = |waiting: &&Waiting| waiting.job.tier == tier && now < waiting.job.objective;
+        let ahead = self.waiting.iter().filter(in_time).count().saturating_sub(1);
+        let gap_ms = self
+            .starts
+            .get(&tier)
+            .map_or(START_SPAN_MS, |rate| rate.gap_ms(now));
+        Millis((ahead as f64 * gap_ms) as u64)
+    }
+
+    /// Notes that a request of a tier started.
+    pub(crate) fn count_start(&mut self, now: Millis, tier: Tier) {
+        self.starts.entry(tier).or_default().count(now);
+    }
+
     pub(crate) fn engine_mut(&mut self, id: &EngineId) -> Option<&mut Engine> {
         self.engines.iter_mut().find(|engine| engine.entry.id == *id)
     }
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -303,3 +303,31 @@
     let (_, actions) = dispatcher.submit(Millis(101), job(101, 1));
     assert_eq!(started(&actions).len(), 1);
 }
+
+#[test]
+fn a_request_that_cannot_be_in_time_behind_its_tier_is_refused_at_once() {
+    let mut dispatcher = dispatcher(&[("a", 1)]);
+    dispatcher.submit(Millis(1), job(1, 0));
+    let mut refused = 0;
+    for now in 2..40 {
+        let (ticket, actions) = dispatcher.submit(Millis(now), job(now, 0));
+        match actions.as_slice() {
+            [] => {}
+            [
+                Action::Refuse {
+                    ticket: other,
+                    retry_after,
+                },
+            ] => {
+                assert_eq!(*other, ticket);
+                assert!(*retry_after >= Millis(400));
+                refused += 1;
+            }
+            other => panic!("expected a refusal, got {other:?}"),
+        }
+    }
+    assert!(refused > 20, "{refused} of 38 requests were refused at once");
+    assert!(dispatcher.counts().0 >= 2, "some may wait");
+    let (_, actions) = dispatcher.submit(Millis(41), job(41, 1));
+    assert!(actions.is_empty(), "another tier has a queue of its own");
+}
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use carawayseam_dispatch::dispatcher::{OwnLoad, WaitingCount};
 use carawayseam_dispatch::engine::PeerLoad;
@@ -323,6 +324,7 @@
         }
         log::info!(known = hosts.known, heard = hosts.heard; "peers counted");
         self.known_hosts = hosts;
+        self.shared.known_hosts.store(hosts.known, Ordering::Relaxed);
         let mut desk = lock(&self.shared.desk);
         desk.quotas.set_hosts(hosts);
         desk.dispatcher.set_hosts(hosts.known);
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -1,6 +1,7 @@
 //! Follows the store: configuration, backend servers and hosts.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use carawayseam_dispatch::Catalog;
 use carawayseam_dispatch::outage::Outage;
@@ -16,8 +17,12 @@
 
 /// A watch returns after this time even if nothing changed, and so proves that nothing did.
 const WATCH_WAIT: Millis = Millis(500);
-/// The pause between watches, in which changes gather.
-const GATHER_TIME: Millis = Millis(200);
+/// The pause between watches, in which changes gather: calls are bounded over all hosts.
+const GATHER_TIME: Millis = Millis(180);
+/// How much longer the pause is for each host.
+const GATHER_TIME_PER_HOST: Millis = Millis(15);
+/// The longest pause.
+const LONGEST_GATHER_TIME: Millis = Millis(700);
 /// The pause after a failed call; it doubles up to the longest.
 const FIRST_RETRY: Millis = Millis(100);
 const LONGEST_RETRY: Millis = Millis(250);
@@ -114,7 +119,7 @@
                     }
                     revision = revision.max(current);
                     self.tell(Note::Confirmed { sent_at });
-                    sleep(GATHER_TIME.to_duration()).await;
+                    sleep(self.gather_time().to_duration()).await;
                 }
                 Err(StoreError::HistoryGone) => return Err(StoreError::HistoryGone),
                 Err(e) => {
@@ -126,6 +131,12 @@
         }
     }
 
+    fn gather_time(&self) -> Millis {
+        let hosts = self.shared.known_hosts.load(Ordering::Relaxed);
+        let time = GATHER_TIME + GATHER_TIME_PER_HOST.times(u64::from(hosts));
+        time.min(LONGEST_GATHER_TIME)
+    }
+
     fn change(&self, change: Change) {
         match change {
             Change::Put(item) => self.put(&item),
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -1,7 +1,7 @@
 //! Starts the threads and stops them in order.
 
 use std::path::Path;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
@@ -132,6 +132,7 @@
         phase: watch::Sender::new(Phase::Serving),
         metrics: Metrics::default(),
         reach: Mutex::new(Reach::default()),
+        known_hosts: AtomicU32::new(1),
         unready_since: Mutex::new(None),
         open_requests: AtomicUsize::new(0),
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::{AtomicU32, AtomicUsize};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use carawayseam_dispatch::freshness::{Freshness, Reach};
@@ -164,6 +164,8 @@
     pub(crate) metrics: Metrics,
     /// What this host reaches.
     pub(crate) reach: Mutex<Reach>,
+    /// Hosts that are known, this one among them.
+    pub(crate) known_hosts: AtomicU32,
     /// When the balancer was first told to send callers elsewhere; none while it is not.
     pub(crate) unready_since: Mutex<Option<Millis>>,
     /// Requests whose answers are not complete.
