--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -3,13 +3,13 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
-use carawayseam_types::{BackendName, EngineId, HostId, Millis, Tier, VersionId, ZoneId};
+use carawayseam_types::{BackendName, EngineId, HostId, Millis, Tier, ZoneId};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use serde::Serialize;
 
 use crate::engine::{AttemptEnd, Engine, EngineEntry, Part, PeerLoad};
-use crate::moves::VersionRule;
+use crate::job::{Action, Job, Ticket};
+use crate::load::{EngineDump, OwnLoad, WaitingCount};
 use crate::pool::{Pool, Waiting};
 use crate::retries::{RetryBounds, RetryBudget};
 
@@ -23,64 +23,6 @@
 /// A request whose expected wait is this part of the time to its objective is refused at once.
 const HOPELESS_PART: f64 = 1.3;
 
-/// Names a request while it waits or runs on this host.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display)]
-pub struct Ticket(pub u64);
-
-/// What decides where and when a request runs.
-#[derive(Debug, Clone)]
-pub struct Job {
-    /// The backend.
-    pub backend: BackendName,
-    /// Which versions may run it, during a move.
-    pub version: VersionRule,
-    /// Its rank.
-    pub tier: Tier,
-    /// When its first event or its answer is wanted.
-    pub objective: Millis,
-    /// When it is refused if it still waits.
-    pub give_up: Millis,
-    /// When its answer has to be complete.
-    pub deadline: Millis,
-    /// The longest wanted pause between events.
-    pub gap_objective: Option<Millis>,
-    /// The likely number of events; 0 for plain answers.
-    pub events: u32,
-    /// Tokens in one event.
-    pub tokens_per_event: u32,
-    /// The prompt's length in tokens; 0 for plain services.
-    pub prompt: u32,
-    /// The parts of the prompt in order.
-    pub parts: Vec<Part>,
-    /// Servers that it was sent to before.
-    pub tried: Vec<EngineId>,
-}
-
-/// What the host is to do.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Action {
-    /// Send the request to a server.
-    Start {
-        /// The request.
-        ticket: Ticket,
-        /// The server.
-        engine: EngineId,
-        /// Its address.
-        address: SocketAddr,
-        /// Its version.
-        version: VersionId,
-        /// The expected time to the first event, or to a plain answer.
-        expected: Millis,
-    },
-    /// Answer that the request did not run.
-    Refuse {
-        /// The request.
-        ticket: Ticket,
-        /// When the caller should come back.
-        retry_after: Millis,
-    },
-}
-
 #[derive(Debug)]
 struct Running {
     backend: BackendName,
@@ -94,49 +36,6 @@
     parts: Vec<Part>,
 }
 
-/// How many requests of a tier wait for a backend.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct WaitingCount {
-    /// The backend.
-    pub backend: BackendName,
-    /// The tier.
-    pub tier: Tier,
-    /// How many.
-    pub count: u32,
-}
-
-/// What this host announces to its peers.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct OwnLoad {
-    /// What this host has running, by server.
-    pub engines: Vec<(EngineId, PeerLoad)>,
-    /// Requests that wait here, by backend and tier.
-    pub waiting: Vec<WaitingCount>,
-}
-
-/// What this host knows of one server, for operators.
-#[derive(Debug, Clone, PartialEq, Serialize)]
-pub struct EngineDump {
-    /// The server.
-    pub engine: EngineId,
-    /// Its backend.
-    pub backend: BackendName,
-    /// Its version.
-    pub version: VersionId,
-    /// Whether it takes work now.
-    pub takes_work: bool,
-    /// This host's requests there.
-    pub running: u32,
-    /// All hosts' requests there.
-    pub used: u32,
-    /// The share of attempts that failed lately.
-    pub failure_share: f64,
-    /// The learned time between events, in milliseconds.
-    pub event_ms: f64,
-    /// The learned time to read a thousand prompt tokens, in milliseconds.
-    pub thousand_tokens_ms: f64,
-}
-
 /// Decides for one host.
 #[derive(Debug)]
 pub struct Dispatcher {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`quota`] | an organisation's tokens a second, shared by all hosts |
 //! | [`retries`] | the budget for sending a request once more |
 //! | [`engine`] | one backend server as this host knows it |
+//! | [`load`] | what a host tells of its load |
 //! | [`dispatcher`] | queues, and the choice of a backend server |
 //!
 //! Nothing here does I/O, starts a thread or reads a clock.
@@ -32,6 +33,8 @@
 pub mod dispatcher;
 pub mod engine;
 pub mod freshness;
+mod job;
+pub mod load;
 pub mod moves;
 pub mod outage;
 mod pool;
@@ -40,5 +43,6 @@
 mod speed;
 
 pub use catalog::{Catalog, Configuration};
-pub use dispatcher::{Action, Dispatcher, Job, Ticket};
+pub use dispatcher::Dispatcher;
 pub use engine::{AttemptEnd, EngineEntry};
+pub use job::{Action, Job, Ticket};
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -6,8 +6,8 @@
 use rand::RngExt;
 use rand::rngs::StdRng;
 
-use crate::dispatcher::{Job, Ticket};
 use crate::engine::Engine;
+use crate::job::{Job, Ticket};
 use crate::speed::Pace;
 
 /// What a server in another availability zone must be better by, in milliseconds.
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -1,7 +1,7 @@
 //! Who waits, who is refused, and where work goes.
 
-use carawayseam_dispatch::dispatcher::{OwnLoad, WaitingCount};
 use carawayseam_dispatch::engine::{Part, PeerLoad};
+use carawayseam_dispatch::load::{OwnLoad, WaitingCount};
 use carawayseam_dispatch::moves::VersionRule;
 use carawayseam_dispatch::retries::RetryBounds;
 use carawayseam_dispatch::{Action, AttemptEnd, Dispatcher, EngineEntry, Job, Ticket};
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use carawayseam_dispatch::dispatcher::{OwnLoad, WaitingCount};
 use carawayseam_dispatch::engine::PeerLoad;
+use carawayseam_dispatch::load::{OwnLoad, WaitingCount};
 use carawayseam_dispatch::moves::{Answers, Decision, Evidence, MoveNews, Order};
 use carawayseam_dispatch::quota::Hosts;
 use carawayseam_dispatch::{Catalog, EngineEntry};
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -75,7 +75,7 @@
     requests_waiting: usize,
     requests_running: usize,
     idle_connections: usize,
-    engines: Vec<carawayseam_dispatch::dispatcher::EngineDump>,
+    engines: Vec<carawayseam_dispatch::load::EngineDump>,
 }
 
 fn dump(shared: &Shared) -> (StatusCode, String) {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use carawayseam_node::{SettingsError, parse_settings, read_settings_file};
 use carawayseam_types::{HostId, Millis, ZoneId};
 use compact_str::CompactString;
 use serde::Deserialize;
@@ -55,40 +56,6 @@
     pub extra: f64,
 }
 
-/// Settings that cannot be used.
-#[derive(Debug, derive_more::Display, derive_more::Error)]
-pub enum SettingsError {
-    /// The file cannot be read.
-    #[display("{file}: cannot be read")]
-    Unreadable {
-        /// The file.
-        file: CompactString,
-        /// Why.
-        #[error(source)]
-        cause: std::io::Error,
-    },
-    /// The file does not have the shape of settings.
-    #[display("{file}:{line}: {message}")]
-    Shape {
-        /// The file.
-        file: CompactString,
-        /// The line, from 1; 0 where it is not known.
-        line: u64,
-        /// What was expected.
-        message: String,
-    },
-    /// A field is outside its range.
-    #[display("{file}: {field}: expected {expected}")]
-    OutOfRange {
-        /// The file.
-        file: CompactString,
-        /// The field.
-        field: &'static str,
-        /// What was expected.
-        expected: &'static str,
-    },
-}
-
 impl Settings {
     /// Reads and checks a settings file.
     ///
@@ -96,11 +63,8 @@
     ///
     /// [`SettingsError`] names file, line and field.
     pub fn read(file: &Path) -> Result<Self, SettingsError> {
-        let name = CompactString::from(file.to_string_lossy());
-        match std::fs::read_to_string(file) {
-            Ok(text) => Self::from_yaml(&name, &text),
-            Err(cause) => Err(SettingsError::Unreadable { file: name, cause }),
-        }
+        let (name, text) = read_settings_file(file)?;
+        Self::from_yaml(&name, &text)
     }
 
     /// Checks settings given as text.
@@ -109,14 +73,7 @@
     ///
     /// [`SettingsError`] names file, line and field.
     pub fn from_yaml(file: &str, text: &str) -> Result<Self, SettingsError> {
-        let settings: Self = serde_saphyr::from_str(text).map_err(|e| {
-            let message = e.to_string();
-            SettingsError::Shape {
-                file: file.into(),
-                line: e.location().map_or(0, |at| at.line()),
-                message: message.lines().next().unwrap_or_default().to_owned(),
-            }
-        })?;
+        let settings: Self = parse_settings(file, text)?;
         let wrong = |field, expected| SettingsError::OutOfRange {
             file: file.into(),
             field,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use logging::{LogRevision, init_logging, init_stdout_logging};
 pub use metrics::Metrics;
-pub use settings::{Settings, SettingsError};
+pub use settings::{Settings, SettingsError, parse_settings, read_settings_file};
 pub use sockets::{BindError, Sockets, receive, send};
 pub use stop::wait_for_stop;
 pub use stored::{
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -6,6 +6,7 @@
 use carawayseam_types::{EnvironmentId, HostId, Millis, ZoneId};
 use compact_str::CompactString;
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use serde_with::{DisplayFromStr, serde_as};
 
 const DEFAULT_DRAIN_NOTICE: Millis = Millis::from_secs(5);
@@ -91,12 +92,8 @@
     ///
     /// [`SettingsError`] names file, line and field.
     pub fn read(file: impl AsRef<Path>) -> Result<Self, SettingsError> {
-        let file = file.as_ref();
-        let name = CompactString::from(file.to_string_lossy());
-        match std::fs::read_to_string(file) {
-            Ok(text) => Self::from_yaml(&name, &text),
-            Err(cause) => Err(SettingsError::Unreadable { file: name, cause }),
-        }
+        let (name, text) = read_settings_file(file.as_ref())?;
+        Self::from_yaml(&name, &text)
     }
 
     /// Checks settings given as text.
@@ -105,7 +102,7 @@
     ///
     /// [`SettingsError`] names file, line and field.
     pub fn from_yaml(file: &str, text: &str) -> Result<Self, SettingsError> {
-        let settings: Self = serde_saphyr::from_str(text).map_err(|e| shape_error(file, &e))?;
+        let settings: Self = parse_settings(file, text)?;
         let wrong = |field, expected| SettingsError::OutOfRange {
             file: file.into(),
             field,
@@ -123,17 +120,35 @@
     }
 }
 
-fn shape_error(file: &str, error: &serde_saphyr::Error) -> SettingsError {
-    let text = error.to_string();
-    let message = text.lines().next().unwrap_or_default().to_owned();
-    let line = error.location().map_or(0, |at| at.line());
-    SettingsError::Shape {
-        file: file.into(),
-        line,
-        message,
+/// Reads a settings file; gives its name, as errors name it, and its text.
+///
+/// # Errors
+///
+/// [`SettingsError::Unreadable`] names the file.
+pub fn read_settings_file(file: &Path) -> Result<(CompactString, String), SettingsError> {
+    let name = CompactString::from(file.to_string_lossy());
+    match std::fs::read_to_string(file) {
+        Ok(text) => Ok((name, text)),
+        Err(cause) => Err(SettingsError::Unreadable { file: name, cause }),
     }
 }
 
+/// Parses settings of any process from YAML, without checking their ranges.
+///
+/// # Errors
+///
+/// [`SettingsError::Shape`] names file and line.
+pub fn parse_settings<T: DeserializeOwned>(file: &str, text: &str) -> Result<T, SettingsError> {
+    serde_saphyr::from_str(text).map_err(|e| {
+        let message = e.to_string();
+        SettingsError::Shape {
+            file: file.into(),
+            line: e.location().map_or(0, |at| at.line()),
+            message: message.lines().next().unwrap_or_default().to_owned(),
+        }
+    })
+}
+
 const fn any_port() -> SocketAddr {
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0)
 }
