--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
-use carawayseam_types::{BackendName, EngineId, HostId, Millis, Tier, ZoneId};
+use carawayseam_types::{BackendName, EngineId, EngineKey, HostId, Millis, Tier, ZoneId};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -257,9 +257,9 @@
     /// Takes what a peer announced.
     pub fn peer_load(&mut self, now: Millis, host: &HostId, load: OwnLoad) -> Vec<Action> {
         self.now = self.now.max(now);
-        let loads: HashMap<EngineId, PeerLoad> = load.engines.into_iter().collect();
+        let loads: HashMap<EngineKey, PeerLoad> = load.engines.into_iter().collect();
         for engine in self.pools.values_mut().flat_map(|pool| &mut pool.engines) {
-            let load = loads.get(&engine.entry.id).copied().unwrap_or_default();
+            let load = loads.get(&engine.key).copied().unwrap_or_default();
             engine.on_peer_load(now, host, load);
         }
         self.peers_waiting.insert(host.clone(), (now, load.waiting));
@@ -285,7 +285,7 @@
                         running: engine.running,
                         prompt_ahead: engine.prompt_ahead as u32,
                     };
-                    (engine.entry.id.clone(), load)
+                    (engine.key, load)
                 })
                 .collect(),
             waiting: waiting
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use carawayseam_types::{BackendName, EngineId, HostId, Millis, VersionId, ZoneId};
+use carawayseam_types::{BackendName, EngineId, EngineKey, HostId, Millis, VersionId, ZoneId};
 
 use crate::speed::Speed;
 
@@ -99,6 +99,7 @@
 #[derive(Debug)]
 pub(crate) struct Engine {
     pub(crate) entry: EngineEntry,
+    pub(crate) key: EngineKey,
     pub(crate) running: u32,
     pub(crate) prompt_ahead: f64,
     pub(crate) speed: Speed,
@@ -115,6 +116,7 @@
 impl Engine {
     pub(crate) fn new(entry: EngineEntry) -> Self {
         Self {
+            key: EngineKey::from(&entry.id),
             entry,
             running: 0,
             prompt_ahead: 0.0,
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -1,6 +1,6 @@
 //! What a host tells of its load: to its peers, and to operators.
 
-use carawayseam_types::{BackendName, EngineId, Tier, VersionId};
+use carawayseam_types::{BackendName, EngineId, EngineKey, Tier, VersionId};
 use serde::Serialize;
 
 use crate::engine::PeerLoad;
@@ -20,7 +20,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct OwnLoad {
     /// What this host has running, by server.
-    pub engines: Vec<(EngineId, PeerLoad)>,
+    pub engines: Vec<(EngineKey, PeerLoad)>,
     /// Requests that wait here, by backend and tier.
     pub waiting: Vec<WaitingCount>,
 }
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -5,7 +5,7 @@
 use carawayseam_dispatch::moves::VersionRule;
 use carawayseam_dispatch::retries::RetryBounds;
 use carawayseam_dispatch::{Action, AttemptEnd, Dispatcher, EngineEntry, Job, Ticket};
-use carawayseam_types::{EngineId, Millis, Tier};
+use carawayseam_types::{EngineId, EngineKey, Millis, Tier};
 
 const BOUNDS: RetryBounds = RetryBounds {
     ratio: 0.2,
@@ -224,7 +224,7 @@
     let mut dispatcher = dispatcher(&[("a", 2)]);
     let load = OwnLoad {
         engines: vec![(
-            id("a"),
+            EngineKey::from(&id("a")),
             PeerLoad {
                 running: 2,
                 prompt_ahead: 0,
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -11,7 +11,7 @@
 use carawayseam_dispatch::quota::Hosts;
 use carawayseam_dispatch::{Catalog, EngineEntry};
 use carawayseam_node::LogRevision;
-use carawayseam_types::{EngineId, HostId, Incarnation, Millis, OrganisationId};
+use carawayseam_types::{EngineId, EngineKey, HostId, Incarnation, Millis, OrganisationId};
 use carawayseam_wire::{Beat, EngineLoad, MoveCounts, WaitingLoad};
 use kameo::Actor;
 use kameo::message::{Context, Message};
@@ -270,7 +270,7 @@
             lock(&self.shared.moves).heard(now, &beat.host, &move_news(counts));
         }
         let load = OwnLoad {
-            engines: beat.engines.into_iter().map(engine_load).collect(),
+            engines: beat.engines.iter().map(engine_load).collect(),
             waiting: beat
                 .waiting
                 .into_iter()
@@ -450,19 +450,12 @@
     }
 }
 
-fn engine_load(load: EngineLoad) -> (EngineId, PeerLoad) {
-    let EngineLoad {
-        engine,
-        running,
-        prompt_ahead,
-    } = load;
-    (
-        engine,
-        PeerLoad {
-            running,
-            prompt_ahead,
-        },
-    )
+fn engine_load(load: &EngineLoad) -> (EngineKey, PeerLoad) {
+    let peer_load = PeerLoad {
+        running: load.running,
+        prompt_ahead: load.prompt_ahead,
+    };
+    (load.engine, peer_load)
 }
 
 impl Message<Note> for ControlState {
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -188,6 +188,20 @@
     }
 }
 
+/// A short digest of an engine's name, for messages that name many engines.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, derive_more::Display,
+)]
+#[serde(transparent)]
+#[display("{_0:08x}")]
+pub struct EngineKey(pub u32);
+
+impl From<&EngineId> for EngineKey {
+    fn from(engine: &EngineId) -> Self {
+        Self(Digest::of(engine.as_str().as_bytes()).0 as u32)
+    }
+}
+
 impl FromStr for Digest {
     type Err = ParseError;
 
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -1,6 +1,6 @@
 //! What hosts that route alone tell each other several times a second.
 
-use carawayseam_types::{BackendName, EngineId, HostId, Incarnation, Millis, OrganisationId, Tier};
+use carawayseam_types::{BackendName, EngineKey, HostId, Incarnation, Millis, OrganisationId, Tier};
 use serde::{Deserialize, Serialize};
 
 /// One host's heartbeat with its load.
@@ -47,7 +47,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineLoad {
     /// The backend server.
-    pub engine: EngineId,
+    pub engine: EngineKey,
     /// Requests.
     pub running: u32,
     /// Prompt tokens sent whose first event has not come.
