--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`freshness`] | how old the knowledge of the configuration may be |
 //! | [`moves`] | moves of traffic between versions |
 //! | [`outage`] | which entries may come back after an outage of the store |
+//! | [`poison`] | requests that crash the servers that run them |
 //! | [`quota`] | an organisation's tokens a second, shared by all hosts |
 //! | [`retries`] | the budget for sending a request once more |
 //! | [`engine`] | one backend server as this host knows it |
@@ -37,6 +38,7 @@
 pub mod load;
 pub mod moves;
 pub mod outage;
+pub mod poison;
 mod pool;
 pub mod quota;
 pub mod retries;
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -11,7 +11,7 @@
 use carawayseam_dispatch::quota::Hosts;
 use carawayseam_dispatch::{Catalog, EngineEntry};
 use carawayseam_node::LogRevision;
-use carawayseam_types::{EngineId, EngineKey, HostId, Incarnation, Millis, OrganisationId};
+use carawayseam_types::{Digest, EngineId, EngineKey, HostId, Incarnation, Millis, OrganisationId};
 use carawayseam_wire::{Beat, EngineLoad, MoveCounts, WaitingLoad};
 use kameo::Actor;
 use kameo::message::{Context, Message};
@@ -266,6 +266,9 @@
             self.count_hosts(now);
         }
         self.share_demand(now);
+        for (content, crashes) in &beat.crashes {
+            lock(&self.shared.suspects).heard(now, &beat.host, Digest(*content), *crashes);
+        }
         for counts in &beat.moves {
             lock(&self.shared.moves).heard(now, &beat.host, &move_news(counts));
         }
@@ -401,6 +404,11 @@
                 })
                 .collect(),
             demand,
+            crashes: lock(&self.shared.suspects)
+                .news(now)
+                .into_iter()
+                .map(|(content, crashes)| (content.0, crashes))
+                .collect(),
             moves: lock(&self.shared.moves)
                 .news(now)
                 .into_iter()
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -8,6 +8,7 @@
 use carawayseam_dispatch::Dispatcher;
 use carawayseam_dispatch::freshness::{Freshness, Reach};
 use carawayseam_dispatch::moves::Moves;
+use carawayseam_dispatch::poison::Suspects;
 use carawayseam_dispatch::quota::Quotas;
 use carawayseam_dispatch::retries::RetryBounds;
 use carawayseam_node::{LogRevision, init_stdout_logging, wait_for_stop};
@@ -128,6 +129,7 @@
         freshness: Mutex::new(Freshness::new(max_age)),
         desk: Mutex::new(Desk::new(dispatcher, quotas)),
         moves: Mutex::new(Moves::default()),
+        suspects: Mutex::new(Suspects::default()),
         connections: Connections::default(),
         phase: watch::Sender::new(Phase::Serving),
         metrics: Metrics::default(),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -7,6 +7,7 @@
 
 use carawayseam_dispatch::freshness::{Freshness, Reach};
 use carawayseam_dispatch::moves::Moves;
+use carawayseam_dispatch::poison::Suspects;
 use carawayseam_dispatch::quota::Quotas;
 use carawayseam_dispatch::{Action, AttemptEnd, Catalog, Dispatcher, Job, Ticket};
 use carawayseam_types::{Clock, EngineId, Millis, VersionId};
@@ -159,6 +160,7 @@
     pub(crate) freshness: Mutex<Freshness>,
     pub(crate) desk: Mutex<Desk>,
     pub(crate) moves: Mutex<Moves>,
+    pub(crate) suspects: Mutex<Suspects>,
     pub(crate) connections: Connections,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) metrics: Metrics,
--- a/crates/gateway/src/traffic/answer.rs
+++ b/crates/gateway/src/traffic/answer.rs
@@ -33,6 +33,8 @@
     Stopping,
     #[display("the backend is busy")]
     Busy,
+    #[display("the request crashed backend servers")]
+    Poison,
     #[display("no backend server could be reached")]
     Unreachable,
     #[display("the backend server rejected the request")]
@@ -56,6 +58,7 @@
             | Self::StaleConfiguration
             | Self::Stopping
             | Self::Busy
+            | Self::Poison
             | Self::Unreachable
             | Self::Rejected => StatusCode::SERVICE_UNAVAILABLE,
             Self::TimeOver => StatusCode::GATEWAY_TIMEOUT,
@@ -75,6 +78,7 @@
             Self::OverQuota => "over-quota",
             Self::Stopping => "stopping",
             Self::Busy => "busy",
+            Self::Poison => "poison",
             Self::Unreachable => "unreachable",
             Self::Rejected => "rejected",
             Self::TimeOver => "time-over",
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -7,7 +7,7 @@
 use carawayseam_dispatch::catalog::{LookupError, Place, Target};
 use carawayseam_dispatch::moves::VersionRule;
 use carawayseam_dispatch::{AttemptEnd, Catalog, Job, Ticket};
-use carawayseam_types::{BackendName, EngineId, Millis, OrganisationId, Tier};
+use carawayseam_types::{BackendName, Digest, EngineId, Millis, OrganisationId, Tier};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, EXPECT, HOST, HeaderMap};
@@ -23,6 +23,7 @@
 use crate::journal;
 use crate::platform::RequestHead;
 use crate::shared::{Assignment, Decision, Phase, Shared, lock};
+use crate::sockets;
 
 /// A refused attempt is worth another try after this time.
 const RETRY_AFTER_REJECTED: Millis = Millis(300);
@@ -37,6 +38,12 @@
 /// A stream's first event is given up after this many times the expected time, and some more.
 const SILENT_EXPECTED: u64 = 3;
 const SILENT_EXTRA: Millis = Millis(800);
+/// A request that crashes servers is not worth another try soon.
+const RETRY_AFTER_POISON: Millis = Millis(5_000);
+/// A server that accepts no connection for so long after it lost an answer crashed.
+const CRASH_CHECK_LIMIT: Millis = Millis(250);
+/// Bytes of a content beside its body, roughly.
+const CONTENT_HEAD_BYTES: usize = 256;
 /// Connections that may fail for one request.
 const MOST_UNSENT: u32 = 4;
 /// An unknown route or key is believed only if the configuration was confirmed within this time.
@@ -282,6 +289,7 @@
     }
 
     async fn try_serve(&mut self) -> Result<Served, Refusal> {
+        self.refuse_poison()?;
         self.take_quota().await?;
         let job = self.job(self.wait_limit());
         let mut queued = lock(&self.shared.desk).submit(self.shared.now(), job);
@@ -303,6 +311,47 @@
         self.place.route.kind.is_stream() && answered.response.status().is_success()
     }
 
+    /// What the request is recognised by when it comes again under another id.
+    fn content(&self) -> Digest {
+        let mut buf = Vec::with_capacity(self.body.len() + CONTENT_HEAD_BYTES);
+        buf.extend_from_slice(self.uri.to_string().as_bytes());
+        if let Some(organisation) = self.organisation_name() {
+            buf.extend_from_slice(organisation.as_str().as_bytes());
+        }
+        for part in self.head.prompt.iter().flat_map(|prompt| &prompt.parts) {
+            buf.extend_from_slice(&part.id.to_le_bytes());
+        }
+        buf.extend_from_slice(&self.body);
+        Digest::of(&buf)
+    }
+
+    fn refuse_poison(&self) -> Result<(), Refusal> {
+        let suspects = lock(&self.shared.suspects);
+        if suspects.is_empty() || !suspects.is_blocked(self.shared.now(), self.content()) {
+            return Ok(());
+        }
+        Err(Refusal::later(Reason::Poison, RETRY_AFTER_POISON))
+    }
+
+    /// Looks whether the server that lost the answer is gone: then it crashed under this request.
+    pub(crate) fn check_for_crash(&self, assignment: &Assignment) {
+        let shared = Arc::clone(&self.shared);
+        let (engine, address) = (assignment.engine.clone(), assignment.address);
+        let content = self.content();
+        let id = self.head.id.clone();
+        tokio::spawn(async move {
+            if sockets::connect(address, CRASH_CHECK_LIMIT, CRASH_CHECK_LIMIT)
+                .await
+                .is_ok()
+            {
+                return;
+            }
+            let now = shared.now();
+            let crashes = lock(&shared.suspects).crashed(now, content, &engine);
+            log::info!(request = id.as_deref(), engine:% = engine, content:% = content, crashes = crashes; "backend server crashed under a request");
+        });
+    }
+
     /// Takes the request's tokens from its organisation's quota, and waits a little for them.
     async fn take_quota(&self) -> Result<(), Refusal> {
         let Some((organisation, quota)) = self
@@ -388,6 +437,7 @@
         journal::assigned(self, &assignment);
         let silence = self.silence(&assignment);
         let engine = assignment.engine.clone();
+        let target = assignment.clone();
         let sent = attempt::send(self, slot, assignment, last_event, silence).await;
         match &sent {
             Err(Failure::NotRun(AttemptEnd::Unreachable | AttemptEnd::Cancelled) | Failure::Stale) => {
@@ -398,6 +448,9 @@
         if let Err(failure) = &sent {
             journal::attempt_failed(self, &engine, *failure);
         }
+        if matches!(sent, Err(Failure::MaybeRun(AttemptEnd::Lost))) {
+            self.check_for_crash(&target);
+        }
         self.ran |= matches!(&sent, Ok(_) | Err(Failure::MaybeRun(_) | Failure::TimeOver));
         self.tried.push(engine);
         Ok(sent)
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -128,6 +128,9 @@
                     if let Some(run) = self.run.take() {
                         let failure = Failure::MaybeRun(end);
                         journal::attempt_failed(&self.exchange, &run.assignment.engine, failure);
+                        if end == AttemptEnd::Lost {
+                            self.exchange.check_for_crash(&run.assignment);
+                        }
                         run.slot.end(end);
                     }
                     self.cutter.drop_partial();
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -22,6 +22,8 @@
     pub demand: Vec<(OrganisationId, u32)>,
     /// What the sender knows of moves between versions.
     pub moves: Vec<MoveCounts>,
+    /// Contents under which servers crashed, and how often the sender saw it.
+    pub crashes: Vec<(u128, u32)>,
 }
 
 /// What a host counted during one move.
