--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -76,6 +76,8 @@
     pub(crate) tried: Vec<EngineId>,
     /// Whether a log line says how it ended.
     pub(crate) concluded: AtomicBool,
+    /// Tokens taken from the organisation's quota.
+    quota_taken: f64,
     /// Events passed on so far.
     pub(crate) events: u32,
     _open: OpenRequest,
@@ -86,6 +88,10 @@
         if !self.concluded.load(Ordering::Relaxed) {
             journal::caller_left(self);
         }
+        if let Some(organisation) = self.organisation_name().filter(|_| !self.ran) {
+            let mut desk = lock(&self.shared.desk);
+            desk.quotas.give_back(organisation, self.quota_taken);
+        }
     }
 }
 
@@ -191,6 +197,7 @@
         ran: false,
         tried: Vec::new(),
         concluded: AtomicBool::new(false),
+        quota_taken: 0.0,
         events: 0,
         _open: open,
     })
@@ -353,7 +360,7 @@
     }
 
     /// Takes the request's tokens from its organisation's quota, and waits a little for them.
-    async fn take_quota(&self) -> Result<(), Refusal> {
+    async fn take_quota(&mut self) -> Result<(), Refusal> {
         let Some((organisation, quota)) = self
             .place
             .organisation
@@ -372,6 +379,7 @@
             .quotas
             .take(now, &organisation.name, quota, tokens, patience);
         let wait = taken.map_err(|wait| Refusal::later(Reason::OverQuota, wait))?;
+        self.quota_taken = tokens;
         if wait > Millis::ZERO {
             sleep(wait.to_duration()).await;
         }
@@ -428,9 +436,9 @@
         let assignment = match timeout(self.time_left().to_duration(), rx).await {
             Ok(Ok(Decision::Start(assignment))) => assignment,
             Ok(Ok(Decision::Refuse { retry_after })) => {
-                return Err(Refusal::later(Reason::Busy, retry_after));
+                return Err(self.refuse_waiting(retry_after));
             }
-            Ok(Err(_)) | Err(_) => return Err(Refusal::later(Reason::Busy, RETRY_AFTER_REJECTED)),
+            Ok(Err(_)) | Err(_) => return Err(self.refuse_waiting(RETRY_AFTER_REJECTED)),
         };
         self.assigned_at = self.shared.now();
         slot.assign(&self.backend, &assignment);
@@ -456,6 +464,15 @@
         Ok(sent)
     }
 
+    /// Refuses a request that waited, unless an earlier attempt may have run it.
+    fn refuse_waiting(&self, retry_after: Millis) -> Refusal {
+        if self.ran {
+            Refusal::new(Reason::AnswerLost)
+        } else {
+            Refusal::later(Reason::Busy, retry_after)
+        }
+    }
+
     /// How long the server may stay silent before another is asked.
     fn silence(&self, assignment: &Assignment) -> Option<Millis> {
         let kind = self.place.route.kind;
