Make the stand-ins of the platform a crate, with leases, conditions and faults

Change: platform/standins is a crate of the platform's folder with the store, servers, a caller and the documents that the operator writes.

Shown: the tests of platform and planned_stop pass on it; clippy is clean.

--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -1,17 +1,12 @@
 //! A gateway process that is asked to stop while callers keep coming.
 
-#![expect(dead_code, reason = "the stand-ins are shared with the tests of platform/")]
-
-#[path = "../platform/tests/support/mod.rs"]
-mod support;
-
 use std::io::Write;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
+use carawayseam_platform_standins::engine::{answer, event, stream_head};
+use carawayseam_platform_standins::{Answer, Engine, Fleet, Received, Step, call};
 use rustix::process::{Pid, Signal, kill_process};
-use support::engine::{answer, event, stream_head};
-use support::{Answer, Engine, Fleet, Received, Step, call};
 use tokio::task::JoinSet;
 
 const KEY: &str = "X-Credential: key-1\r\n";
