Keep each organisation's quota in one account a group of hosts

Ruled out: lending by announced levels, since a one-way cut makes what hosts believe of each other add up to more than there is; a larger tolerance, since the bound on a window is fixed.

Change: a host uses 15 % of its even part by itself. The rest of the parts of all hosts that hear each other is one account, kept by one of them (highest hash of organisation and host) and asked for each request by datagram; an ask that is not answered in 40 ms goes out once more, then the host's own part is used. A host that takes an account over begins with an empty one. Heartbeats no longer carry demand. Log line 'over quota' with tokens, keeper and wait.

--- a/crates/dispatch/src/catalog.rs
+++ b/crates/dispatch/src/catalog.rs
@@ -222,6 +222,12 @@
         self.keys.values().map(|organisation| &organisation.name)
     }
 
+    /// The organisation of that name, if it has keys.
+    #[must_use]
+    pub fn organisation(&self, name: &OrganisationId) -> Option<&Arc<Organisation>> {
+        self.keys.values().find(|organisation| organisation.name == *name)
+    }
+
     /// The backend of that name.
     #[must_use]
     pub fn backend(&self, name: &BackendName) -> Option<&Backend> {
--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -1,23 +1,21 @@
 //! An organisation's quota in tokens, shared by all hosts.
 //!
-//! Callers fall on hosts unevenly, and a host that is cut off cannot ask what the
-//! others admitted. A part of each quota is divided evenly by the number of known hosts.
-//! The rest is divided the same way into parts, of which a group of
-//! hosts that hear each other pools its own and lends it by demand. However the hosts
-//! are cut into groups, the parts sum to the whole.
+//! Callers fall on hosts unevenly, and one host's even part of a small quota may be less than
+//! one request. So a host uses only a small part of its own without asking. Hosts
+//! that hear each other put the rest together: one of them keeps the account of an
+//! organisation, and the others ask it request by request. A part is always divided by
+//! the number of all known hosts; however these are cut into groups, the parts sum to the whole.
 
 use std::collections::HashMap;
 
-use carawayseam_types::{Millis, OrganisationId};
+use carawayseam_types::{Digest, HostId, Millis, OrganisationId};
 
 use crate::catalog::TokenQuota;
 
-/// The part of a quota that is divided evenly; the rest follows demand.
-const EVEN_PART: f64 = 0.3;
-/// The time over which demand is averaged, in milliseconds.
-const DEMAND_SPAN_MS: f64 = 2_000.0;
-/// Demand below which a host is counted with this much, in tokens a second.
-const LEAST_DEMAND: f64 = 1.0;
+/// The part of a quota that hosts use without asking, divided evenly.
+const EVEN_PART: f64 = 0.15;
+/// The least rate that a wait is computed with, in tokens a second.
+const LEAST_RATE: f64 = 1.0;
 /// The part of the tolerance that is used for what hosts know late of each other.
 const TOLERANCE_PART: f64 = 0.75;
 /// The part of the tolerance that hosts have at their start: all may start at once, and twice in one window.
@@ -25,146 +23,264 @@
 /// The part of a bucket that counts as full.
 const NEARLY_FULL: f64 = 0.9;
 
-/// How the hosts stand to each other.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Hosts {
+/// The hosts that this one counts on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Group {
     /// All hosts that may admit requests, this one among them.
     pub known: u32,
     /// Those heard lately, this one among them.
     pub heard: u32,
+    /// Those that can be asked now, this one among them.
+    pub reachable: Vec<HostId>,
 }
 
-impl Hosts {
-    /// This host alone.
-    pub const ALONE: Self = Self { known: 1, heard: 1 };
+impl Group {
+    /// A host alone.
+    #[must_use]
+    pub fn alone(host: HostId) -> Self {
+        Self {
+            known: 1,
+            heard: 1,
+            reachable: vec![host],
+        }
+    }
+
+    /// The host that keeps an organisation's account, by the highest hash of both names.
+    #[must_use]
+    pub fn keeper(&self, organisation: &OrganisationId) -> Option<&HostId> {
+        let second = Digest::of(organisation.as_str().as_bytes());
+        let weight = |host: &&HostId| {
+            let first = Digest::of(host.as_str().as_bytes());
+            Digest::of(&(first.0 ^ second.0).to_le_bytes())
+        };
+        self.reachable.iter().max_by_key(weight)
+    }
+
+    fn all(&self) -> f64 {
+        f64::from(self.known.max(self.heard).max(1))
+    }
+
+    /// The part of a quota that each host uses without asking.
+    fn even_share(&self) -> f64 {
+        EVEN_PART / self.all()
+    }
+
+    /// The part of a quota that the group has put together.
+    fn pooled_share(&self) -> f64 {
+        (1.0 - EVEN_PART) * f64::from(self.heard.max(1)) / self.all()
+    }
 }
 
+/// Tokens that fill up at a part of an organisation's rate.
 #[derive(Debug, Default)]
-struct Account {
+struct Bucket {
     level: f64,
     filled_at: Millis,
-    opened: bool,
     used: bool,
-    demand: f64,
-    peers_demand: f64,
 }
 
-/// This host's part of each organisation's quota.
+/// What a bucket holds of a quota.
+#[derive(Debug, Clone, Copy)]
+struct Terms {
+    /// Tokens a second.
+    rate: f64,
+    /// Tokens at most.
+    most: f64,
+    /// Tokens that are there at the first use.
+    first: f64,
+}
+
+impl Terms {
+    fn new(quota: TokenQuota, tolerance: f64, share: f64) -> Self {
+        Self {
+            rate: (quota.per_second * share).max(LEAST_RATE),
+            most: ((quota.burst + tolerance * TOLERANCE_PART) * share).max(LEAST_RATE),
+            first: tolerance * FIRST_TOLERANCE_PART * share,
+        }
+    }
+}
+
+impl Bucket {
+    /// An empty bucket.
+    const fn since(now: Millis) -> Self {
+        Self {
+            level: 0.0,
+            filled_at: now,
+            used: false,
+        }
+    }
+
+    fn refill(&mut self, now: Millis, terms: Terms) {
+        if !std::mem::replace(&mut self.used, true) {
+            self.level += terms.first;
+        }
+        let elapsed_ms = now.since(self.filled_at).0 as f64;
+        self.level = terms
+            .rate
+            .mul_add(elapsed_ms / 1_000.0, self.level)
+            .min(terms.most);
+        self.filled_at = now;
+    }
+
+    /// Takes tokens that are there; false if they are not.
+    fn take_at_once(&mut self, now: Millis, terms: Terms, tokens: f64) -> bool {
+        self.refill(now, terms);
+        let there = self.level >= tokens;
+        if there {
+            self.level -= tokens;
+        }
+        there
+    }
+
+    /// Takes tokens that are there within `patience`, or gives the time until they are.
+    fn take(&mut self, now: Millis, terms: Terms, tokens: f64, patience: Millis) -> Result<Millis, Millis> {
+        self.refill(now, terms);
+        // A request larger than the whole bucket is admitted from a nearly full one.
+        let needed = tokens.min(terms.most * NEARLY_FULL);
+        let missing = (needed - self.level).max(0.0);
+        let wait = Millis((missing / terms.rate * 1_000.0).ceil() as u64);
+        if wait > patience {
+            return Err(wait);
+        }
+        self.level -= tokens;
+        Ok(wait)
+    }
+}
+
+/// Where a request's tokens were taken from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// This host's own part.
+    Own,
+    /// The group's account, at its keeper.
+    Pooled,
+}
+
+/// This host's part of each organisation's quota, and the accounts that it keeps for its group.
 #[derive(Debug)]
 pub struct Quotas {
-    hosts: Hosts,
+    me: HostId,
+    group: Group,
     /// Tokens by which all hosts together may exceed a quota in one window.
     tolerance: f64,
-    accounts: HashMap<OrganisationId, Account>,
+    own: HashMap<OrganisationId, Bucket>,
+    pooled: HashMap<OrganisationId, Bucket>,
 }
 
 impl Quotas {
     /// Makes the quotas of a host that is alone; all hosts together may exceed a quota by `tolerance` tokens.
     #[must_use]
-    pub fn new(tolerance: f64) -> Self {
+    pub fn new(me: HostId, tolerance: f64) -> Self {
         Self {
-            hosts: Hosts::ALONE,
+            group: Group::alone(me.clone()),
+            me,
             tolerance,
-            accounts: HashMap::new(),
+            own: HashMap::new(),
+            pooled: HashMap::new(),
         }
     }
 
     /// Opens the accounts of organisations; an account is empty at first.
     pub fn open<'a>(&mut self, now: Millis, organisations: impl Iterator<Item = &'a OrganisationId>) {
         for organisation in organisations {
-            let account = self.accounts.entry(organisation.clone()).or_default();
-            if !account.opened {
-                account.opened = true;
-                account.filled_at = now;
+            for buckets in [&mut self.own, &mut self.pooled] {
+                let bucket = || Bucket::since(now);
+                buckets.entry(organisation.clone()).or_insert_with(bucket);
             }
         }
     }
 
-    /// Takes how many hosts there are and how many were heard lately.
-    pub const fn set_hosts(&mut self, hosts: Hosts) {
-        self.hosts = hosts;
+    /// Takes which hosts there are; accounts that this host keeps from now on begin empty.
+    pub fn set_group(&mut self, now: Millis, group: Group) {
+        if group.reachable != self.group.reachable {
+            for (organisation, bucket) in &mut self.pooled {
+                let kept = self.group.keeper(organisation) == Some(&self.me);
+                let keeps = group.keeper(organisation) == Some(&self.me);
+                if keeps && !kept {
+                    *bucket = Bucket::since(now);
+                    bucket.used = true;
+                }
+            }
+        }
+        self.group = group;
     }
 
-    /// Takes what the peers that were heard lately are asked for, in tokens a second.
-    pub fn set_peer_demand(&mut self, organisation: &OrganisationId, per_second: f64) {
-        self.account(organisation).peers_demand = per_second;
+    /// The other host to ask for tokens; none if this host keeps the account itself.
+    #[must_use]
+    pub fn host_to_ask(&self, organisation: &OrganisationId) -> Option<&HostId> {
+        self.group.keeper(organisation).filter(|host| **host != self.me)
     }
 
-    /// This host's own demand, in tokens a second.
-    pub fn demands(&self) -> impl Iterator<Item = (&OrganisationId, f64)> {
-        self.accounts.iter().map(|(name, account)| (name, account.demand))
+    /// Takes tokens from this host's own part, if they are there.
+    pub fn take_own(
+        &mut self,
+        now: Millis,
+        organisation: &OrganisationId,
+        quota: TokenQuota,
+        tokens: f64,
+    ) -> bool {
+        let terms = Terms::new(quota, self.tolerance, self.group.even_share());
+        bucket(&mut self.own, now, organisation).take_at_once(now, terms, tokens)
+    }
+
+    /// Takes tokens from this host's own part, for want of an answer from the account's keeper.
+    ///
+    /// # Errors
+    ///
+    /// The time until this host could admit the request.
+    pub fn take_alone(
+        &mut self,
+        now: Millis,
+        organisation: &OrganisationId,
+        quota: TokenQuota,
+        tokens: f64,
+        patience: Millis,
+    ) -> Result<Millis, Millis> {
+        let terms = Terms::new(quota, self.tolerance, self.group.even_share());
+        bucket(&mut self.own, now, organisation).take(now, terms, tokens, patience)
     }
 
-    /// Takes the tokens of one request, if they are there within `patience`.
+    /// Takes tokens from the group's account, if this host keeps it.
     ///
     /// Gives the time that the request has to wait for them.
     ///
     /// # Errors
     ///
-    /// The time until this host could admit it.
-    pub fn take(
+    /// The time until the request could be admitted; none if another host keeps the account.
+    pub fn take_pooled(
         &mut self,
         now: Millis,
         organisation: &OrganisationId,
         quota: TokenQuota,
         tokens: f64,
         patience: Millis,
-    ) -> Result<Millis, Millis> {
-        let (hosts, tolerance) = (self.hosts, self.tolerance * TOLERANCE_PART);
-        let first = self.tolerance * FIRST_TOLERANCE_PART;
-        let account = self.accounts.entry(organisation.clone()).or_default();
-        let share = share(hosts, account.demand, account.peers_demand);
-        if !std::mem::replace(&mut account.used, true) {
-            account.level += first * share;
+    ) -> Result<Millis, Option<Millis>> {
+        if self.host_to_ask(organisation).is_some() {
+            return Err(None);
         }
-        let most = most(quota, tolerance, share);
-        account.refill(now, quota, share, most, tokens);
-        // A request larger than the host's whole bucket is admitted from a nearly full one.
-        let needed = tokens.min(most * NEARLY_FULL);
-        let missing = (needed - account.level).max(0.0);
-        let rate = (quota.per_second * share).max(LEAST_DEMAND);
-        let wait = Millis((missing / rate * 1_000.0).ceil() as u64);
-        if wait > patience {
-            return Err(wait);
-        }
-        account.level -= tokens;
-        Ok(wait)
+        let terms = Terms::new(quota, self.tolerance, self.group.pooled_share());
+        let taken = bucket(&mut self.pooled, now, organisation).take(now, terms, tokens, patience);
+        taken.map_err(Some)
     }
 
     /// Gives back the tokens of a request that was not sent.
-    pub fn give_back(&mut self, organisation: &OrganisationId, tokens: f64) {
-        self.account(organisation).level += tokens;
-    }
-
-    fn account(&mut self, organisation: &OrganisationId) -> &mut Account {
-        self.accounts.entry(organisation.clone()).or_default()
-    }
-}
-
-impl Account {
-    fn refill(&mut self, now: Millis, quota: TokenQuota, share: f64, most: f64, asked: f64) {
-        let elapsed_ms = now.since(self.filled_at).0 as f64;
-        if self.opened {
-            self.level += quota.per_second * share * elapsed_ms / 1_000.0;
-            let keep = (-elapsed_ms / DEMAND_SPAN_MS).exp();
-            self.demand *= keep;
+    pub fn give_back(&mut self, organisation: &OrganisationId, source: Source, tokens: f64) {
+        let buckets = match source {
+            Source::Own => &mut self.own,
+            Source::Pooled => &mut self.pooled,
+        };
+        if let Some(bucket) = buckets.get_mut(organisation) {
+            bucket.level += tokens;
         }
-        self.opened = true;
-        self.demand += asked * 1_000.0 / DEMAND_SPAN_MS;
-        self.level = self.level.min(most);
-        self.filled_at = now;
     }
 }
 
-/// The most tokens that this host may admit at once.
-fn most(quota: TokenQuota, tolerance: f64, share: f64) -> f64 {
-    ((quota.burst + tolerance) * share).max(LEAST_DEMAND)
-}
-
-/// The part of a quota that this host may use.
-fn share(hosts: Hosts, own: f64, peers: f64) -> f64 {
-    let known = f64::from(hosts.known.max(hosts.heard).max(1));
-    let own = own.max(LEAST_DEMAND);
-    let lent = (1.0 - EVEN_PART) * f64::from(hosts.heard.max(1)) / known;
-    EVEN_PART / known + lent * own / (own + peers)
+fn bucket<'a>(
+    buckets: &'a mut HashMap<OrganisationId, Bucket>,
+    now: Millis,
+    organisation: &OrganisationId,
+) -> &'a mut Bucket {
+    buckets
+        .entry(organisation.clone())
+        .or_insert_with(|| Bucket::since(now))
 }
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -2,12 +2,13 @@
 
 mod moves;
 mod peers;
+mod quotas;
 mod registration;
 mod state;
 mod sync;
 
 pub(crate) use moves::write_decisions;
-pub(crate) use peers::{receive_beats, send_beats};
+pub(crate) use peers::{receive, send_beats};
 pub(crate) use registration::{HostRecord, register};
 pub(crate) use state::{ControlState, Note};
 pub(crate) use sync::follow_store;
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -1,15 +1,17 @@
-//! Heartbeats between the hosts.
+//! Datagrams between the hosts.
 
 use std::sync::Arc;
 
 use carawayseam_types::Millis;
-use carawayseam_wire::{Beat, MAX_DATAGRAM_BYTES, decode, encode};
+use carawayseam_wire::{MAX_DATAGRAM_BYTES, PeerMessage, decode, encode};
 use kameo::actor::ActorRef;
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 use tokio::time::{MissedTickBehavior, interval};
 
+use super::quotas;
 use super::state::{ControlState, Note, OwnBeat};
+use crate::shared::Shared;
 
 /// Heartbeats are sent this often.
 const BEAT_INTERVAL: Millis = Millis(100);
@@ -29,7 +31,7 @@
         let Ok((beat, addresses)) = answer.await else {
             return;
         };
-        match encode(&beat) {
+        match encode(&PeerMessage::Beat(beat)) {
             Ok(buf) => {
                 for address in addresses {
                     if let Err(e) = socket.try_send_to(&buf, address) {
@@ -42,21 +44,26 @@
     }
 }
 
-/// Takes the heartbeats of the others.
-pub(crate) async fn receive_beats(socket: Arc<UdpSocket>, control: ActorRef<ControlState>) {
+/// Takes what the others send.
+pub(crate) async fn receive(shared: Arc<Shared>, socket: Arc<UdpSocket>, control: ActorRef<ControlState>) {
     let mut buf = [0; MAX_DATAGRAM_BYTES + 1];
     loop {
         match socket.recv_from(&mut buf).await {
-            Ok((len, from)) => match decode::<Beat>(&buf[..len]) {
-                Ok(beat) => {
+            Ok((len, from)) => match decode::<PeerMessage>(&buf[..len]) {
+                Ok(PeerMessage::Beat(beat)) => {
                     if control.tell(Note::Beat(Box::new(beat))).try_send().is_err() {
                         return;
                     }
                 }
-                Err(e) => log::warn!(from:% = from; "a heartbeat cannot be read: {e}"),
+                Ok(PeerMessage::QuotaAsk(ask)) => quotas::answer(&shared, &ask),
+                Ok(PeerMessage::QuotaAnswer { ask, outcome }) => shared.peers.answered(ask, outcome),
+                Ok(PeerMessage::QuotaReturn { organisation, tokens }) => {
+                    quotas::take_back(&shared, &organisation, tokens);
+                }
+                Err(e) => log::warn!(from:% = from; "a datagram cannot be read: {e}"),
             },
             // A peer that is gone shows as an error on the next receive.
-            Err(e) => log::debug!("receiving a heartbeat failed: {e}"),
+            Err(e) => log::debug!("receiving a datagram failed: {e}"),
         }
     }
 }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -1,6 +1,6 @@
 //! The actor that owns the control state.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -8,10 +8,10 @@
 use carawayseam_dispatch::engine::PeerLoad;
 use carawayseam_dispatch::load::{OwnLoad, WaitingCount};
 use carawayseam_dispatch::moves::{Answers, Decision, Evidence, MoveNews, Order};
-use carawayseam_dispatch::quota::Hosts;
+use carawayseam_dispatch::quota::Group;
 use carawayseam_dispatch::{Catalog, EngineEntry};
 use carawayseam_node::LogRevision;
-use carawayseam_types::{Digest, EngineId, EngineKey, HostId, Incarnation, Millis, OrganisationId};
+use carawayseam_types::{Digest, EngineId, EngineKey, HostId, Incarnation, Millis};
 use carawayseam_wire::{Beat, EngineLoad, MoveCounts, WaitingLoad};
 use kameo::Actor;
 use kameo::message::{Context, Message};
@@ -23,6 +23,8 @@
 
 /// A peer that was not heard for so long is not counted on.
 const PEER_SILENCE: Millis = Millis(1_000);
+/// A peer that was not heard for so long is not asked.
+const ASK_SILENCE: Millis = Millis(400);
 /// How long connecting may take to a server that could not be reached before.
 const PROBE_LIMIT: Millis = Millis(250);
 /// Idle connections are looked through this often.
@@ -76,7 +78,6 @@
     seq: u64,
     at: Millis,
     serves_keys: bool,
-    demand: Vec<(OrganisationId, u32)>,
 }
 
 /// The control state of the process.
@@ -88,8 +89,8 @@
     decisions: UnboundedSender<Decision>,
     engines: BTreeMap<EngineId, Listed>,
     hosts: BTreeMap<HostId, SocketAddr>,
-    heard: HashMap<HostId, Heard>,
-    known_hosts: Hosts,
+    heard: BTreeMap<HostId, Heard>,
+    group: Group,
     swept_at: Millis,
 }
 
@@ -101,14 +102,14 @@
         decisions: UnboundedSender<Decision>,
     ) -> Self {
         Self {
-            shared,
             incarnation,
             log_revision,
             decisions,
             engines: BTreeMap::new(),
             hosts: BTreeMap::new(),
-            heard: HashMap::new(),
-            known_hosts: Hosts::ALONE,
+            heard: BTreeMap::new(),
+            group: Group::alone(shared.settings.host.clone()),
+            shared,
             swept_at: Millis::ZERO,
         }
     }
@@ -125,17 +126,17 @@
             Note::MoveStands { status, revision } => self.move_stands(&status, revision),
             Note::Hosts(hosts) => {
                 self.hosts = hosts.into_iter().collect();
-                self.count_hosts(now);
+                self.hosts_changed(now);
             }
             Note::Host(host, address) => {
                 log::info!(peer:% = host, address:% = address; "peer listed");
                 self.hosts.insert(host, address);
-                self.count_hosts(now);
+                self.hosts_changed(now);
             }
             Note::HostRemoved(host) => {
                 log::info!(peer:% = host; "peer no longer listed");
                 self.hosts.remove(&host);
-                self.count_hosts(now);
+                self.hosts_changed(now);
             }
             Note::Beat(beat) => self.beat(now, *beat),
             Note::Tick => self.tick(now),
@@ -259,13 +260,11 @@
             seq: beat.seq,
             at: now,
             serves_keys: beat.serves_keys,
-            demand: beat.demand,
         };
         if was_silent {
             log::info!(peer:% = beat.host; "peer heard");
             self.count_hosts(now);
         }
-        self.share_demand(now);
         for (content, crashes) in &beat.crashes {
             lock(&self.shared.suspects).heard(now, &beat.host, Digest(*content), *crashes);
         }
@@ -289,21 +288,6 @@
         desk.carry_out(now, actions);
     }
 
-    fn share_demand(&self, now: Millis) {
-        let mut sums: HashMap<&OrganisationId, f64> = HashMap::new();
-        let heard = self
-            .heard
-            .values()
-            .filter(|heard| now.since(heard.at) <= PEER_SILENCE);
-        for (organisation, per_second) in heard.flat_map(|heard| &heard.demand) {
-            *sums.entry(organisation).or_default() += f64::from(*per_second);
-        }
-        let mut desk = lock(&self.shared.desk);
-        for (organisation, per_second) in sums {
-            desk.quotas.set_peer_demand(organisation, per_second);
-        }
-    }
-
     /// Counts the hosts that share quotas and the retry budget.
     fn count_hosts(&mut self, now: Millis) {
         let me = &self.shared.settings.host;
@@ -318,19 +302,39 @@
         reach.others_serve = others_serve;
         reach.misses_peers = heard < listed;
         drop(reach);
-        let hosts = Hosts {
+        let group = Group {
             known: listed.max(heard) + 1,
             heard: heard + 1,
+            reachable: self.reachable(now),
         };
-        if hosts == self.known_hosts {
+        if group == self.group {
             return;
         }
-        log::info!(known = hosts.known, heard = hosts.heard; "peers counted");
-        self.known_hosts = hosts;
-        self.shared.known_hosts.store(hosts.known, Ordering::Relaxed);
+        log::info!(known = group.known, heard = group.heard, reachable = group.reachable.len(); "peers counted");
+        self.shared.known_hosts.store(group.known, Ordering::Relaxed);
         let mut desk = lock(&self.shared.desk);
-        desk.quotas.set_hosts(hosts);
-        desk.dispatcher.set_hosts(hosts.known);
+        desk.quotas.set_group(now, group.clone());
+        desk.dispatcher.set_hosts(group.known);
+        drop(desk);
+        self.group = group;
+    }
+
+    /// The hosts that can be asked now, this one among them.
+    fn reachable(&self, now: Millis) -> Vec<HostId> {
+        let fresh = self
+            .heard
+            .iter()
+            .filter(|(host, heard)| now.since(heard.at) <= ASK_SILENCE && self.hosts.contains_key(*host));
+        let mut hosts: Vec<HostId> = fresh.map(|(host, _)| host.clone()).collect();
+        hosts.push(self.shared.settings.host.clone());
+        hosts.sort_unstable();
+        hosts
+    }
+
+    /// Takes over where the other hosts are.
+    fn hosts_changed(&mut self, now: Millis) {
+        self.shared.peers.set_addresses(self.hosts.clone());
+        self.count_hosts(now);
     }
 
     fn tick(&mut self, now: Millis) {
@@ -346,7 +350,6 @@
             self.update_engines(now);
         }
         self.count_hosts(now);
-        self.share_demand(now);
         self.probe_engines(now);
         self.decide_moves(now);
         if now.since(self.swept_at) >= SWEEP_INTERVAL {
@@ -373,12 +376,6 @@
     fn own_beat(&self, now: Millis, seq: u64) -> (Beat, Vec<SocketAddr>) {
         let desk = lock(&self.shared.desk);
         let load = desk.dispatcher.own_load();
-        let demand = desk
-            .quotas
-            .demands()
-            .filter(|(_, per_second)| *per_second >= 1.0)
-            .map(|(organisation, per_second)| (organisation.clone(), per_second as u32))
-            .collect();
         drop(desk);
         let beat = Beat {
             host: self.shared.settings.host.clone(),
@@ -403,7 +400,6 @@
                     count: waiting.count,
                 })
                 .collect(),
-            demand,
             crashes: lock(&self.shared.suspects)
                 .news(now)
                 .into_iter()
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -2,10 +2,10 @@
 
 use std::sync::atomic::Ordering;
 
-use carawayseam_types::{EngineId, Millis, OrganisationId};
+use carawayseam_types::{EngineId, HostId, Millis, OrganisationId};
 use hyper::StatusCode;
 
-use crate::shared::{Assignment, Shared};
+use crate::shared::{Assignment, Shared, lock};
 use crate::traffic::{Exchange, Failure, Refusal};
 
 /// A request was given a server.
@@ -20,6 +20,23 @@
     );
 }
 
+/// A request is beyond its organisation's quota.
+pub(crate) fn over_quota(exchange: &Exchange, tokens: f64, wait: Millis) {
+    let organisation = exchange.organisation_name();
+    let keeper = organisation.and_then(|organisation| {
+        let desk = lock(&exchange.shared.desk);
+        desk.quotas.host_to_ask(organisation).cloned()
+    });
+    log::info!(
+        request = exchange.head.id.as_deref(),
+        organisation = organisation.map(OrganisationId::as_str),
+        tokens = tokens,
+        keeper = keeper.as_ref().map(HostId::as_str),
+        wait_ms = wait.0;
+        "over quota"
+    );
+}
+
 /// A server brought no answer to pass on.
 pub(crate) fn attempt_failed(exchange: &Exchange, engine: &EngineId, failure: Failure) {
     let shared = &exchange.shared;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod http_client;
 mod journal;
 mod metrics;
+mod peer_link;
 pub mod platform;
 mod process;
 mod readiness;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -25,6 +25,7 @@
 use crate::control::{self, ControlState, HostRecord, Note};
 use crate::flags::Flags;
 use crate::metrics::Metrics;
+use crate::peer_link::PeerLink;
 use crate::platform::Platform;
 use crate::readiness;
 use crate::settings::Settings;
@@ -70,7 +71,8 @@
     let log_revision = init_stdout_logging("gateway", &settings.host);
     let platform = Arc::new(platform);
     let incarnation = Incarnation(Clock::system().now().0);
-    let shared = Arc::new(share(settings, &*platform, incarnation));
+    let peers = PeerLink::bind(settings.peers).wrap_err("cannot listen for peers")?;
+    let shared = Arc::new(share(settings, &*platform, incarnation, peers));
     log::info!(incarnation = incarnation.0; "started");
 
     let traffic = runtime(shared.settings.traffic_threads).wrap_err("cannot start the traffic threads")?;
@@ -113,14 +115,14 @@
     }
 }
 
-fn share<P: Platform>(settings: Settings, platform: &P, incarnation: Incarnation) -> Shared {
+fn share<P: Platform>(settings: Settings, platform: &P, incarnation: Incarnation, peers: PeerLink) -> Shared {
     let bounds = RetryBounds {
         ratio: settings.retries.ratio,
         extra: settings.retries.extra,
     };
     let max_age = settings.max_key_age - KEY_AGE_MARGIN;
     let dispatcher = Dispatcher::new(settings.zone.clone(), bounds, incarnation.0);
-    let quotas = Quotas::new(settings.quota_tolerance);
+    let quotas = Quotas::new(settings.host.clone(), settings.quota_tolerance);
     Shared {
         headers: platform.headers(),
         settings,
@@ -133,6 +135,7 @@
         connections: Connections::default(),
         phase: watch::Sender::new(Phase::Serving),
         metrics: Metrics::default(),
+        peers,
         reach: Mutex::new(Reach::default()),
         known_hosts: AtomicU32::new(1),
         unready_since: Mutex::new(None),
@@ -152,8 +155,10 @@
         let admin = TcpListener::bind(shared.settings.admin)
             .await
             .wrap_err("cannot listen on the admin address")?;
-        let peers = UdpSocket::bind(shared.settings.peers)
-            .await
+        let peers = shared
+            .peers
+            .socket()
+            .and_then(UdpSocket::from_std)
             .wrap_err("cannot listen for peers")?;
         let peers = Arc::new(peers);
         let (tx, decisions) = mpsc::unbounded_channel();
@@ -172,7 +177,11 @@
             tokio::spawn(readiness::serve(Arc::clone(shared), metrics));
         }
         tokio::spawn(tick(control.clone()));
-        tokio::spawn(control::receive_beats(Arc::clone(&peers), control.clone()));
+        tokio::spawn(control::receive(
+            Arc::clone(shared),
+            Arc::clone(&peers),
+            control.clone(),
+        ));
         tokio::spawn(control::send_beats(peers, control.clone()));
         let record = HostRecord {
             address: shared.settings.peers,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -14,6 +14,7 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::metrics::Metrics;
+use crate::peer_link::PeerLink;
 use crate::platform::Headers;
 use crate::settings::Settings;
 use crate::traffic::Connections;
@@ -164,6 +165,8 @@
     pub(crate) connections: Connections,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) metrics: Metrics,
+    /// Datagrams to other hosts.
+    pub(crate) peers: PeerLink,
     /// What this host reaches.
     pub(crate) reach: Mutex<Reach>,
     /// Hosts that are known, this one among them.
--- a/crates/gateway/src/traffic/arrival.rs
+++ b/crates/gateway/src/traffic/arrival.rs
@@ -94,7 +94,7 @@
         ran: false,
         tried: Vec::new(),
         concluded: AtomicBool::new(false),
-        quota_taken: 0.0,
+        quota_taken: None,
         events: 0,
         _open: open,
     })
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -12,12 +12,13 @@
 use hyper::header::HeaderMap;
 use hyper::{Method, Request, Response, Uri};
 use tokio::sync::oneshot;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use super::answer::{AnswerBody, Reason, Refusal};
 use super::arrival::{self, OpenRequest, stale};
 use super::attempt::{self, Answered, Failure, Slot};
 use super::plain::Plain;
+use super::quota::TakenTokens;
 use super::stream;
 use crate::http_client::Connection;
 use crate::journal;
@@ -28,8 +29,6 @@
 pub(super) const RETRY_AFTER_REJECTED: Millis = Millis(300);
 /// The part of a request's time after which it is refused if it still waits.
 const WAIT_PART: f64 = 0.45;
-/// The part of a request's objective for which it may wait for its organisation's quota.
-const QUOTA_PATIENCE: f64 = 0.6;
 /// Objectives after which a stream is refused if it still waits: callers do not wait much longer.
 const WAIT_OBJECTIVES: f64 = 1.5;
 /// A plain answer that may be asked for twice is given up after this many objectives.
@@ -66,7 +65,7 @@
     /// Whether a log line says how it ended.
     pub(crate) concluded: AtomicBool,
     /// Tokens taken from the organisation's quota.
-    pub(super) quota_taken: f64,
+    pub(super) quota_taken: Option<TakenTokens>,
     /// Events passed on so far.
     pub(crate) events: u32,
     /// Counts the request while its answer is not complete.
@@ -78,9 +77,9 @@
         if !self.concluded.load(Ordering::Relaxed) {
             journal::caller_left(self);
         }
-        if let Some(organisation) = self.organisation_name().filter(|_| !self.ran) {
-            let mut desk = lock(&self.shared.desk);
-            desk.quotas.give_back(organisation, self.quota_taken);
+        let unused = self.quota_taken.take().filter(|_| !self.ran);
+        if let (Some(taken), Some(organisation)) = (unused, self.organisation_name()) {
+            taken.give_back(&self.shared, organisation);
         }
     }
 }
@@ -173,33 +172,6 @@
         self.place.route.kind.is_stream() && answered.response.status().is_success()
     }
 
-    /// Takes the request's tokens from its organisation's quota, and waits a little for them.
-    async fn take_quota(&mut self) -> Result<(), Refusal> {
-        let Some((organisation, quota)) = self
-            .place
-            .organisation
-            .as_ref()
-            .and_then(|org| Some((org, org.quota?)))
-        else {
-            return Ok(());
-        };
-        let tokens = match &self.head.prompt {
-            Some(prompt) => f64::from(prompt.tokens) + f64::from(prompt.max_output),
-            None => f64::from(quota.plain.0),
-        };
-        let now = self.shared.now();
-        let patience = Millis((self.place.route.objective.0 as f64 * QUOTA_PATIENCE) as u64);
-        let taken = lock(&self.shared.desk)
-            .quotas
-            .take(now, &organisation.name, quota, tokens, patience);
-        let wait = taken.map_err(|wait| Refusal::later(Reason::OverQuota, wait))?;
-        self.quota_taken = tokens;
-        if wait > Millis::ZERO {
-            sleep(wait.to_duration()).await;
-        }
-        Ok(())
-    }
-
     /// When the request is refused if it still waits.
     fn wait_limit(&self) -> Millis {
         let whole = self.deadline.since(self.arrived).0 as f64;
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -9,6 +9,7 @@
 mod exchange;
 mod listener;
 mod plain;
+mod quota;
 mod stream;
 
 pub(crate) use answer::Refusal;
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -1,6 +1,6 @@
 //! What hosts that route alone tell each other several times a second.
 
-use carawayseam_types::{BackendName, EngineKey, HostId, Incarnation, Millis, OrganisationId, Tier};
+use carawayseam_types::{BackendName, EngineKey, HostId, Incarnation, Millis, Tier};
 use serde::{Deserialize, Serialize};
 
 /// One host's heartbeat with its load.
@@ -18,8 +18,6 @@
     pub engines: Vec<EngineLoad>,
     /// Requests that wait at the sender.
     pub waiting: Vec<WaitingLoad>,
-    /// What the sender is asked for, by organisation, in tokens a second.
-    pub demand: Vec<(OrganisationId, u32)>,
     /// What the sender knows of moves between versions.
     pub moves: Vec<MoveCounts>,
     /// Contents under which servers crashed, and how often the sender saw it.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,6 +17,7 @@
 mod codec;
 mod datagram;
 mod digest;
+mod peers;
 mod stream;
 
 pub use beat::{Beat, EngineLoad, MoveCounts, WaitingLoad};
@@ -24,4 +25,5 @@
     MAX_DATAGRAM_BYTES, MAX_STREAM_BYTES, PROTOCOL_VERSION, WireError, decode, decode_datagram, encode,
 };
 pub use datagram::{Body, Datagram, Item, ItemKey, ItemPart, News, Peer, PeerRole, PeerState, Topic};
+pub use peers::{PeerMessage, QuotaAsk, QuotaOutcome};
 pub use stream::{ForwardFrame, ForwardedRequest, Head, Record, RecordKey, StreamReply, StreamRequest};
