Add a soak of gateway processes under faults drawn from seeds

Change: crates/soak starts gateways on loopback against the platform's stand-ins, behind proxies that delay, silence, cut one way and reset; it freezes, kills, stops and reloads processes, harms the store and the servers, changes configurations, takes keys away and orders moves. Callers and servers report to a ledger that names the first broken promise; the seed, the schedule and the logs are printed, and the seed plays again with one command. The setting peers_announced lets a relay stand before the datagrams. One seed runs with the tests.

Ruled out: proxies inside the gateway, since a process must be harmed from outside; a cluster simulator, since the real processes are to be seen.

--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -184,7 +184,7 @@
         ));
         tokio::spawn(control::send_beats(peers, control.clone()));
         let record = HostRecord {
-            address: shared.settings.peers,
+            address: shared.settings.peers_announced.unwrap_or(shared.settings.peers),
             incarnation,
         };
         let store = platform.store(shared.settings.store);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -29,6 +29,9 @@
     pub metrics: Option<SocketAddr>,
     /// Where peers send datagrams.
     pub peers: SocketAddr,
+    /// Where peers send them, if an address translation or relay stands before `peers`.
+    #[serde(default)]
+    pub peers_announced: Option<SocketAddr>,
     /// The platform's store.
     pub store: SocketAddr,
     /// Threads for traffic; control state has one of its own.
--- /dev/null
+++ b/crates/soak/src/ledger.rs
@@ -0,0 +1,539 @@
+//! What callers and servers saw, held against the promises.
+
+use std::collections::HashMap;
+
+use carawayseam_types::Millis;
+
+/// Faults are felt for this long after their end.
+const FAULT_FELT: Millis = Millis(3_000);
+/// A configuration binds this long after it was written.
+const CONFIGURATION_LAG: Millis = Millis(2_000);
+/// A key works for this long after it was taken away, at most.
+const REVOCATION_LAG: Millis = Millis(5_000);
+/// An older configuration may still be used for this long after a newer one was seen in use.
+const STEP_BACK_LAG: Millis = Millis(250);
+/// A leaving server may get requests for this long.
+const LEAVING_LAG: Millis = Millis(2_000);
+/// A request gets its final answer this long after its route's time limit, at the latest.
+const ANSWER_LAG: Millis = Millis(500);
+/// Late answers that are allowed in a run.
+const LATE_ANSWERS: u32 = 5;
+/// Requests that a bad version may get besides its share.
+const CANARY_EXTRA: u32 = 50;
+/// The share of requests that a bad version may get.
+const CANARY_SHARE: f64 = 0.1;
+
+/// Numbers requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, derive_more::Display)]
+pub struct RequestId(pub u64);
+
+/// A route of the soak's configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub enum Route {
+    /// Requests that run once at most.
+    #[display("calls")]
+    Calls,
+    /// Requests that may run again.
+    #[display("reads")]
+    Reads,
+    /// Streams of events.
+    #[display("guides")]
+    Guides,
+    /// Goes to another backend with each configuration; may run again.
+    #[display("steps")]
+    Steps,
+}
+
+/// What a disturbance concerns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope {
+    /// One gateway, or its links.
+    Gateway(usize),
+    /// A planned stop of a gateway.
+    PlannedStop(usize),
+    /// Backend servers, or the links to them.
+    Servers,
+    /// The store.
+    Store,
+}
+
+/// How a request ended for its caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Answer {
+    /// Its own whole answer.
+    Success,
+    /// A failure that promises nothing.
+    Failure(u16),
+    /// The word that it has not run and never will.
+    Refused {
+        /// The status.
+        status: u16,
+        /// Whether it says when to come back.
+        says_when: bool,
+    },
+    /// The connection ended early.
+    Cut,
+    /// What came is not the request's own whole answer, though it looks so.
+    Wrong(String),
+}
+
+/// The first promise that was broken.
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+pub enum Broken {
+    /// An answer that is not the request's own whole answer.
+    #[display("request {request} got a wrong answer: {what}")]
+    WrongAnswer {
+        /// The request.
+        request: RequestId,
+        /// What was wrong.
+        what: String,
+    },
+    /// A request that may run once ran again.
+    #[display("request {request} ran twice")]
+    RanTwice {
+        /// The request.
+        request: RequestId,
+    },
+    /// A request was said not to have run, and ran.
+    #[display("request {request} was answered {status} and ran")]
+    FalseRefusal {
+        /// The request.
+        request: RequestId,
+        /// The status.
+        status: u16,
+    },
+    /// A refusal does not say when to come back.
+    #[display("request {request} was answered {status} without a time to come back")]
+    NoTimeToComeBack {
+        /// The request.
+        request: RequestId,
+        /// The status.
+        status: u16,
+    },
+    /// A gateway went back to an older configuration.
+    #[display("request {request} was handled by configuration {used} after {seen} was in use")]
+    SteppedBack {
+        /// The request.
+        request: RequestId,
+        /// The configuration used.
+        used: usize,
+        /// The one seen before.
+        seen: usize,
+    },
+    /// A configuration was not in force in time.
+    #[display("request {request} was handled by configuration {used} though {newest} binds")]
+    Outdated {
+        /// The request.
+        request: RequestId,
+        /// The configuration used.
+        used: usize,
+        /// The one that binds.
+        newest: usize,
+    },
+    /// A key that was taken away worked.
+    #[display("request {request} ran with a key that was taken away {ago} before it was sent")]
+    RevokedKey {
+        /// The request.
+        request: RequestId,
+        /// How long before.
+        ago: Millis,
+    },
+    /// A leaving server got a request.
+    #[display("request {request} ran on server {server} that left {ago} before it was sent")]
+    RanOnLeaving {
+        /// The request.
+        request: RequestId,
+        /// The server.
+        server: usize,
+        /// How long before.
+        ago: Millis,
+    },
+    /// A planned stop cut a request.
+    #[display("request {request} was cut by a planned stop of gateway {gateway}")]
+    CutByPlannedStop {
+        /// The request.
+        request: RequestId,
+        /// The gateway.
+        gateway: usize,
+    },
+    /// A planned stop did not end well.
+    #[display("gateway {gateway} did not end well when it was asked to stop")]
+    NoCleanEnd {
+        /// The gateway.
+        gateway: usize,
+    },
+    /// Answers came too late.
+    #[display("request {request} is one of {count} whose answers came more than {ANSWER_LAG} late")]
+    Late {
+        /// The last of them.
+        request: RequestId,
+        /// How many.
+        count: u32,
+    },
+    /// A bad version got too many requests.
+    #[display("a bad version got {bad} of {all} requests")]
+    Exposed {
+        /// Requests that it got.
+        bad: u32,
+        /// All requests of its backend meanwhile.
+        all: u32,
+    },
+    /// A move had no end in time.
+    #[display("a move stood as {state} after its deadline")]
+    MoveOpen {
+        /// How it stood.
+        state: String,
+    },
+    /// Too few requests were served in calm.
+    #[display("{served} of {sent} requests were served in calm")]
+    NotServing {
+        /// Requests served.
+        served: u32,
+        /// Requests sent.
+        sent: u32,
+    },
+}
+
+#[derive(Debug)]
+struct Request {
+    gateway: usize,
+    incarnation: u32,
+    route: Route,
+    key: usize,
+    sent: Millis,
+    runs: u32,
+    refused: Option<u16>,
+}
+
+#[derive(Debug)]
+struct Disturbance {
+    scope: Scope,
+    until: Millis,
+}
+
+/// A move to a bad version while it lasts.
+#[derive(Debug, Default)]
+struct Exposure {
+    bad: u32,
+    all: u32,
+}
+
+/// All that was seen in a run.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    requests: HashMap<RequestId, Request>,
+    disturbances: Vec<Disturbance>,
+    /// When each configuration was written.
+    configurations: Vec<Millis>,
+    revoked: HashMap<usize, Millis>,
+    leaving: HashMap<usize, Millis>,
+    /// Configurations that servers saw in use, by gateway and incarnation, with the time.
+    in_use: HashMap<(usize, u32), Vec<(Millis, usize)>>,
+    late: u32,
+    exposure: Option<Exposure>,
+    calm_sent: u32,
+    calm_served: u32,
+}
+
+impl Ledger {
+    /// Notes that something is disturbed from now on; gives its number.
+    pub fn disturb(&mut self, scope: Scope) -> usize {
+        self.disturbances.push(Disturbance {
+            scope,
+            until: Millis::MAX,
+        });
+        self.disturbances.len() - 1
+    }
+
+    /// Notes that a disturbance ended.
+    pub fn end_disturbance(&mut self, now: Millis, number: usize) {
+        if let Some(disturbance) = self.disturbances.get_mut(number) {
+            disturbance.until = now;
+        }
+    }
+
+    /// Whether nothing of these scopes was disturbed from a time on, nor shortly before.
+    fn was_calm(&self, from: Millis, scopes: &[Scope]) -> bool {
+        let since = from - FAULT_FELT;
+        !self
+            .disturbances
+            .iter()
+            .any(|disturbance| scopes.contains(&disturbance.scope) && disturbance.until >= since)
+    }
+
+    fn in_touch(&self, gateway: usize, from: Millis) -> bool {
+        let scopes = [Scope::Gateway(gateway), Scope::PlannedStop(gateway), Scope::Store];
+        self.was_calm(from, &scopes)
+    }
+
+    /// Notes that the store holds the next configuration.
+    pub fn configured(&mut self, now: Millis) {
+        self.configurations.push(now);
+    }
+
+    /// Notes that the store holds a configuration without a key.
+    pub fn revoked(&mut self, now: Millis, key: usize) {
+        self.revoked.insert(key, now);
+    }
+
+    /// Notes that the store says that a server leaves.
+    pub fn leaving(&mut self, now: Millis, server: usize) {
+        self.leaving.insert(server, now);
+    }
+
+    /// Notes that a caller sends a request.
+    pub fn sent(&mut self, now: Millis, request: RequestId, gateway: (usize, u32), route: Route, key: usize) {
+        let (gateway, incarnation) = gateway;
+        let request_sent = Request {
+            gateway,
+            incarnation,
+            route,
+            key,
+            sent: now,
+            runs: 0,
+            refused: None,
+        };
+        self.requests.insert(request, request_sent);
+    }
+
+    /// Notes that a server begins to run a request.
+    ///
+    /// # Errors
+    ///
+    /// The promise that this breaks.
+    pub fn ran(&mut self, now: Millis, id: RequestId, server: usize) -> Result<(), Broken> {
+        let Some(request) = self.requests.get_mut(&id) else {
+            let what = "no caller sent it".to_owned();
+            return Err(Broken::WrongAnswer { request: id, what });
+        };
+        request.runs += 1;
+        let runs_once = request.route == Route::Calls;
+        if runs_once && request.runs > 1 {
+            return Err(Broken::RanTwice { request: id });
+        }
+        if let Some(status) = request.refused.filter(|_| runs_once) {
+            return Err(Broken::FalseRefusal { request: id, status });
+        }
+        let (sent, key, gateway) = (request.sent, request.key, request.gateway);
+        let revoked = Self::since(&self.revoked, key, sent);
+        if let Some(ago) = revoked.filter(|ago| *ago > REVOCATION_LAG) {
+            return Err(Broken::RevokedKey { request: id, ago });
+        }
+        let left = Self::since(&self.leaving, server, sent);
+        match left.filter(|ago| *ago > LEAVING_LAG) {
+            Some(ago) if self.in_touch(gateway, sent.min(now)) => Err(Broken::RanOnLeaving {
+                request: id,
+                server,
+                ago,
+            }),
+            _ => Ok(()),
+        }
+    }
+
+    /// The time from an event to the sending of a request, if it came before.
+    fn since(events: &HashMap<usize, Millis>, subject: usize, sent: Millis) -> Option<Millis> {
+        events
+            .get(&subject)
+            .filter(|at| **at < sent)
+            .map(|at| sent.since(*at))
+    }
+
+    /// Notes which configuration a request was handled by.
+    ///
+    /// # Errors
+    ///
+    /// The promise that this breaks.
+    pub fn stepped(&mut self, now: Millis, id: RequestId, used: usize) -> Result<(), Broken> {
+        let Some(request) = self.requests.get(&id) else {
+            return Ok(());
+        };
+        let (sent, gateway) = (request.sent, request.gateway);
+        let in_use = self.in_use.entry((gateway, request.incarnation)).or_default();
+        let before = in_use.iter().filter(|(at, _)| *at + STEP_BACK_LAG < sent);
+        let seen = before.map(|(_, seen)| *seen).max();
+        in_use.push((now, used));
+        if let Some(seen) = seen.filter(|seen| *seen > used) {
+            return Err(Broken::SteppedBack {
+                request: id,
+                used,
+                seen,
+            });
+        }
+        let binding = self
+            .configurations
+            .iter()
+            .filter(|at| **at + CONFIGURATION_LAG < sent);
+        let newest = binding.count().saturating_sub(1);
+        if used < newest && self.in_touch(gateway, sent) {
+            return Err(Broken::Outdated {
+                request: id,
+                used,
+                newest,
+            });
+        }
+        Ok(())
+    }
+
+    /// Notes how a request ended for its caller.
+    ///
+    /// # Errors
+    ///
+    /// The promise that this breaks.
+    pub fn answered(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        answer: &Answer,
+        limit: Millis,
+    ) -> Result<(), Broken> {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return Ok(());
+        };
+        let (gateway, sent, runs) = (request.gateway, request.sent, request.runs);
+        let runs_once = request.route == Route::Calls;
+        match answer {
+            Answer::Wrong(what) => {
+                return Err(Broken::WrongAnswer {
+                    request: id,
+                    what: what.clone(),
+                });
+            }
+            Answer::Refused { status, .. } if runs_once && runs > 0 => {
+                return Err(Broken::FalseRefusal {
+                    request: id,
+                    status: *status,
+                });
+            }
+            Answer::Refused { status, says_when } => {
+                request.refused = Some(*status);
+                if !says_when {
+                    return Err(Broken::NoTimeToComeBack {
+                        request: id,
+                        status: *status,
+                    });
+                }
+            }
+            Answer::Success | Answer::Failure(_) | Answer::Cut => {}
+        }
+        self.judge_time(now, id, (gateway, sent), limit)?;
+        self.judge_calm(id, (gateway, sent), runs, answer)
+    }
+
+    fn judge_time(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        (gateway, sent): (usize, Millis),
+        limit: Millis,
+    ) -> Result<(), Broken> {
+        if now.since(sent) > limit + ANSWER_LAG && self.in_touch(gateway, sent) {
+            self.late += 1;
+        }
+        if self.late > LATE_ANSWERS {
+            return Err(Broken::Late {
+                request: id,
+                count: self.late,
+            });
+        }
+        Ok(())
+    }
+
+    fn judge_calm(
+        &mut self,
+        id: RequestId,
+        (gateway, sent): (usize, Millis),
+        runs: u32,
+        answer: &Answer,
+    ) -> Result<(), Broken> {
+        let unplanned = [Scope::Gateway(gateway), Scope::Servers, Scope::Store];
+        if !self.was_calm(sent, &unplanned) {
+            return Ok(());
+        }
+        if *answer == Answer::Cut && runs > 0 {
+            return Err(Broken::CutByPlannedStop { request: id, gateway });
+        }
+        let key = self.requests.get(&id).map(|request| request.key);
+        let has_key = key.is_some_and(|key| !self.revoked.contains_key(&key));
+        if has_key && self.in_touch(gateway, sent) {
+            self.calm_sent += 1;
+            self.calm_served += u32::from(*answer == Answer::Success);
+        }
+        Ok(())
+    }
+
+    /// A move to a bad version begins.
+    pub fn exposure_begins(&mut self) {
+        self.exposure = Some(Exposure::default());
+    }
+
+    /// A request of the moving backend ran on the old or the new version.
+    ///
+    /// # Errors
+    ///
+    /// The promise that this breaks.
+    pub fn exposed(&mut self, is_new: bool) -> Result<(), Broken> {
+        let Some(exposure) = &mut self.exposure else {
+            return Ok(());
+        };
+        exposure.all += 1;
+        exposure.bad += u32::from(is_new);
+        let allowed = (f64::from(exposure.all) * CANARY_SHARE) as u32 + CANARY_EXTRA;
+        let (bad, all) = (exposure.bad, exposure.all);
+        if bad > allowed {
+            return Err(Broken::Exposed { bad, all });
+        }
+        Ok(())
+    }
+
+    /// A move ended, or its deadline passed.
+    ///
+    /// # Errors
+    ///
+    /// The promise that this breaks.
+    pub fn move_ended(&mut self, ordered: Millis, wanted: &str, state: &str) -> Result<(), Broken> {
+        self.exposure = None;
+        if state != wanted && self.was_calm(ordered, &[Scope::Store, Scope::Servers]) {
+            return Err(Broken::MoveOpen {
+                state: state.to_owned(),
+            });
+        }
+        Ok(())
+    }
+
+    /// A gateway that was asked to stop has ended.
+    ///
+    /// # Errors
+    ///
+    /// The promise that this breaks.
+    pub fn stopped(&self, asked: Millis, gateway: usize, ended_well: bool) -> Result<(), Broken> {
+        if !ended_well && self.was_calm(asked, &[Scope::Gateway(gateway)]) {
+            return Err(Broken::NoCleanEnd { gateway });
+        }
+        Ok(())
+    }
+
+    /// Judges the whole run.
+    ///
+    /// # Errors
+    ///
+    /// When too few requests were served in calm.
+    pub fn finish(&self, least_share: f64) -> Result<(), Broken> {
+        let (served, sent) = self.calm();
+        if f64::from(served) < f64::from(sent) * least_share {
+            return Err(Broken::NotServing { served, sent });
+        }
+        Ok(())
+    }
+
+    /// How many requests were served and sent in calm.
+    #[must_use]
+    pub const fn calm(&self) -> (u32, u32) {
+        (self.calm_served, self.calm_sent)
+    }
+
+    /// How many requests callers sent.
+    #[must_use]
+    pub fn request_count(&self) -> usize {
+        self.requests.len()
+    }
+}
--- /dev/null
+++ b/crates/soak/src/operator.rs
@@ -0,0 +1,90 @@
+//! What the operator writes: configurations, keys, and orders to move.
+
+use carawayseam_platform_standins::Store;
+use carawayseam_platform_standins::documents::{
+    CONFIGURATION_KEY, Configuration, Kind, Route as ConfiguredRoute, move_order, move_status_key,
+};
+
+use crate::callers::TIME_LIMIT;
+use crate::ledger::Route;
+
+/// The backend of all routes but the steps.
+pub(crate) const BACKEND: &str = "app";
+/// Keys that are never taken away.
+const LASTING_KEYS: usize = 2;
+
+/// The operator, with the newest configuration.
+#[derive(Debug)]
+pub(crate) struct Operator {
+    store: Store,
+    revision: u64,
+    /// Which backend serves the steps.
+    pub(crate) step: usize,
+    keys: Vec<String>,
+    /// Whether a move is under way.
+    pub(crate) moves: bool,
+}
+
+/// The backend that serves the steps in a configuration.
+pub(crate) fn step_backend(step: usize) -> String {
+    format!("step-{step}")
+}
+
+impl Operator {
+    pub(crate) fn new(store: Store, keys: &[String]) -> Self {
+        Self {
+            store,
+            revision: 0,
+            step: 0,
+            keys: keys.to_vec(),
+            moves: false,
+        }
+    }
+
+    /// Writes the configuration as it stands.
+    pub(crate) fn write(&mut self) {
+        self.revision += 3;
+        let route = |route: Route, kind, backend: &str| ConfiguredRoute {
+            segment: route.to_string(),
+            kind,
+            backend: backend.to_owned(),
+            timeout_ms: TIME_LIMIT.0,
+        };
+        let configuration = Configuration {
+            revision: self.revision,
+            routes: vec![
+                route(Route::Calls, Kind::Call, BACKEND),
+                route(Route::Reads, Kind::Read, BACKEND),
+                route(Route::Guides, Kind::Stream, BACKEND),
+                route(Route::Steps, Kind::Read, &step_backend(self.step)),
+            ],
+            keys: self.keys.clone(),
+        };
+        let document = configuration.document().to_string();
+        self.store.put(CONFIGURATION_KEY, document.as_bytes());
+    }
+
+    /// Takes the last key away that may be; gives its number.
+    pub(crate) fn take_key(&mut self) -> Option<usize> {
+        if self.keys.len() <= LASTING_KEYS {
+            return None;
+        }
+        self.keys.pop();
+        self.write();
+        Some(self.keys.len())
+    }
+
+    /// Orders a move of the backend to a version.
+    pub(crate) fn order_move(&self, version: &str, over_s: u32) {
+        let (key, order) = move_order(BACKEND, version, over_s);
+        self.store.put(&key, order.to_string().as_bytes());
+    }
+
+    /// How the move to a version stands, as the gateways wrote it.
+    pub(crate) fn move_state(&self, version: &str) -> String {
+        let status = self.store.get(&move_status_key(BACKEND));
+        let status = status.filter(|status| status["target"] == version);
+        let state = status.as_ref().and_then(|status| status["state"].as_str());
+        state.unwrap_or("running").to_owned()
+    }
+}
--- /dev/null
+++ b/crates/soak/src/schedule.rs
@@ -0,0 +1,226 @@
+//! What goes wrong when, drawn from a seed.
+
+use carawayseam_types::Millis;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+/// Faults overlap in this part of a round; the rest is calm.
+const STORM_PART: f64 = 0.55;
+/// A round of faults and calm.
+const ROUND: Millis = Millis(14_000);
+/// Faults of a round, for each gateway.
+const FAULTS_PER_GATEWAY: f64 = 0.8;
+/// Planned stops begin this long after the storm, when its effects are over.
+const STOP_AFTER_STORM: Millis = Millis(3_300);
+const SHORTEST_FAULT: u64 = 200;
+const LONGEST_FAULT: u64 = 3_500;
+
+/// How much takes part in a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Size {
+    /// Gateway processes.
+    pub gateways: usize,
+    /// Backend servers of the movable backend.
+    pub servers: usize,
+    /// How long the run lasts.
+    pub length: Millis,
+}
+
+/// What a connection suffers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Link {
+    /// Bytes take longer, each way.
+    Delayed(Millis),
+    /// Nothing passes.
+    Silent,
+    /// Only what goes to the target passes.
+    OneWay,
+    /// Connections are reset, and new ones too.
+    Reset,
+}
+
+/// What the store suffers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreTrouble {
+    /// It refuses each call.
+    Refuses,
+    /// It answers nothing.
+    Silent,
+    /// It answers late.
+    Slow(Millis),
+    /// It loses answers.
+    LosesAnswers,
+    /// Writes are done late and not answered.
+    WritesLate(Millis),
+}
+
+/// How a backend server misbehaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Misbehaviour {
+    /// It says that it is full.
+    Full,
+    /// It answers with failures.
+    Fails,
+    /// It runs requests and closes the connection.
+    LosesAnswers,
+    /// It breaks answers off in the middle.
+    BreaksOff,
+    /// It answers for another request.
+    Garbles,
+}
+
+/// One thing that happens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// A gateway process stands still.
+    Freeze(usize),
+    /// A gateway process is killed, and started again afterwards.
+    Kill(usize),
+    /// A gateway process is asked to stop, and started again when it has ended.
+    Stop(usize),
+    /// A gateway's settings file is to be read again.
+    Reload(usize),
+    /// A gateway's path to the store suffers.
+    StoreLink(usize, Link),
+    /// A gateway gets no datagrams of the others.
+    PeerLink(usize),
+    /// All gateways' path to a server suffers.
+    ServerLink(usize, Link),
+    /// The store misbehaves.
+    Store(StoreTrouble),
+    /// The store forgets its history.
+    Forget,
+    /// All leases end.
+    Lapse,
+    /// A server crashes, and starts anew afterwards.
+    Crash(usize),
+    /// A server misbehaves.
+    Misbehave(usize, Misbehaviour),
+    /// A server says that it leaves, and is replaced.
+    Leave(usize),
+    /// The operator writes the next configuration.
+    Configure,
+    /// The operator takes a key away.
+    Revoke,
+    /// The operator orders a move to a version that is good or bad.
+    Move(Quality),
+}
+
+/// Whether a version answers well.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Quality {
+    /// It answers as the old one does.
+    Good,
+    /// Half of its answers are failures.
+    Bad,
+}
+
+/// A fault with its time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Entry {
+    /// When it begins, from the start of traffic.
+    pub at: Millis,
+    /// How long it lasts, where that has a meaning.
+    pub lasts: Millis,
+    /// What happens.
+    pub fault: Fault,
+}
+
+/// All faults of a run, in order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Schedule {
+    /// What it was drawn from.
+    pub seed: u64,
+    /// The faults.
+    pub entries: Vec<Entry>,
+}
+
+impl Schedule {
+    /// Draws the faults of a run.
+    #[must_use]
+    pub fn draw(seed: u64, size: Size) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut entries = Vec::new();
+        let mut from = Millis::ZERO;
+        while from < size.length {
+            round(&mut rng, size, from, &mut entries);
+            from += ROUND;
+        }
+        entries.retain(|entry| entry.at < size.length);
+        entries.sort_by_key(|entry| entry.at);
+        Self { seed, entries }
+    }
+}
+
+fn round(rng: &mut StdRng, size: Size, from: Millis, entries: &mut Vec<Entry>) {
+    let storm = (ROUND.0 as f64 * STORM_PART) as u64;
+    let count = (size.gateways as f64 * FAULTS_PER_GATEWAY).ceil() as usize + 2;
+    for _ in 0..count {
+        entries.push(Entry {
+            at: from + Millis(rng.random_range(0..storm)),
+            lasts: Millis(rng.random_range(SHORTEST_FAULT..LONGEST_FAULT)),
+            fault: draw(rng, size),
+        });
+    }
+    // Planned work goes on in the calm part, too.
+    let calm = from + Millis(storm) + STOP_AFTER_STORM;
+    for fault in [Fault::Stop(rng.random_range(0..size.gateways)), Fault::Configure] {
+        entries.push(Entry {
+            at: calm,
+            lasts: Millis::ZERO,
+            fault,
+        });
+    }
+}
+
+fn draw(rng: &mut StdRng, size: Size) -> Fault {
+    let gateway = rng.random_range(0..size.gateways);
+    let server = rng.random_range(0..size.servers);
+    match rng.random_range(0..20) {
+        0 | 1 => Fault::Freeze(gateway),
+        2 | 3 => Fault::Kill(gateway),
+        4 => Fault::Stop(gateway),
+        5 => Fault::Reload(gateway),
+        6 | 7 => Fault::StoreLink(gateway, link(rng)),
+        8 => Fault::PeerLink(gateway),
+        9 | 10 => Fault::ServerLink(server, link(rng)),
+        11 => Fault::Store(store_trouble(rng)),
+        12 => Fault::Forget,
+        13 => Fault::Lapse,
+        14 => Fault::Crash(server),
+        15 | 16 => Fault::Misbehave(server, misbehaviour(rng)),
+        17 => Fault::Leave(server),
+        18 => Fault::Revoke,
+        _ if rng.random() => Fault::Move(Quality::Good),
+        _ => Fault::Move(Quality::Bad),
+    }
+}
+
+fn link(rng: &mut StdRng) -> Link {
+    match rng.random_range(0..4) {
+        0 => Link::Delayed(Millis(rng.random_range(5..400))),
+        1 => Link::Silent,
+        2 => Link::OneWay,
+        _ => Link::Reset,
+    }
+}
+
+fn store_trouble(rng: &mut StdRng) -> StoreTrouble {
+    match rng.random_range(0..5) {
+        0 => StoreTrouble::Refuses,
+        1 => StoreTrouble::Silent,
+        2 => StoreTrouble::Slow(Millis(rng.random_range(50..600))),
+        3 => StoreTrouble::LosesAnswers,
+        _ => StoreTrouble::WritesLate(Millis(rng.random_range(1_000..5_000))),
+    }
+}
+
+fn misbehaviour(rng: &mut StdRng) -> Misbehaviour {
+    match rng.random_range(0..5) {
+        0 => Misbehaviour::Full,
+        1 => Misbehaviour::Fails,
+        2 => Misbehaviour::LosesAnswers,
+        3 => Misbehaviour::BreaksOff,
+        _ => Misbehaviour::Garbles,
+    }
+}
--- /dev/null
+++ b/crates/soak/src/servers.rs
@@ -0,0 +1,184 @@
+//! Backend servers that tell the ledger what they run, and misbehave on demand.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use carawayseam_platform_standins::documents::ServerEntry;
+use carawayseam_platform_standins::engine::{answer, chunk, event, misdirected, rejected, stream_head};
+use carawayseam_platform_standins::{Engine, Received, Step};
+use rand::RngExt;
+
+use crate::ledger::RequestId;
+use crate::proxy::TcpProxy;
+use crate::recorder::Recorder;
+use crate::schedule::Misbehaviour;
+
+/// Events of a stream.
+pub(crate) const EVENTS: u32 = 6;
+/// The time between two events, in milliseconds.
+const EVENT_GAP_MS: u64 = 25;
+/// How long a plain answer takes, in milliseconds.
+const SHORTEST_WORK_MS: u64 = 5;
+const LONGEST_WORK_MS: u64 = 60;
+/// The share of requests that a misbehaving server harms.
+const HARMED_SHARE: f64 = 0.5;
+/// The share of failures in a bad version's answers.
+const BAD_VERSION_SHARE: f64 = 0.5;
+
+/// What a server is.
+#[derive(Debug, Clone)]
+pub(crate) struct Identity {
+    /// Numbers servers of all starts.
+    pub(crate) number: usize,
+    pub(crate) backend: String,
+    pub(crate) version: String,
+    /// The configuration whose requests come here, for the backends of the steps route.
+    pub(crate) step: Option<usize>,
+    /// Whether half of its answers are failures.
+    pub(crate) is_bad: bool,
+}
+
+impl Identity {
+    pub(crate) fn id(&self) -> String {
+        format!("i-{:04}", self.number)
+    }
+}
+
+/// A server with its proxy.
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub(crate) identity: Identity,
+    pub(crate) link: TcpProxy,
+    engine: Engine,
+    misbehaviour: Arc<Mutex<Option<Misbehaviour>>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Server {
+    pub(crate) async fn start(identity: Identity, recorder: Recorder) -> std::io::Result<Self> {
+        let misbehaviour = Arc::new(Mutex::new(None));
+        let behaves = Arc::clone(&misbehaviour);
+        let me = identity.clone();
+        let engine = Engine::start(move |received, _| {
+            let trouble = *lock(&behaves);
+            serve(&me, &recorder, received, trouble)
+        });
+        let engine = engine.await;
+        let link = TcpProxy::start(engine.address).await?;
+        Ok(Self {
+            identity,
+            link,
+            engine,
+            misbehaviour,
+        })
+    }
+
+    pub(crate) fn misbehave(&self, trouble: Option<Misbehaviour>) {
+        *lock(&self.misbehaviour) = trouble;
+    }
+
+    /// Ends at once, with all its connections.
+    pub(crate) fn stop(&self) {
+        self.engine.stop();
+    }
+
+    /// Its entry in the store.
+    pub(crate) fn entry(&self, leaving: bool) -> ServerEntry {
+        ServerEntry {
+            backend: self.identity.backend.clone(),
+            address: self.address(),
+            version: self.identity.version.clone(),
+            leaving,
+            born: self.identity.number as u64 + 1,
+        }
+    }
+
+    const fn address(&self) -> SocketAddr {
+        self.link.address()
+    }
+}
+
+fn serve(
+    me: &Identity,
+    recorder: &Recorder,
+    received: &Received,
+    trouble: Option<Misbehaviour>,
+) -> Vec<Step> {
+    let mut rng = rand::rng();
+    let trouble = trouble.filter(|_| rng.random_bool(HARMED_SHARE));
+    match trouble {
+        _ if received.expected_server().is_some_and(|id| id != me.id()) => {
+            return vec![Step::Write(misdirected(received))];
+        }
+        Some(Misbehaviour::Full) => return vec![Step::Write(rejected(received))],
+        _ => {}
+    }
+    note_run(me, recorder, received);
+    let work = Step::Wait(rng.random_range(SHORTEST_WORK_MS..LONGEST_WORK_MS));
+    let fails = me.is_bad && rng.random_bool(BAD_VERSION_SHARE);
+    let steps = match trouble {
+        Some(Misbehaviour::Fails) => failure(received),
+        Some(Misbehaviour::LosesAnswers) => vec![Step::Close],
+        Some(Misbehaviour::Garbles) => {
+            let id = received.request_id();
+            let other = answer(received, "200 OK", &format!("{id} done"));
+            vec![Step::Write(other.replace(id, "other"))]
+        }
+        _ if fails => failure(received),
+        trouble => success(received, trouble == Some(Misbehaviour::BreaksOff)),
+    };
+    std::iter::once(work).chain(steps).collect()
+}
+
+fn note_run(me: &Identity, recorder: &Recorder, received: &Received) {
+    let id = RequestId(received.request_id().parse().unwrap_or_default());
+    recorder.judge(|now, ledger| ledger.ran(now, id, me.number));
+    match me.step {
+        Some(step) => recorder.judge(|now, ledger| ledger.stepped(now, id, step)),
+        None => recorder.judge(|_, ledger| ledger.exposed(me.is_bad)),
+    }
+}
+
+fn failure(received: &Received) -> Vec<Step> {
+    vec![Step::Write(answer(
+        received,
+        "500 Internal Server Error",
+        "failed",
+    ))]
+}
+
+fn success(received: &Received, breaks_off: bool) -> Vec<Step> {
+    if received.head.contains("/guides/") {
+        return stream(received, breaks_off);
+    }
+    let whole = answer(received, "200 OK", &format!("{} done", received.request_id()));
+    if breaks_off {
+        return vec![Step::Write(whole[..whole.len() - 3].to_owned()), Step::Close];
+    }
+    vec![Step::Write(whole)]
+}
+
+/// Events from the one after the last that the caller has.
+fn stream(received: &Received, breaks_off: bool) -> Vec<Step> {
+    let first = received.last_event().unwrap_or(0) + 1;
+    let mut steps = vec![Step::Write(stream_head(received))];
+    for number in first..=EVENTS {
+        steps.push(Step::Wait(EVENT_GAP_MS));
+        if breaks_off && number == first + 1 {
+            let partial = event(number);
+            steps.push(Step::Write(partial[..partial.len() / 2].to_owned()));
+            steps.push(Step::Close);
+            return steps;
+        }
+        steps.push(Step::Write(event_of(received, number)));
+    }
+    steps.push(Step::Write("0\r\n\r\n".to_owned()));
+    steps
+}
+
+fn event_of(received: &Received, number: u32) -> String {
+    chunk(&format!("id: {number}\ndata: {}\n\n", received.request_id()))
+}
--- /dev/null
+++ b/tests/soak.rs
@@ -0,0 +1,29 @@
+//! A short soak of gateway processes; longer ones are run by hand with `scripts/soak`.
+
+use std::path::Path;
+
+use carawayseam_soak::{Size, print, run};
+use carawayseam_types::Millis;
+
+const SIZE: Size = Size {
+    gateways: 4,
+    servers: 4,
+    length: Millis(28_000),
+};
+
+macro_rules! kept {
+    ($name:ident: $seed:expr) => {
+        #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+        async fn $name() {
+            let program = Path::new(env!("CARGO_BIN_EXE_carawayseam-gateway"));
+            let verdict = run(program, $seed, SIZE)
+                .await
+                .expect("the soak can be played");
+            print(&verdict);
+            assert!(verdict.broken.is_none(), "a promise was broken");
+            assert!(verdict.calm.1 > 0, "some requests were sent in calm");
+        }
+    };
+}
+
+kept!(a_short_run_keeps_every_promise: 1);
