Let one host count each backend server's slots

Ruled out: slow servers (the late ones stood at full servers), quota, order in the own queue (171 ms of the mean).

Change: a host asks the keeper of the server's slots (highest hash of server and host in its group) before it sends; the keeper counts what hosts announced and what it gave since. A request whose slot was taken goes back to its queue and on to another server. An answer that does not come within 15 ms is not waited for. Slots are returned by datagram, and corrected by announcements.

Test: of_many_hosts_that_see_one_slot_free_one_gets_it, and four more.

--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -70,7 +70,7 @@
     },
     /// The document is wrong.
     #[display("{_0}")]
-    Document(DocumentError),
+    Document(#[error(not(source))] DocumentError),
     /// Engines did not answer as the document declares them.
     #[display("the trial failed: {}", list(findings))]
     #[from(skip)]
--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -13,7 +13,6 @@
     /// The field's path, such as `engines[2].version`.
     pub field: CompactString,
     /// What is wrong with it.
-    #[error(source)]
     pub problem: DocumentProblem,
 }
 
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -27,6 +27,7 @@
 struct Running {
     backend: BackendName,
     engine: EngineId,
+    tier: Tier,
     started: Millis,
     /// Tokens to read before the first event, this request's own among them.
     ahead: f64,
@@ -199,11 +200,13 @@
         let Some(running) = self.running.remove(&ticket) else {
             return actions;
         };
-        let engine = self
-            .pools
-            .get_mut(&running.backend)
-            .and_then(|pool| pool.engine_mut(&running.engine));
-        if let Some(engine) = engine {
+        let Some(pool) = self.pools.get_mut(&running.backend) else {
+            return actions;
+        };
+        if end == AttemptEnd::Taken {
+            pool.uncount_start(running.tier);
+        }
+        if let Some(engine) = pool.engine_mut(&running.engine) {
             engine.running = engine.running.saturating_sub(1);
             if running.is_first_event_due {
                 engine.prompt_ahead = (engine.prompt_ahead - running.own).max(0.0);
@@ -267,6 +270,26 @@
         self.pump_all()
     }
 
+    /// Gives a peer a slot of a server; none if the server is not known here.
+    pub fn grant_slot(&mut self, now: Millis, host: &HostId, engine: EngineKey) -> Option<bool> {
+        let engine = self.engine_by_key(engine)?;
+        Some(engine.grant(now, host))
+    }
+
+    /// A peer's request left a server.
+    pub fn slot_returned(&mut self, now: Millis, host: &HostId, engine: EngineKey) -> Vec<Action> {
+        self.now = self.now.max(now);
+        if let Some(engine) = self.engine_by_key(engine) {
+            engine.returned(host);
+        }
+        self.pump_all()
+    }
+
+    fn engine_by_key(&mut self, key: EngineKey) -> Option<&mut Engine> {
+        let mut engines = self.pools.values_mut().flat_map(|pool| &mut pool.engines);
+        engines.find(|engine| engine.key == key)
+    }
+
     /// What the peers should know.
     #[must_use]
     pub fn own_load(&self) -> OwnLoad {
@@ -378,6 +401,7 @@
             let running = Running {
                 backend: backend.clone(),
                 engine: engine.entry.id.clone(),
+                tier: job.tier,
                 started: self.now,
                 ahead,
                 own,
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -17,6 +17,8 @@
 const PROBE_INTERVAL: Millis = Millis(350);
 /// How long a server is passed over whose address another server has.
 const MISDIRECTED_PAUSE: Millis = Millis::from_secs(2);
+/// How long a server is passed over whose slots are all taken, as their keeper says.
+const TAKEN_PAUSE: Millis = Millis(40);
 /// How long a server is passed over that said it takes no more.
 const FULL_PAUSE: Millis = Millis(100);
 /// Shared beginnings remembered for one server.
@@ -55,6 +57,9 @@
     /// The server said that it did not run the request.
     #[display("rejected")]
     Rejected,
+    /// The keeper of the server's slots has none to give; nothing was sent.
+    #[display("no slot left")]
+    Taken,
     /// Another server has the address; nothing ran.
     #[display("misdirected")]
     Misdirected,
@@ -104,6 +109,8 @@
     pub(crate) prompt_ahead: f64,
     pub(crate) speed: Speed,
     peers: HashMap<HostId, (Millis, PeerLoad)>,
+    /// Slots given to peers since they announced their load.
+    granted: HashMap<HostId, (Millis, u32)>,
     failures: f64,
     judged_at: Millis,
     paused_until: Millis,
@@ -122,6 +129,7 @@
             prompt_ahead: 0.0,
             speed: Speed::default(),
             peers: HashMap::new(),
+            granted: HashMap::new(),
             failures: 0.0,
             judged_at: Millis::ZERO,
             paused_until: Millis::ZERO,
@@ -150,6 +158,28 @@
 
     pub(crate) fn on_peer_load(&mut self, now: Millis, host: &HostId, load: PeerLoad) {
         self.peers.insert(host.clone(), (now, load));
+        self.granted.remove(host);
+    }
+
+    /// Gives a peer a slot, if one is free.
+    pub(crate) fn grant(&mut self, now: Millis, host: &HostId) -> bool {
+        let is_free = self.used(now) < self.entry.slots;
+        if is_free {
+            let (at, count) = self.granted.entry(host.clone()).or_default();
+            *at = now;
+            *count += 1;
+        }
+        is_free
+    }
+
+    /// A peer's request left the server.
+    pub(crate) fn returned(&mut self, host: &HostId) {
+        let granted = self.granted.get_mut(host).map(|(_, count)| count);
+        match (granted, self.peers.get_mut(host)) {
+            (Some(count), _) if *count > 0 => *count -= 1,
+            (_, Some((_, load))) => load.running = load.running.saturating_sub(1),
+            (_, None) => {}
+        }
     }
 
     /// The load of all peers that was announced lately.
@@ -158,10 +188,16 @@
             .peers
             .values()
             .filter(|(at, _)| now.since(*at) <= PEER_LOAD_COUNTS);
-        fresh.fold(PeerLoad::default(), |sum, (_, load)| PeerLoad {
+        let mut sum = fresh.fold(PeerLoad::default(), |sum, (_, load)| PeerLoad {
             running: sum.running + load.running,
             prompt_ahead: sum.prompt_ahead + load.prompt_ahead,
-        })
+        });
+        let granted = self
+            .granted
+            .values()
+            .filter(|(at, _)| now.since(*at) <= PEER_LOAD_COUNTS);
+        sum.running += granted.map(|(_, count)| *count).sum::<u32>();
+        sum
     }
 
     /// The requests of all hosts here.
@@ -171,12 +207,13 @@
 
     pub(crate) fn on_end(&mut self, now: Millis, end: AttemptEnd) {
         match end {
+            AttemptEnd::Taken => self.paused_until = now + TAKEN_PAUSE,
             AttemptEnd::Rejected => self.paused_until = now + FULL_PAUSE,
             AttemptEnd::Misdirected => self.paused_until = now + MISDIRECTED_PAUSE,
             AttemptEnd::Unreachable | AttemptEnd::Silent => self.probe_at = Some(now),
             _ => {}
         }
-        if end != AttemptEnd::Cancelled {
+        if !matches!(end, AttemptEnd::Cancelled | AttemptEnd::Taken) {
             let outcome = if end.is_failure() { 1.0 } else { 0.0 };
             self.failures = self.failure_share(now) * (1.0 - OUTCOME_WEIGHT) + outcome * OUTCOME_WEIGHT;
             self.judged_at = now;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod dispatcher;
 pub mod engine;
 pub mod freshness;
+pub mod group;
 mod job;
 pub mod load;
 pub mod moves;
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -110,6 +110,13 @@
         self.starts.entry(tier).or_default().count(now);
     }
 
+    /// Notes that a request of a tier did not start after all.
+    pub(crate) fn uncount_start(&mut self, tier: Tier) {
+        if let Some(rate) = self.starts.get_mut(&tier) {
+            rate.weight = (rate.weight - 1.0).max(0.0);
+        }
+    }
+
     pub(crate) fn engine_mut(&mut self, id: &EngineId) -> Option<&mut Engine> {
         self.engines.iter_mut().find(|engine| engine.entry.id == *id)
     }
--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -8,9 +8,10 @@
 
 use std::collections::HashMap;
 
-use carawayseam_types::{Digest, HostId, Millis, OrganisationId};
+use carawayseam_types::{HostId, Millis, OrganisationId};
 
 use crate::catalog::TokenQuota;
+use crate::group::Group;
 
 /// The part of a quota that hosts use without asking, divided evenly.
 const EVEN_PART: f64 = 0.15;
@@ -23,54 +24,6 @@
 /// The part of a bucket that counts as full.
 const NEARLY_FULL: f64 = 0.9;
 
-/// The hosts that this one counts on.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Group {
-    /// All hosts that may admit requests, this one among them.
-    pub known: u32,
-    /// Those heard lately, this one among them.
-    pub heard: u32,
-    /// Those that can be asked now, this one among them.
-    pub reachable: Vec<HostId>,
-}
-
-impl Group {
-    /// A host alone.
-    #[must_use]
-    pub fn alone(host: HostId) -> Self {
-        Self {
-            known: 1,
-            heard: 1,
-            reachable: vec![host],
-        }
-    }
-
-    /// The host that keeps an organisation's account, by the highest hash of both names.
-    #[must_use]
-    pub fn keeper(&self, organisation: &OrganisationId) -> Option<&HostId> {
-        let second = Digest::of(organisation.as_str().as_bytes());
-        let weight = |host: &&HostId| {
-            let first = Digest::of(host.as_str().as_bytes());
-            Digest::of(&(first.0 ^ second.0).to_le_bytes())
-        };
-        self.reachable.iter().max_by_key(weight)
-    }
-
-    fn all(&self) -> f64 {
-        f64::from(self.known.max(self.heard).max(1))
-    }
-
-    /// The part of a quota that each host uses without asking.
-    fn even_share(&self) -> f64 {
-        EVEN_PART / self.all()
-    }
-
-    /// The part of a quota that the group has put together.
-    fn pooled_share(&self) -> f64 {
-        (1.0 - EVEN_PART) * f64::from(self.heard.max(1)) / self.all()
-    }
-}
-
 /// Tokens that fill up at a part of an organisation's rate.
 #[derive(Debug, Default)]
 struct Bucket {
@@ -194,8 +147,8 @@
     pub fn set_group(&mut self, now: Millis, group: Group) {
         if group.reachable != self.group.reachable {
             for (organisation, bucket) in &mut self.pooled {
-                let kept = self.group.keeper(organisation) == Some(&self.me);
-                let keeps = group.keeper(organisation) == Some(&self.me);
+                let kept = self.group.keeper(organisation.as_str()) == Some(&self.me);
+                let keeps = group.keeper(organisation.as_str()) == Some(&self.me);
                 if keeps && !kept {
                     *bucket = Bucket::since(now);
                     bucket.used = true;
@@ -208,7 +161,8 @@
     /// The other host to ask for tokens; none if this host keeps the account itself.
     #[must_use]
     pub fn host_to_ask(&self, organisation: &OrganisationId) -> Option<&HostId> {
-        self.group.keeper(organisation).filter(|host| **host != self.me)
+        let keeper = self.group.keeper(organisation.as_str());
+        keeper.filter(|host| **host != self.me)
     }
 
     /// Takes tokens from this host's own part, if they are there.
@@ -219,7 +173,7 @@
         quota: TokenQuota,
         tokens: f64,
     ) -> bool {
-        let terms = Terms::new(quota, self.tolerance, self.group.even_share());
+        let terms = Terms::new(quota, self.tolerance, even_share(&self.group));
         bucket(&mut self.own, now, organisation).take_at_once(now, terms, tokens)
     }
 
@@ -236,7 +190,7 @@
         tokens: f64,
         patience: Millis,
     ) -> Result<Millis, Millis> {
-        let terms = Terms::new(quota, self.tolerance, self.group.even_share());
+        let terms = Terms::new(quota, self.tolerance, even_share(&self.group));
         bucket(&mut self.own, now, organisation).take(now, terms, tokens, patience)
     }
 
@@ -258,7 +212,7 @@
         if self.host_to_ask(organisation).is_some() {
             return Err(None);
         }
-        let terms = Terms::new(quota, self.tolerance, self.group.pooled_share());
+        let terms = Terms::new(quota, self.tolerance, pooled_share(&self.group));
         let taken = bucket(&mut self.pooled, now, organisation).take(now, terms, tokens, patience);
         taken.map_err(Some)
     }
@@ -275,6 +229,16 @@
     }
 }
 
+/// The part of a quota that each host uses without asking.
+fn even_share(group: &Group) -> f64 {
+    EVEN_PART / f64::from(group.all())
+}
+
+/// The part of a quota that the group has put together.
+fn pooled_share(group: &Group) -> f64 {
+    (1.0 - EVEN_PART) * f64::from(group.heard.max(1)) / f64::from(group.all())
+}
+
 fn bucket<'a>(
     buckets: &'a mut HashMap<OrganisationId, Bucket>,
     now: Millis,
--- a/crates/dispatch/tests/quota.rs
+++ b/crates/dispatch/tests/quota.rs
@@ -1,7 +1,8 @@
 //! Quotas that hosts share, in touch with each other and cut off.
 
 use carawayseam_dispatch::catalog::TokenQuota;
-use carawayseam_dispatch::quota::{Group, Quotas, Source};
+use carawayseam_dispatch::group::Group;
+use carawayseam_dispatch::quota::{Quotas, Source};
 use carawayseam_types::{HostId, Millis, OrganisationId, Tokens};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -199,7 +200,7 @@
             heard: 3,
             reachable: (0..3).map(host).collect(),
         };
-        (group.keeper(&name) == Some(&host(ix))).then_some(group)
+        (group.keeper(name.as_str()) == Some(&host(ix))).then_some(group)
     };
     let (ix, group) = (0..3)
         .find_map(|ix| Some((ix, keeper(ix)?)))
@@ -209,7 +210,10 @@
         heard: 3,
         reachable: (0..3).filter(|other| *other != ix).map(host).collect(),
     };
-    let next = without_keeper.keeper(&name).expect("one keeps it").clone();
+    let next = without_keeper
+        .keeper(name.as_str())
+        .expect("one keeps it")
+        .clone();
     let mut quotas = Quotas::new(next, 0.0);
     quotas.open(Millis(0), std::iter::once(&name));
     quotas.set_group(Millis(0), group);
--- /dev/null
+++ b/crates/dispatch/tests/slots.rs
@@ -0,0 +1,135 @@
+//! Slots of a backend server that one host counts for all.
+
+use carawayseam_dispatch::engine::PeerLoad;
+use carawayseam_dispatch::load::OwnLoad;
+use carawayseam_dispatch::moves::VersionRule;
+use carawayseam_dispatch::retries::RetryBounds;
+use carawayseam_dispatch::{Action, AttemptEnd, Dispatcher, EngineEntry, Job, Ticket};
+use carawayseam_types::{EngineId, EngineKey, HostId, Millis, Tier};
+
+const BOUNDS: RetryBounds = RetryBounds {
+    ratio: 0.2,
+    extra: 8.0,
+};
+const HOSTS: usize = 33;
+
+fn engine_id(name: &str) -> EngineId {
+    name.parse().expect("a valid name")
+}
+
+fn host(ix: usize) -> HostId {
+    format!("front-{ix}").parse().expect("a valid name")
+}
+
+fn dispatcher(engines: &[&str], slots: u32) -> Dispatcher {
+    let entry = |name: &&str| EngineEntry {
+        id: engine_id(name),
+        backend: "guides".parse().expect("a valid name"),
+        address: ([10, 0, 0, 1], 80).into(),
+        zone: "zone-a".parse().expect("a valid name"),
+        version: "v1".parse().expect("a valid name"),
+        slots,
+        leaving: false,
+        started: Some(1),
+    };
+    let mut dispatcher = Dispatcher::new("zone-a".parse().expect("a valid name"), BOUNDS, 7);
+    let entries = engines.iter().map(entry).collect();
+    assert!(dispatcher.set_engines(Millis(0), entries).is_empty());
+    dispatcher
+}
+
+fn job() -> Job {
+    Job {
+        backend: "guides".parse().expect("a valid name"),
+        version: VersionRule::Any,
+        tier: Tier(0),
+        objective: Millis(300),
+        give_up: Millis(1_000),
+        deadline: Millis(10_000),
+        gap_objective: Some(Millis(250)),
+        events: 10,
+        tokens_per_event: 6,
+        prompt: 500,
+        parts: Vec::new(),
+        tried: Vec::new(),
+    }
+}
+
+fn started(actions: &[Action]) -> Option<(Ticket, &str)> {
+    actions.iter().find_map(|action| match action {
+        Action::Start { ticket, engine, .. } => Some((*ticket, engine.as_str())),
+        Action::Refuse { .. } => None,
+    })
+}
+
+/// Between two announcements, each of many hosts sees the last slot free.
+#[test]
+fn of_many_hosts_that_see_one_slot_free_one_gets_it() {
+    let key = EngineKey::from(&engine_id("a"));
+    let mut hosts: Vec<Dispatcher> = (0..HOSTS).map(|_| dispatcher(&["a"], 1)).collect();
+    let mut granted = 0;
+    for ix in 1..HOSTS {
+        let (ticket, actions) = hosts[ix].submit(Millis(5), job());
+        assert_eq!(started(&actions), Some((ticket, "a")), "it looks free");
+        let answer = hosts[0].grant_slot(Millis(6), &host(ix), key);
+        granted += u32::from(answer.expect("the server is known"));
+    }
+    assert_eq!(granted, 1);
+}
+
+#[test]
+fn a_slot_that_is_returned_is_given_again() {
+    let key = EngineKey::from(&engine_id("a"));
+    let mut keeper = dispatcher(&["a"], 2);
+    let grant = |keeper: &mut Dispatcher, ix| keeper.grant_slot(Millis(5), &host(ix), key);
+    assert_eq!(grant(&mut keeper, 1), Some(true));
+    assert_eq!(grant(&mut keeper, 2), Some(true));
+    assert_eq!(grant(&mut keeper, 3), Some(false));
+    keeper.slot_returned(Millis(6), &host(1), key);
+    assert_eq!(grant(&mut keeper, 3), Some(true));
+}
+
+#[test]
+fn an_announcement_takes_the_place_of_what_was_given_before() {
+    let key = EngineKey::from(&engine_id("a"));
+    let mut keeper = dispatcher(&["a"], 2);
+    assert_eq!(keeper.grant_slot(Millis(5), &host(1), key), Some(true));
+    let running = PeerLoad {
+        running: 1,
+        prompt_ahead: 0,
+    };
+    let load = OwnLoad {
+        engines: vec![(key, running)],
+        waiting: Vec::new(),
+    };
+    keeper.peer_load(Millis(10), &host(1), load);
+    assert_eq!(keeper.grant_slot(Millis(11), &host(2), key), Some(true));
+    assert_eq!(keeper.grant_slot(Millis(12), &host(3), key), Some(false));
+    keeper.peer_load(Millis(20), &host(1), OwnLoad::default());
+    assert_eq!(keeper.grant_slot(Millis(21), &host(3), key), Some(true));
+}
+
+#[test]
+fn a_server_that_is_not_listed_has_no_slots_to_give() {
+    let key = EngineKey::from(&engine_id("b"));
+    assert_eq!(dispatcher(&["a"], 2).grant_slot(Millis(5), &host(1), key), None);
+}
+
+#[test]
+fn a_request_whose_slot_was_taken_goes_to_another_server() {
+    let mut dispatcher = dispatcher(&["a", "b"], 1);
+    let (ticket, actions) = dispatcher.submit(Millis(5), job());
+    let (_, first) = started(&actions).expect("a slot is free");
+    let first = first.to_owned();
+    dispatcher.ended(Millis(7), ticket, AttemptEnd::Taken);
+    let (again, actions) = dispatcher.submit_unsent(Millis(7), job());
+    let (ticket, second) = started(&actions).expect("another slot is free");
+    assert_eq!(ticket, again);
+    assert_ne!(second, first);
+    let failures: f64 = dispatcher
+        .dump(Millis(7))
+        .iter()
+        .map(|engine| engine.failure_share)
+        .sum();
+    assert!(failures.abs() < f64::EPSILON, "a taken slot is no failure");
+}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -1,8 +1,8 @@
 //! What this host believes about configuration, backend servers and peers.
 
+mod keeping;
 mod moves;
 mod peers;
-mod quotas;
 mod registration;
 mod state;
 mod sync;
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -9,7 +9,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{MissedTickBehavior, interval};
 
-use super::quotas;
+use super::keeping;
 use super::state::{ControlState, Note, OwnBeat};
 use crate::shared::Shared;
 
@@ -55,11 +55,17 @@
                         return;
                     }
                 }
-                Ok(PeerMessage::QuotaAsk(ask)) => quotas::answer(&shared, &ask),
-                Ok(PeerMessage::QuotaAnswer { ask, outcome }) => shared.peers.answered(ask, outcome),
+                Ok(PeerMessage::QuotaAsk(ask)) => keeping::answer_quota(&shared, &ask),
                 Ok(PeerMessage::QuotaReturn { organisation, tokens }) => {
-                    quotas::take_back(&shared, &organisation, tokens);
+                    keeping::take_back(&shared, &organisation, tokens);
                 }
+                Ok(PeerMessage::SlotAsk { host, ask, engine }) => {
+                    keeping::answer_slot(&shared, &host, ask, engine);
+                }
+                Ok(PeerMessage::SlotReturn { host, engine }) => {
+                    keeping::take_slot_back(&shared, &host, engine);
+                }
+                Ok(PeerMessage::Answer { ask, answer }) => shared.peers.answered(ask, answer),
                 Err(e) => log::warn!(from:% = from; "a datagram cannot be read: {e}"),
             },
             // A peer that is gone shows as an error on the next receive.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -6,9 +6,9 @@
 use std::sync::atomic::Ordering;
 
 use carawayseam_dispatch::engine::PeerLoad;
+use carawayseam_dispatch::group::Group;
 use carawayseam_dispatch::load::{OwnLoad, WaitingCount};
 use carawayseam_dispatch::moves::{Answers, Decision, Evidence, MoveNews, Order};
-use carawayseam_dispatch::quota::Group;
 use carawayseam_dispatch::{Catalog, EngineEntry};
 use carawayseam_node::LogRevision;
 use carawayseam_types::{Digest, EngineId, EngineKey, HostId, Incarnation, Millis};
@@ -316,6 +316,7 @@
         desk.quotas.set_group(now, group.clone());
         desk.dispatcher.set_hosts(group.known);
         drop(desk);
+        self.shared.peers.set_group(group.clone());
         self.group = group;
     }
 
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -5,35 +5,33 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Mutex;
 
+use carawayseam_dispatch::group::Group;
 use carawayseam_types::{HostId, Millis};
-use carawayseam_wire::{PeerMessage, QuotaAsk, QuotaOutcome, encode};
+use carawayseam_wire::{AskAnswer, PeerMessage, encode};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use crate::shared::lock;
 
-/// An ask that is not answered for so long is sent once more.
-const ASK_LIMIT: Millis = Millis(40);
-/// How often an ask is sent.
-const ASKS: u32 = 2;
-
 /// The socket to other hosts.
 #[derive(Debug)]
 pub(crate) struct PeerLink {
     socket: UdpSocket,
+    me: HostId,
     addresses: Mutex<BTreeMap<HostId, SocketAddr>>,
+    group: Mutex<Group>,
     asks: Mutex<Asks>,
 }
 
 #[derive(Debug, Default)]
 struct Asks {
     last: u64,
-    waiting: HashMap<u64, oneshot::Sender<QuotaOutcome>>,
+    waiting: HashMap<u64, oneshot::Sender<AskAnswer>>,
 }
 
 impl Asks {
     /// Numbers an ask whose answer goes to `tx`.
-    fn open(&mut self, tx: oneshot::Sender<QuotaOutcome>) -> u64 {
+    fn open(&mut self, tx: oneshot::Sender<AskAnswer>) -> u64 {
         self.last += 1;
         self.waiting.insert(self.last, tx);
         self.last
@@ -42,11 +40,13 @@
 
 impl PeerLink {
     /// Listens for other hosts.
-    pub(crate) fn bind(address: SocketAddr) -> io::Result<Self> {
+    pub(crate) fn bind(me: &HostId, address: SocketAddr) -> io::Result<Self> {
         let socket = UdpSocket::bind(address)?;
         socket.set_nonblocking(true)?;
         Ok(Self {
             socket,
+            me: me.clone(),
+            group: Mutex::new(Group::alone(me.clone())),
             addresses: Mutex::default(),
             asks: Mutex::default(),
         })
@@ -78,16 +78,33 @@
         }
     }
 
-    /// Asks a host for tokens; none if it does not answer.
-    pub(crate) async fn ask(&self, keeper: &HostId, mut asked: QuotaAsk) -> Option<QuotaOutcome> {
+    /// Takes which hosts can be asked.
+    pub(crate) fn set_group(&self, group: Group) {
+        *lock(&self.group) = group;
+    }
+
+    /// The other host that keeps what is shared under a name; none if this one does.
+    pub(crate) fn keeper(&self, name: &str) -> Option<HostId> {
+        let group = lock(&self.group);
+        let keeper = group.keeper(name).filter(|host| **host != self.me);
+        keeper.cloned()
+    }
+
+    /// Asks a host, as often as `tries`; none if it does not answer each within `limit`.
+    pub(crate) async fn ask(
+        &self,
+        keeper: &HostId,
+        limit: Millis,
+        tries: u32,
+        message: impl Fn(u64) -> PeerMessage,
+    ) -> Option<AskAnswer> {
         let (tx, mut rx) = oneshot::channel();
         let ask = lock(&self.asks).open(tx);
-        asked.ask = ask;
-        let message = PeerMessage::QuotaAsk(asked);
-        for _ in 0..ASKS {
+        let message = message(ask);
+        for _ in 0..tries {
             self.send(keeper, &message);
-            if let Ok(Ok(outcome)) = timeout(ASK_LIMIT.to_duration(), &mut rx).await {
-                return Some(outcome);
+            if let Ok(Ok(answer)) = timeout(limit.to_duration(), &mut rx).await {
+                return Some(answer);
             }
         }
         lock(&self.asks).waiting.remove(&ask);
@@ -95,9 +112,9 @@
     }
 
     /// Passes an answer to the request that waits for it.
-    pub(crate) fn answered(&self, ask: u64, outcome: QuotaOutcome) {
+    pub(crate) fn answered(&self, ask: u64, answer: AskAnswer) {
         let waiting = lock(&self.asks).waiting.remove(&ask);
-        let told = waiting.is_some_and(|tx| tx.send(outcome).is_ok());
+        let told = waiting.is_some_and(|tx| tx.send(answer).is_ok());
         if !told {
             log::debug!("the request of ask {ask} has ended");
         }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -71,7 +71,7 @@
     let log_revision = init_stdout_logging("gateway", &settings.host);
     let platform = Arc::new(platform);
     let incarnation = Incarnation(Clock::system().now().0);
-    let peers = PeerLink::bind(settings.peers).wrap_err("cannot listen for peers")?;
+    let peers = PeerLink::bind(&settings.host, settings.peers).wrap_err("cannot listen for peers")?;
     let shared = Arc::new(share(settings, &*platform, incarnation, peers));
     log::info!(incarnation = incarnation.0; "started");
 
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -12,6 +12,7 @@
 use tokio::time::timeout;
 
 use super::exchange::Exchange;
+use super::slots::KeptSlot;
 use crate::http_client::{Connection, SendError};
 use crate::platform::Outgoing;
 use crate::shared::{Assignment, Shared, lock};
@@ -43,6 +44,7 @@
     shared: Arc<Shared>,
     ticket: Ticket,
     assigned: Option<Assigned>,
+    kept: Option<KeptSlot>,
     ended: bool,
 }
 
@@ -52,6 +54,7 @@
             shared,
             ticket,
             assigned: None,
+            kept: None,
             ended: false,
         }
     }
@@ -71,6 +74,17 @@
         });
     }
 
+    /// Notes that another host counts the server's slots.
+    pub(super) fn keep(&mut self, kept: Option<KeptSlot>) {
+        self.kept = kept;
+    }
+
+    fn give_back(&mut self) {
+        if let Some(kept) = self.kept.take() {
+            kept.give_back(&self.shared);
+        }
+    }
+
     /// The first event, or a plain answer, came.
     pub(crate) fn first_event(&mut self) {
         let now = self.shared.now();
@@ -84,6 +98,7 @@
     pub(crate) fn end(mut self, end: AttemptEnd) {
         self.ended = true;
         self.judge_version(end);
+        self.give_back();
         lock(&self.shared.desk).ended(self.shared.now(), self.ticket, end);
     }
 
@@ -97,6 +112,7 @@
             AttemptEnd::Failed | AttemptEnd::Lost | AttemptEnd::Silent => true,
             AttemptEnd::Unreachable
             | AttemptEnd::Rejected
+            | AttemptEnd::Taken
             | AttemptEnd::Misdirected
             | AttemptEnd::Cancelled => return,
         };
@@ -107,6 +123,7 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         if !self.ended {
+            self.give_back();
             lock(&self.shared.desk).cancel(self.shared.now(), self.ticket);
         }
     }
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -19,6 +19,7 @@
 use super::attempt::{self, Answered, Failure, Slot};
 use super::plain::Plain;
 use super::quota::TakenTokens;
+use super::slots;
 use super::stream;
 use crate::http_client::Connection;
 use crate::journal;
@@ -217,15 +218,7 @@
         queued: Queued,
         last_event: Option<u64>,
     ) -> Result<Result<Answered, Failure>, Refusal> {
-        let (ticket, rx) = queued;
-        let mut slot = Slot::new(Arc::clone(&self.shared), ticket);
-        let assignment = match timeout(self.time_left().to_duration(), rx).await {
-            Ok(Ok(Decision::Start(assignment))) => assignment,
-            Ok(Ok(Decision::Refuse { retry_after })) => {
-                return Err(self.refuse_waiting(retry_after));
-            }
-            Ok(Err(_)) | Err(_) => return Err(self.refuse_waiting(RETRY_AFTER_REJECTED)),
-        };
+        let (mut slot, assignment) = self.find_slot(queued).await?;
         self.assigned_at = self.shared.now();
         slot.assign(&self.backend, &assignment);
         journal::assigned(self, &assignment);
@@ -250,6 +243,37 @@
         Ok(sent)
     }
 
+    /// Waits for a server with a slot that no other host has taken meanwhile.
+    async fn find_slot(&self, mut queued: Queued) -> Result<(Slot, Assignment), Refusal> {
+        loop {
+            let (ticket, rx) = queued;
+            let mut slot = Slot::new(Arc::clone(&self.shared), ticket);
+            let assignment = match timeout(self.time_left().to_duration(), rx).await {
+                Ok(Ok(Decision::Start(assignment))) => assignment,
+                Ok(Ok(Decision::Refuse { retry_after })) => {
+                    return Err(self.refuse_waiting(retry_after));
+                }
+                Ok(Err(_)) | Err(_) => return Err(self.refuse_waiting(RETRY_AFTER_REJECTED)),
+            };
+            if let Ok(kept) = slots::ask(&self.shared, &assignment).await {
+                slot.keep(kept);
+                return Ok((slot, assignment));
+            }
+            slot.end(AttemptEnd::Taken);
+            let job = self.job(self.give_up());
+            queued = lock(&self.shared.desk).submit_unsent(self.shared.now(), job);
+        }
+    }
+
+    /// When the request is refused if it still waits: one that was sent before waits to its deadline.
+    fn give_up(&self) -> Millis {
+        if self.tried.is_empty() {
+            self.wait_limit()
+        } else {
+            self.deadline
+        }
+    }
+
     /// Refuses a request that waited, unless an earlier attempt may have run it.
     fn refuse_waiting(&self, retry_after: Millis) -> Refusal {
         if self.ran {
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -10,6 +10,7 @@
 mod listener;
 mod plain;
 mod quota;
+mod slots;
 mod stream;
 
 pub(crate) use answer::Refusal;
--- a/crates/gateway/src/traffic/quota.rs
+++ b/crates/gateway/src/traffic/quota.rs
@@ -3,7 +3,7 @@
 use carawayseam_dispatch::catalog::TokenQuota;
 use carawayseam_dispatch::quota::Source;
 use carawayseam_types::{HostId, Millis, OrganisationId};
-use carawayseam_wire::{PeerMessage, QuotaAsk, QuotaOutcome};
+use carawayseam_wire::{AskAnswer, PeerMessage, QuotaAsk, QuotaOutcome};
 use tokio::time::sleep;
 
 use super::answer::{Reason, Refusal};
@@ -13,6 +13,9 @@
 
 /// The part of a request's objective for which it may wait for its organisation's quota.
 const PATIENCE_PART: f64 = 0.6;
+/// An ask that is not answered for so long is sent once more.
+const ASK_LIMIT: Millis = Millis(40);
+const ASKS: u32 = 2;
 
 /// Tokens that were taken for a request.
 #[derive(Debug)]
@@ -101,14 +104,19 @@
         }
     };
     if let Some(keeper) = keeper {
-        let asked = QuotaAsk {
-            host: shared.settings.host.clone(),
-            ask: 0,
-            organisation: organisation.clone(),
-            tokens: tokens as u32,
-            patience,
+        let asked = |ask| {
+            PeerMessage::QuotaAsk(QuotaAsk {
+                host: shared.settings.host.clone(),
+                ask,
+                organisation: organisation.clone(),
+                tokens: tokens as u32,
+                patience,
+            })
+        };
+        let outcome = match shared.peers.ask(&keeper, ASK_LIMIT, ASKS, asked).await {
+            Some(AskAnswer::Quota(outcome)) => Some(outcome),
+            _ => None,
         };
-        let outcome = shared.peers.ask(&keeper, asked).await;
         shared.metrics.count("quota_asks", outcome_label(outcome));
         match outcome {
             Some(QuotaOutcome::Granted(wait)) => return Ok((wait, Holder::Keeper(keeper))),
--- /dev/null
+++ b/crates/gateway/src/traffic/slots.rs
@@ -0,0 +1,66 @@
+//! Asks the keeper of a backend server's slots before a request is sent there.
+//!
+//! Loads are announced several times a second. Between two announcements many hosts see the same
+//! slot free; its keeper gives it to one of them. An answer that does not come is no hindrance.
+
+use carawayseam_types::{EngineKey, HostId, Millis};
+use carawayseam_wire::{AskAnswer, PeerMessage, SlotOutcome};
+
+use crate::shared::{Assignment, Shared};
+
+/// A keeper that does not answer within this time is not waited for.
+const ASK_LIMIT: Millis = Millis(15);
+const ASKS: u32 = 1;
+
+/// A slot of a server, as its keeper counts it.
+#[derive(Debug)]
+pub(super) struct KeptSlot {
+    keeper: HostId,
+    engine: EngineKey,
+}
+
+impl KeptSlot {
+    /// Tells the keeper that the slot is free.
+    pub(super) fn give_back(self, shared: &Shared) {
+        let message = PeerMessage::SlotReturn {
+            host: shared.settings.host.clone(),
+            engine: self.engine,
+        };
+        shared.peers.send(&self.keeper, &message);
+    }
+}
+
+/// All slots of a server are taken.
+#[derive(Debug)]
+pub(super) struct AllTaken;
+
+/// Asks for the slot that a request was given; none if this host counts the server's slots itself.
+pub(super) async fn ask(shared: &Shared, assignment: &Assignment) -> Result<Option<KeptSlot>, AllTaken> {
+    let Some(keeper) = shared.peers.keeper(assignment.engine.as_str()) else {
+        return Ok(None);
+    };
+    let engine = EngineKey::from(&assignment.engine);
+    let message = |ask| PeerMessage::SlotAsk {
+        host: shared.settings.host.clone(),
+        ask,
+        engine,
+    };
+    let outcome = match shared.peers.ask(&keeper, ASK_LIMIT, ASKS, message).await {
+        Some(AskAnswer::Slot(outcome)) => Some(outcome),
+        _ => None,
+    };
+    shared.metrics.count("slot_asks", label(outcome));
+    match outcome {
+        Some(SlotOutcome::Full) => Err(AllTaken),
+        Some(SlotOutcome::Granted | SlotOutcome::NotKept) | None => Ok(Some(KeptSlot { keeper, engine })),
+    }
+}
+
+const fn label(outcome: Option<SlotOutcome>) -> &'static str {
+    match outcome {
+        Some(SlotOutcome::Granted) => "granted",
+        Some(SlotOutcome::Full) => "full",
+        Some(SlotOutcome::NotKept) => "not-kept",
+        None => "unanswered",
+    }
+}
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -1,6 +1,6 @@
 //! Datagrams between hosts that route alone.
 
-use carawayseam_types::{HostId, Millis, OrganisationId};
+use carawayseam_types::{EngineKey, HostId, Millis, OrganisationId};
 use serde::{Deserialize, Serialize};
 
 use crate::Beat;
@@ -12,12 +12,28 @@
     Beat(Beat),
     /// Asks the keeper of an organisation's account for tokens.
     QuotaAsk(QuotaAsk),
-    /// Answers a [`QuotaAsk`].
-    QuotaAnswer {
+    /// Asks the keeper of a backend server's slots for one of them.
+    SlotAsk {
+        /// The asking host.
+        host: HostId,
+        /// Repeated in the answer.
+        ask: u64,
+        /// The server.
+        engine: EngineKey,
+    },
+    /// Answers an ask.
+    Answer {
         /// The ask's number.
         ask: u64,
         /// What became of it.
-        outcome: QuotaOutcome,
+        answer: AskAnswer,
+    },
+    /// A request left a server.
+    SlotReturn {
+        /// The host that had the slot.
+        host: HostId,
+        /// The server.
+        engine: EngineKey,
     },
     /// Gives tokens back that were not used.
     QuotaReturn {
@@ -43,6 +59,26 @@
     pub patience: Millis,
 }
 
+/// What became of an ask.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AskAnswer {
+    /// For tokens.
+    Quota(QuotaOutcome),
+    /// For a slot.
+    Slot(SlotOutcome),
+}
+
+/// What became of an ask for a slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SlotOutcome {
+    /// It is the asking host's until it is returned.
+    Granted,
+    /// All are taken.
+    Full,
+    /// The host does not know the server.
+    NotKept,
+}
+
 /// What became of a [`QuotaAsk`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum QuotaOutcome {
