--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -18,11 +18,11 @@
 /// A watch returns after this time even if nothing changed, and so proves that nothing did.
 const WATCH_WAIT: Millis = Millis(500);
 /// The pause between watches, in which changes gather: calls are bounded over all hosts.
-const GATHER_TIME: Millis = Millis(180);
+const GATHER_TIME: Millis = Millis(140);
 /// How much longer the pause is for each host.
-const GATHER_TIME_PER_HOST: Millis = Millis(15);
+const GATHER_TIME_PER_HOST: Millis = Millis(25);
 /// The longest pause.
-const LONGEST_GATHER_TIME: Millis = Millis(700);
+const LONGEST_GATHER_TIME: Millis = Millis(1_000);
 /// The pause after a failed call; it doubles up to the longest.
 const FIRST_RETRY: Millis = Millis(100);
 const LONGEST_RETRY: Millis = Millis(250);
