Ask for slots for streams only

Ruled out: quota (no refusal of theirs), servers (three, a third of their capacity in use).

Change: only streams ask; a plain request goes to its server at once.

--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -255,6 +255,9 @@
                 }
                 Ok(Err(_)) | Err(_) => return Err(self.refuse_waiting(RETRY_AFTER_REJECTED)),
             };
+            if !self.holds_slot_for_long() {
+                return Ok((slot, assignment));
+            }
             if let Ok(kept) = slots::ask(&self.shared, &assignment).await {
                 slot.keep(kept);
                 return Ok((slot, assignment));
@@ -265,6 +268,12 @@
         }
     }
 
+    /// Whether the slot is held longer than an announcement of loads is on its way: a plain
+    /// request has left the server before others hear of it, and waits there less than for a word.
+    fn holds_slot_for_long(&self) -> bool {
+        self.place.route.kind.is_stream()
+    }
+
     /// When the request is refused if it still waits: one that was sent before waits to its deadline.
     fn give_up(&self) -> Millis {
         if self.tried.is_empty() {
