Let plain requests queue at their servers

Ruled out: the keepers of slots (plain requests do not ask).

Change: a plain service's server is given two requests for each that it runs at once; it has a queue of its own.

Test: plain_requests_queue_at_a_busy_server_for_a_while.

--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -37,8 +37,9 @@
 const READ_AT_ONCE: f64 = 2_048.0;
 /// Servers this much worse than the best are as good, in milliseconds.
 const AS_GOOD_MS: f64 = 4.0;
-/// Requests sent to a server beyond those that it runs at once.
-const QUEUED_AT_ENGINE: u32 = 0;
+/// Plain requests sent to a server for each that it runs at once: what peers announce of them is over
+/// before it is heard, and one that waits at the server waits less than for the next announcement.
+const PLAIN_PER_SLOT: u32 = 2;
 
 #[derive(Debug)]
 pub(crate) struct Waiting {
@@ -139,7 +140,7 @@
             .map(|(ix, waiting)| (rank(now, waiting, best), ix))
             .collect();
         order.sort_unstable();
-        let kept_free = self.kept_free(&candidates);
+        let kept_free = kept_free(&candidates);
         for ((is_late, tier, _, _), ix) in order {
             let kept = if is_late { kept_free } else { 0 };
             if free <= self.waiting_above(tier) + kept {
@@ -152,29 +153,23 @@
         None
     }
 
-    /// Slots that requests which are late already must leave to those that can be in time.
-    fn kept_free(&self, candidates: &[Candidate]) -> u32 {
-        let slots: u32 = candidates
-            .iter()
-            .map(|candidate| capacity(&self.engines[candidate.ix]))
-            .sum();
-        (f64::from(slots) * KEPT_FROM_LATE) as u32
-    }
-
     /// The servers that take work, with or without a free slot.
     fn candidates(&self, now: Millis, zone: &ZoneId) -> Vec<Candidate> {
+        let per_slot = if self.is_plain() { PLAIN_PER_SLOT } else { 1 };
         let engines = self.engines.iter().enumerate();
         engines
             .filter(|(_, engine)| engine.takes_work(now))
             .map(|(ix, engine)| {
                 let peers = engine.peer_load(now);
                 let used = engine.running + peers.running;
+                let capacity = engine.entry.slots * per_slot;
                 Candidate {
                     ix,
                     pace: engine.speed.pace(now, &self.usual),
                     ahead: engine.prompt_ahead + f64::from(peers.prompt_ahead),
                     used: f64::from(used),
-                    free: capacity(engine).saturating_sub(used),
+                    capacity,
+                    free: capacity.saturating_sub(used),
                     failing_ms: engine.failure_share(now).powi(2) * FAILING_MS,
                     distance_ms: if engine.entry.zone == *zone {
                         0.0
@@ -186,6 +181,11 @@
             .collect()
     }
 
+    /// Whether the requests have no prompts to read.
+    fn is_plain(&self) -> bool {
+        self.waiting.iter().all(|waiting| waiting.job.prompt == 0)
+    }
+
     /// Requests of higher tiers that wait at peers.
     fn waiting_above(&self, tier: Tier) -> u32 {
         let above = self
@@ -228,7 +228,7 @@
             score += lateness + LATE_MS;
         }
         // Each running request slows all others a little; spread them where nothing else decides.
-        score += candidate.used / f64::from(capacity(engine).max(1)) * pace.base;
+        score += candidate.used / f64::from(engine.entry.slots.max(1)) * pace.base;
         score += candidate.distance_ms + candidate.failing_ms;
         if job.tried.contains(&engine.entry.id) {
             score += TRIED_MS;
@@ -244,6 +244,8 @@
     /// Prompt tokens sent to it whose first event has not come.
     ahead: f64,
     used: f64,
+    /// Requests that all hosts give it at once.
+    capacity: u32,
     free: u32,
     failing_ms: f64,
     distance_ms: f64,
@@ -276,6 +278,12 @@
     }
 }
 
+/// Slots that requests which are late already must leave to those that can be in time.
+fn kept_free(candidates: &[Candidate]) -> u32 {
+    let slots: u32 = candidates.iter().map(|candidate| candidate.capacity).sum();
+    (f64::from(slots) * KEPT_FROM_LATE) as u32
+}
+
 /// The best pace that any server offers, without its load.
 fn best_pace(candidates: &[Candidate], usual: Pace) -> Pace {
     let mut best = usual;
@@ -293,8 +301,3 @@
     let length = Millis((f64::from(job.events) * best.event * LENGTH_PART) as u64);
     (is_late, job.tier, job.objective + length, waiting.ticket)
 }
-
-/// The requests that a server is given at once by all hosts.
-fn capacity(engine: &Engine) -> u32 {
-    engine.entry.slots + QUEUED_AT_ENGINE
-}
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -331,3 +331,17 @@
     let (_, actions) = dispatcher.submit(Millis(41), job(41, 1));
     assert!(actions.is_empty(), "another tier has a queue of its own");
 }
+
+/// What peers announce of requests of some 15 ms is over before it is heard.
+#[test]
+fn plain_requests_queue_at_a_busy_server_for_a_while() {
+    let mut dispatcher = dispatcher(&[("a", 2)]);
+    let plain = || Job {
+        events: 0,
+        prompt: 0,
+        gap_objective: None,
+        ..job(1, 0)
+    };
+    let starts = (0..5).filter(|_| !started(&dispatcher.submit(Millis(1), plain()).1).is_empty());
+    assert_eq!(starts.count(), 4);
+}
