Let the soak cut gateways for longer, and keep streams open through stops

Change: half of the rounds cut a gateway from the store for 8.5 s while a key is taken away; a fifth of the streams last 1.2 s. Rounds last 18 s.

--- a/crates/soak/src/flags.rs
+++ b/crates/soak/src/flags.rs
@@ -27,7 +27,7 @@
     #[bpaf(argument("COUNT"), fallback(4))]
     servers: usize,
     /// How long a run lasts, in seconds.
-    #[bpaf(argument("SECONDS"), fallback(28))]
+    #[bpaf(argument("SECONDS"), fallback(36))]
     seconds: u64,
     /// Folder of the gateway program; the folder of this program if left out.
     #[bpaf(argument("DIR"))]
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -5,15 +5,19 @@
 use rand::{RngExt, SeedableRng};
 
 /// Faults overlap in this part of a round; the rest is calm.
-const STORM_PART: f64 = 0.55;
+const STORM_PART: f64 = 0.6;
 /// A round of faults and calm.
-const ROUND: Millis = Millis(14_000);
+const ROUND: Millis = Millis(18_000);
 /// Faults of a round, for each gateway.
 const FAULTS_PER_GATEWAY: f64 = 0.8;
 /// Planned stops begin this long after the storm, when its effects are over.
 const STOP_AFTER_STORM: Millis = Millis(3_300);
 const SHORTEST_FAULT: u64 = 200;
 const LONGEST_FAULT: u64 = 3_500;
+/// A gateway that is cut from the store for so long outlives the time in which keys may be used.
+const LONG_CUT: Millis = Millis(8_500);
+/// A key is taken away this long after the cut began.
+const REVOKED_AFTER: Millis = Millis(700);
 
 /// How much takes part in a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -162,6 +166,9 @@
             fault: draw(rng, size),
         });
     }
+    if rng.random() {
+        revoke_behind_a_cut(rng, size, from, entries);
+    }
     // Planned work goes on in the calm part, too.
     let calm = from + Millis(storm) + STOP_AFTER_STORM;
     for fault in [Fault::Stop(rng.random_range(0..size.gateways)), Fault::Configure] {
@@ -173,6 +180,23 @@
     }
 }
 
+/// A gateway does not hear that a key is taken away.
+fn revoke_behind_a_cut(rng: &mut StdRng, size: Size, from: Millis, entries: &mut Vec<Entry>) {
+    let gateway = rng.random_range(0..size.gateways);
+    let link = if rng.random() { Link::Silent } else { Link::Reset };
+    let cut = Entry {
+        at: from,
+        lasts: LONG_CUT,
+        fault: Fault::StoreLink(gateway, link),
+    };
+    let revoked = Entry {
+        at: from + REVOKED_AFTER,
+        lasts: Millis::ZERO,
+        fault: Fault::Revoke,
+    };
+    entries.extend([cut, revoked]);
+}
+
 fn draw(rng: &mut StdRng, size: Size) -> Fault {
     let gateway = rng.random_range(0..size.gateways);
     let server = rng.random_range(0..size.servers);
--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -17,6 +17,9 @@
 pub(crate) const EVENTS: u32 = 6;
 /// The time between two events, in milliseconds.
 const EVENT_GAP_MS: u64 = 25;
+/// The same in long streams, which are still open when a planned stop goes on.
+const LONG_GAP_MS: u64 = 200;
+const LONG_STREAM_SHARE: f64 = 0.2;
 /// How long a plain answer takes, in milliseconds.
 const SHORTEST_WORK_MS: u64 = 5;
 const LONGEST_WORK_MS: u64 = 60;
@@ -164,9 +167,11 @@
 /// Events from the one after the last that the caller has.
 fn stream(received: &Received, breaks_off: bool) -> Vec<Step> {
     let first = received.last_event().unwrap_or(0) + 1;
+    let is_long = rand::rng().random_bool(LONG_STREAM_SHARE);
+    let gap = if is_long { LONG_GAP_MS } else { EVENT_GAP_MS };
     let mut steps = vec![Step::Write(stream_head(received))];
     for number in first..=EVENTS {
-        steps.push(Step::Wait(EVENT_GAP_MS));
+        steps.push(Step::Wait(gap));
         if breaks_off && number == first + 1 {
             let partial = event(number);
             steps.push(Step::Write(partial[..partial.len() / 2].to_owned()));
