--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -5,13 +5,13 @@
 use rand::{RngExt, SeedableRng};
 
 /// Faults overlap in this part of a round; the rest is calm.
-const STORM_PART: f64 = 0.6;
+const FAULTY_PART: f64 = 0.6;
 /// A round of faults and calm.
 const ROUND: Millis = Millis(18_000);
 /// Faults of a round, for each gateway.
 const FAULTS_PER_GATEWAY: f64 = 0.8;
-/// Planned stops begin this long after the storm, when its effects are over.
-const STOP_AFTER_STORM: Millis = Millis(3_300);
+/// Planned stops begin this long after the faults, when their effects are over.
+const STOP_AFTER_FAULTS: Millis = Millis(3_300);
 const SHORTEST_FAULT: u64 = 200;
 const LONGEST_FAULT: u64 = 3_500;
 /// A gateway that is cut from the store for so long outlives the time in which keys may be used.
@@ -157,11 +157,11 @@
 }
 
 fn round(rng: &mut StdRng, size: Size, from: Millis, entries: &mut Vec<Entry>) {
-    let storm = (ROUND.0 as f64 * STORM_PART) as u64;
+    let faulty = (ROUND.0 as f64 * FAULTY_PART) as u64;
     let count = (size.gateways as f64 * FAULTS_PER_GATEWAY).ceil() as usize + 2;
     for _ in 0..count {
         entries.push(Entry {
-            at: from + Millis(rng.random_range(0..storm)),
+            at: from + Millis(rng.random_range(0..faulty)),
             lasts: Millis(rng.random_range(SHORTEST_FAULT..LONGEST_FAULT)),
             fault: draw(rng, size),
         });
@@ -170,7 +170,7 @@
         revoke_behind_a_cut(rng, size, from, entries);
     }
     // Planned work goes on in the calm part, too.
-    let calm = from + Millis(storm) + STOP_AFTER_STORM;
+    let calm = from + Millis(faulty) + STOP_AFTER_FAULTS;
     for fault in [Fault::Stop(rng.random_range(0..size.gateways)), Fault::Configure] {
         entries.push(Entry {
             at: calm,
