Do not block a content for an engine that breaks what others answer

The content stood at two and was blocked on both hosts, though the engine was to blame. Ruled out: crashes counted twice for one break (counts of both hosts are one each within a second), and a clear that a peer's count undoes (both hosts had cleared the first crash). Change: a whole answer clears the engines that crashed before it, not a number of crashes; what such an engine breaks later is neither counted nor announced for that content. Engines that crash afterwards still count. Test: engine_that_breaks_what_another_answers_gets_no_content_blocked fails on the code before.

--- a/crates/scheduler/src/poison.rs
+++ b/crates/scheduler/src/poison.rs
@@ -1,6 +1,6 @@
 //! Contents that crash engines, counted over all hosts.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use carawayseam_types::{Digest, EngineId, HostId, Millis};
 
@@ -30,8 +30,8 @@
     by_engine: BTreeMap<EngineId, BTreeMap<HostId, u32>>,
     /// The crash that this host counted last.
     last: Option<(EngineIx, Millis)>,
-    /// Crashes that a later whole answer has cleared.
-    cleared: u32,
+    /// Engines whose crashes are their own: the content was answered whole after it.
+    cleared: BTreeSet<EngineId>,
     /// Engines that it crashed under this host.
     engines: Vec<EngineIx>,
     /// Whether an attempt with this content runs here.
@@ -39,14 +39,14 @@
 }
 
 impl Record {
-    fn crashes(&self) -> u32 {
-        self.total().saturating_sub(self.cleared)
-    }
-
     /// Crashes over all engines; hosts that saw the same engine crash count it once.
-    fn total(&self) -> u32 {
+    fn crashes(&self) -> u32 {
         let seen_most = |hosts: &BTreeMap<HostId, u32>| hosts.values().copied().max().unwrap_or(0);
-        self.by_engine.values().map(seen_most).sum()
+        let blamed = self
+            .by_engine
+            .iter()
+            .filter(|(engine, _)| !self.cleared.contains(*engine));
+        blamed.map(|(_, hosts)| seen_most(hosts)).sum()
     }
 }
 
@@ -83,13 +83,13 @@
 
     /// Counts a crash seen here and gives this host's count for the engine.
     ///
-    /// None if it was counted before: requests with the same content may run
-    /// on one engine side by side, and all lose their connections with it.
+    /// None if the engine is cleared, or if the crash was counted before: requests with the same
+    /// content may run on one engine side by side, and all lose their connections with it.
     pub(crate) fn count(&mut self, crash: &Crash, host: &HostId) -> Option<u32> {
         let record = self.record(crash.content);
         let is_known =
             |(engine, at): (EngineIx, Millis)| engine == crash.ix && crash.at.since(at) <= SAME_CRASH;
-        if record.last.is_some_and(is_known) {
+        if record.last.is_some_and(is_known) || record.cleared.contains(&crash.engine) {
             return None;
         }
         record.last = Some((crash.ix, crash.at));
@@ -115,10 +115,10 @@
         record.map_or_else(Vec::new, |record| record.engines.clone())
     }
 
-    /// A whole answer shows that the content was not to blame.
+    /// A whole answer shows that the engines which crashed before were to blame.
     pub(crate) fn clear(&mut self, content: Digest) {
         if let Some(record) = self.records.get_mut(&content) {
-            record.cleared = record.total();
+            record.cleared.extend(record.by_engine.keys().cloned());
             record.engines.clear();
         }
     }
--- a/crates/scheduler/tests/behaviour.rs
+++ b/crates/scheduler/tests/behaviour.rs
@@ -475,6 +475,54 @@
     assert_eq!(actions.iter().find(refused), None);
 }
 
+/// Sends a charge with the content 13 and gives its attempt and its engine.
+fn send_charge(scheduler: &mut Scheduler, at: u64, seq: u64) -> (AttemptId, EngineId) {
+    let mut request = charge(seq, LATER);
+    request.content = Digest(13);
+    step(scheduler, at, Event::Tick);
+    let actions = step(scheduler, at, Event::Arrive(request));
+    let Some((attempt, _, engine)) = dispatches(&actions).pop() else {
+        panic!("{seq} is sent at {at}: {actions:?}");
+    };
+    (attempt, engine)
+}
+
+#[test]
+fn engine_that_breaks_what_another_answers_gets_no_content_blocked() {
+    let mut scheduler = host("entry-1");
+    let lost = |attempt| Event::Failed {
+        attempt,
+        failure: AttemptFailure::ConnectionLost,
+        produced: Tokens(0),
+    };
+    let (first, broken) = send_charge(&mut scheduler, NOW, 1);
+    step(&mut scheduler, NOW, lost(first));
+    let (second, whole) = send_charge(&mut scheduler, NOW, 2);
+    assert_ne!(broken, whole);
+    let produced = Tokens(0);
+    step(
+        &mut scheduler,
+        NOW + 10,
+        Event::Finished {
+            attempt: second,
+            produced,
+        },
+    );
+    // Long calls take every place of the engine that answers.
+    for seq in 3..=4 {
+        let actions = step(&mut scheduler, NOW + 10, Event::Arrive(charge(seq, LATER)));
+        assert_eq!(dispatches(&actions)[0].2, whole);
+    }
+    for number in 1..=4 {
+        let at = NOW + number * 5_000;
+        let (attempt, engine) = send_charge(&mut scheduler, at, 4 + number);
+        assert_eq!(engine, broken);
+        let actions = step(&mut scheduler, at + 10, lost(attempt));
+        let said = |action: &Action| matches!(action, Action::AnnouncePoison { .. });
+        assert!(!actions.iter().any(said), "{actions:?}");
+    }
+}
+
 #[test]
 fn crash_that_two_hosts_saw_is_one_crash() {
     let mut scheduler = host("entry-1");
