Hold requests with little time to what three of five need

Callers who return have little time left, and a request whose time is shorter than what most of its kind need was started when half of them would end in time. Change: such a request starts where three of five of its kind end in time.

--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -108,7 +108,7 @@
         let left = self.time_left(core);
         let needed = match fit {
             // A request that came with little time is not held to what most of its kind need.
-            Fit::Likely if pool.speeds.millis_for(core.most_work()) > left => core.median_work(),
+            Fit::Likely if pool.speeds.millis_for(core.most_work()) > left => core.likely_work(),
             Fit::Likely => core.most_work(),
             Fit::Possible => core.least_work(),
         };
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -46,6 +46,11 @@
         self.work(self.prediction.median)
     }
 
+    /// The work that three of five such requests stay below.
+    pub(crate) fn likely_work(&self) -> Work {
+        self.work(self.prediction.likely)
+    }
+
     /// The work that few such requests stay below; a request that has no time for it is hopeless.
     pub(crate) fn least_work(&self) -> Work {
         self.work(self.prediction.least)
--- a/crates/scheduler/src/length.rs
+++ b/crates/scheduler/src/length.rs
@@ -17,6 +17,8 @@
 const UNKNOWN_PART: f64 = 0.5;
 /// The part of answers that count as few.
 const FEW: f64 = 0.1;
+/// The part of answers that count as likely.
+const LIKELY: f64 = 0.6;
 /// The part of answers that count as most.
 const MOST: f64 = 0.99;
 /// Prompts of one class differ in length by less than four times.
@@ -77,6 +79,8 @@
     pub(crate) least: f64,
     /// The length that half of the answers stay below.
     pub(crate) median: f64,
+    /// The length that three of five answers stay below.
+    pub(crate) likely: f64,
     /// The length that most answers stay below.
     pub(crate) most: f64,
     /// The mean, by which queues are measured.
@@ -107,12 +111,14 @@
             Some(histogram) if histogram.total >= ENOUGH => Prediction {
                 least: histogram.quantile(FEW).min(max),
                 median: histogram.quantile(0.5).min(max),
+                likely: histogram.quantile(LIKELY).min(max),
                 most: histogram.quantile(MOST).min(max),
                 mean: histogram.mean.min(max),
             },
             _ => Prediction {
                 least: 1.0,
                 median: max * UNKNOWN_PART,
+                likely: max * UNKNOWN_PART,
                 most: max,
                 mean: max * UNKNOWN_PART,
             },
