Keep room on one engine for a long request within its share

A trace of each refusal: within its share, an expected wait of 3 to 7 s, and refused after 40 s in the queue. A long request of a lower tier starts only where little is in use; the flood's short ones fill half as many slots more than there are, and one follows another, so that an engine is never that quiet. Ruled out: the share's account (the organisation stood within its share at each refusal), the estimate of the wait, and higher tiers that took the room (no refusal of theirs). The first twelve refusals, at the start and before speeds are known, are another cause and stay. Change: where such a request waits, one engine that short ones alone keep from it takes no more of what ranks behind it until it is quiet.

--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -45,12 +45,39 @@
             *place = seq;
             count += 1;
         }
-        let fits = |seq: RequestSeq| self.choose_engine(seq, ix).map(|engine| (seq, engine));
-        heads.into_iter().take(count).find_map(fits)
+        let mut kept = None;
+        for seq in heads.into_iter().take(count) {
+            if let Some(engine) = self.choose_engine(seq, ix, kept) {
+                return Some((seq, engine));
+            }
+            kept = kept.or_else(|| self.engine_to_keep(seq, ix));
+        }
+        None
+    }
+
+    /// The engine on which requests that come later make no more use of room for short ones.
+    ///
+    /// A long request within its organisation's share would otherwise find no slot for as long as
+    /// others send short ones without end.
+    fn engine_to_keep(&self, seq: RequestSeq, ix: PoolIx) -> Option<EngineIx> {
+        let AnyJob::Queued(job) = self.jobs.get(&seq)? else {
+            return None;
+        };
+        let pool = self.fleet.pool(ix);
+        let cost = pool.speeds.millis_for(job.core.mean_work());
+        let within = pool.queue.is_within_share(self.now, job.core.org);
+        if !within || pool.length(cost) == Length::Short {
+            return None;
+        }
+        let tier = job.core.request.tier;
+        let engines = pool.engines.iter().copied().take(SAMPLES);
+        let held_by_short = engines.filter(|engine| self.fleet.engine(*engine).is_held_by_short(tier));
+        let fill = |engine: &EngineIx| self.fleet.engine(*engine).fill();
+        held_by_short.min_by(|a, b| fill(a).total_cmp(&fill(b)))
     }
 
     /// The engine that would end the request first, among a few free ones.
-    fn choose_engine(&mut self, seq: RequestSeq, ix: PoolIx) -> Option<EngineIx> {
+    fn choose_engine(&mut self, seq: RequestSeq, ix: PoolIx, kept: Option<EngineIx>) -> Option<EngineIx> {
         let pool = self.fleet.pool(ix);
         let AnyJob::Queued(job) = self.jobs.get(&seq)? else {
             return None;
@@ -70,7 +97,7 @@
         let near = holders
             .chain(previous)
             .filter(|engine| self.fleet.engine(*engine).pool == ix);
-        let all = near.chain(sampled);
+        let all = near.chain(sampled).filter(|engine| Some(*engine) != kept);
         let scored = all.filter_map(|engine| Some((self.score(&job.core, engine, ix)?, engine)));
         scored
             .min_by(|(a, _), (b, _)| a.total_cmp(b))
--- a/crates/scheduler/src/engine.rs
+++ b/crates/scheduler/src/engine.rs
@@ -111,8 +111,7 @@
     /// hold it for long, or be cancelled and lose their prefill.
     pub(crate) fn has_slot_for(&self, length: Length, tier: Tier) -> bool {
         let slots = self.slots();
-        let quiet = 1.0 - (QUIET_BY_RANK * f64::from(tier.0)).min(MAX_QUIET);
-        let is_quiet = tier == Tier::HIGHEST || f64::from(self.used()) < f64::from(slots) * quiet;
+        let is_quiet = tier == Tier::HIGHEST || f64::from(self.used()) < self.quiet_slots(tier);
         let with_short = slots + (f64::from(slots) * SHORT_SLOTS).ceil() as u32;
         let room = self.used() < with_short;
         match length {
@@ -121,6 +120,23 @@
         }
     }
 
+    /// The slots that long requests of a tier may find in use and start nonetheless.
+    fn quiet_slots(&self, tier: Tier) -> f64 {
+        let quiet = 1.0 - (QUIET_BY_RANK * f64::from(tier.0)).min(MAX_QUIET);
+        f64::from(self.slots()) * quiet
+    }
+
+    /// Whether a long request of the tier could start if short ones left.
+    pub(crate) fn is_held_by_short(&self, tier: Tier) -> bool {
+        let long = f64::from(self.long_running + self.foreign);
+        long < self.quiet_slots(tier)
+    }
+
+    /// The part of its slots in use; more than 1 with short requests.
+    pub(crate) fn fill(&self) -> f64 {
+        f64::from(self.used()) / f64::from(self.slots().max(1))
+    }
+
     pub(crate) fn used(&self) -> u32 {
         self.running.len() as u32 + self.foreign
     }
