Count a refusal as out of order only if it had time when it came

Change: work dispatched while a request waited counts if the request had, when it came, the time that any engine needs for it, without a margin. A request that waits until its time is gone counts as before, and so does one that would fit in the lower one's place.

--- a/crates/bench-scheduling/src/world/oracle.rs
+++ b/crates/bench-scheduling/src/world/oracle.rs
@@ -3,11 +3,12 @@
 //! A refusal under load is out of order when work of a lower tier for the
 //! same version is kept, waiting at a host or at an engine that is up, and
 //! either the refused request would still be in time in that work's place,
-//! or that work was dispatched while the refused request waited.
+//! or that work was dispatched while the refused request waited, which had
+//! time enough when it came.
 
 use std::collections::BTreeMap;
 
-use carawayseam_types::{NotRunReason, Tier};
+use carawayseam_types::{Millis, NotRunReason, Tier};
 
 use super::World;
 
@@ -67,27 +68,40 @@
         })
     }
 
+    /// Whether lower work was dispatched while a request waited that had time enough at first.
     fn took_its_turn(&self, refused: usize, kept: usize) -> bool {
-        let arrived = self.asks[refused].arrived;
-        self.asks[kept].last_dispatch.is_some_and(|at| at > arrived)
+        let ask = &self.asks[refused];
+        let is_later = self.asks[kept].last_dispatch.is_some_and(|at| at > ask.arrived);
+        let had = ask.deadline.since(ask.arrived);
+        is_later && self.any_engine(refused, |engine| self.time_at(refused, engine) <= had)
     }
 
     fn fits(&self, refused: usize, engine: usize) -> bool {
-        let ask = &self.asks[refused];
+        let time = self.time_at(refused, engine);
+        time.0 as f64 * FIT_MARGIN <= self.asks[refused].deadline.since(self.now).0 as f64
+    }
+
+    fn fits_anywhere(&self, refused: usize) -> bool {
+        self.any_engine(refused, |engine| self.fits(refused, engine))
+    }
+
+    /// The time that the rest of an ask would take at an engine.
+    fn time_at(&self, ask: usize, engine: usize) -> Millis {
+        let ask = &self.asks[ask];
         let call = &self.setup.calls[ask.call];
         let prompt = f64::from(call.prompt.0 + ask.delivered.0);
         let output = f64::from(call.output.0 - ask.delivered.0.min(call.output.0));
-        let time = self.engines[engine].time_to_serve(prompt, output);
-        time.0 as f64 * FIT_MARGIN <= ask.deadline.since(self.now).0 as f64
+        self.engines[engine].time_to_serve(prompt, output)
     }
 
-    fn fits_anywhere(&self, refused: usize) -> bool {
-        let class = self.setup.calls[self.asks[refused].call].class;
+    /// Whether something holds for an engine that is up and serves the ask's backend.
+    fn any_engine(&self, ask: usize, holds: impl Fn(usize) -> bool) -> bool {
+        let class = self.setup.calls[self.asks[ask].call].class;
         let document = &self.setup.firm.document;
         let backend = &document.routes[class.route].backend;
-        let mut engines = document.engines.iter().enumerate();
-        engines
-            .any(|(at, spec)| spec.backend == *backend && self.engines[at].is_up() && self.fits(refused, at))
+        let engines = document.engines.iter().enumerate();
+        let serving = engines.filter(|(at, spec)| spec.backend == *backend && self.engines[*at].is_up());
+        serving.map(|(at, _)| at).any(holds)
     }
 
     fn note_violation(&mut self, refused: Refused, kept: usize) {
