Let both processes of a host share what they had twice

Change: node::HostProcess, PeerNews, PeerDuty and PeerQuestion hold it once; both state actors keep what differs. Behaviour is meant to stay. Ruled out: one actor for both, as their steps, messages and threads differ.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -24,11 +24,5 @@
 #[must_use]
 pub fn main() -> ExitCode {
     let flags = flags::parse();
-    match process::run(&flags) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("carawayseam-control: {e:#}");
-            ExitCode::FAILURE
-        }
-    }
+    carawayseam_node::exit_code("carawayseam-control", process::run(&flags))
 }
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use carawayseam_clients::{EngineClient, HostListClient, Http, KvClient};
-use carawayseam_node::{LogRevision, Metrics, Settings, Sockets, init_logging, wait_for_stop};
+use carawayseam_node::{HostProcess, LogRevision, Metrics, Settings, Sockets, init_logging, wait_for_stop};
 use carawayseam_types::{Clock, Incarnation, Millis};
 use eyre::WrapErr;
 use serde::Serialize;
@@ -13,8 +13,7 @@
 
 use crate::calls::Outside;
 use crate::flags::Flags;
-use crate::state::{self, StateConfig};
-use crate::{admin, streams};
+use crate::{admin, state, streams};
 
 const STORE_TIMEOUT: Millis = Millis(1_500);
 
@@ -52,17 +51,16 @@
         engines: EngineClient::new()?,
         clock: clock.clone(),
     };
-    let config = StateConfig {
+    let process = HostProcess {
         log_revision,
         incarnation: Incarnation(clock.now().0),
         clock,
         address: sockets.address,
         datagrams: Arc::clone(&sockets.datagrams),
         metrics: Metrics::new(settings.metrics),
-        outside,
         settings,
     };
-    let control = state::start(&config);
+    let control = state::start(&process, &outside);
     print_listening(&Listening {
         admin: operators.local_addr()?,
         peers: sockets.address,
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -8,6 +8,6 @@
 mod moves;
 mod news;
 
-pub(crate) use actor::{StateConfig, start};
+pub(crate) use actor::start;
 pub(crate) use handle::ControlHandle;
 pub(crate) use messages::{Note, StateDump};
--- a/crates/control/src/state/actor.rs
+++ b/crates/control/src/state/actor.rs
@@ -1,21 +1,18 @@
 //! The actor that owns the control state.
 
 use std::collections::VecDeque;
-use std::net::SocketAddr;
-use std::sync::Arc;
 
 use carawayseam_lease::{LeaseEvent, PlanEvent};
-use carawayseam_membership::{Event as MembershipEvent, Membership, MembershipConfig, WatchEvent};
-use carawayseam_node::{LogRevision, Metrics, Settings, receive};
+use carawayseam_membership::{Event as MembershipEvent, Membership, WatchEvent};
+use carawayseam_node::{HostProcess, tick};
 use carawayseam_rollout::DriverEvent;
-use carawayseam_types::{BackendName, Clock, EnvironmentId, Incarnation, Millis};
+use carawayseam_types::{BackendName, EnvironmentId, Millis};
 use carawayseam_wire::{Peer, PeerRole};
 use kameo::Actor;
 use kameo::actor::{ActorRef, Spawn};
 use kameo::mailbox;
 use kameo::message::{Context, Message};
-use tokio::net::UdpSocket;
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use tokio::time::sleep;
 
 use super::environment::Environment;
 use super::handle::ControlHandle;
@@ -27,19 +24,6 @@
 const REVIEW_PERIOD: Millis = Millis(250);
 const HOST_LIST_PERIOD: Millis = Millis(2_000);
 
-/// What the control state is made of.
-#[derive(Debug, Clone)]
-pub(crate) struct StateConfig {
-    pub(crate) settings: Arc<Settings>,
-    pub(crate) clock: Clock,
-    pub(crate) incarnation: Incarnation,
-    pub(crate) address: SocketAddr,
-    pub(crate) datagrams: Arc<UdpSocket>,
-    pub(crate) metrics: Metrics,
-    pub(crate) log_revision: LogRevision,
-    pub(crate) outside: Outside,
-}
-
 /// Work that one message brings about, in order.
 #[derive(Debug)]
 pub(super) enum Step {
@@ -53,7 +37,8 @@
 /// The control state of the process.
 #[derive(Debug, Actor)]
 pub(crate) struct ControlState {
-    pub(super) config: StateConfig,
+    pub(super) process: HostProcess,
+    pub(super) outside: Outside,
     pub(super) membership: Membership,
     pub(super) environments: Vec<Environment>,
     pub(super) peers: Vec<Peer>,
@@ -63,44 +48,34 @@
 }
 
 /// Starts the control state on the current runtime.
-pub(crate) fn start(config: &StateConfig) -> ControlHandle {
-    let settings = &config.settings;
-    let membership = MembershipConfig::new(
-        settings.host.clone(),
-        PeerRole::Control,
-        settings.zone.clone(),
-        config.address,
-        config.incarnation,
-    );
-    let membership = membership
-        .seeds(settings.seeds.clone())
-        .seed(config.incarnation.0);
-    let names = settings.environments.iter();
+pub(crate) fn start(process: &HostProcess, outside: &Outside) -> ControlHandle {
+    let names = process.settings.environments.iter();
     let state = ControlState {
-        membership: Membership::new(membership),
-        environments: names.map(|name| Environment::new(name.clone(), config)).collect(),
+        membership: process.membership(PeerRole::Control),
+        environments: names
+            .map(|name| Environment::new(name.clone(), process))
+            .collect(),
         peers: Vec::new(),
         steps: VecDeque::new(),
         next_review: Millis::ZERO,
         me: None,
-        config: config.clone(),
+        process: process.clone(),
+        outside: outside.clone(),
     };
     let actor = ControlState::spawn_with_mailbox(state, mailbox::unbounded());
     let handle = ControlHandle::new(actor);
-    tokio::spawn(tick(handle.clone()));
-    tokio::spawn(read_hosts(config.outside.clone(), handle.clone()));
-    tokio::spawn(receive_datagrams(Arc::clone(&config.datagrams), handle.clone()));
+    let ticking = handle.clone();
+    tokio::spawn(tick(TICK, move || ticking.tell(Note::Tick)));
+    let receiving = handle.clone();
+    tokio::spawn(
+        process
+            .clone()
+            .receive_datagrams(move |news| receiving.tell(Note::Peer(news))),
+    );
+    tokio::spawn(read_hosts(outside.clone(), handle.clone()));
     handle
 }
 
-async fn tick(control: ControlHandle) {
-    let mut ticks = interval(TICK.to_duration());
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    while control.tell(Note::Tick) {
-        ticks.tick().await;
-    }
-}
-
 async fn read_hosts(outside: Outside, control: ControlHandle) {
     loop {
         match outside.hosts.read().await {
@@ -115,13 +90,6 @@
     }
 }
 
-async fn receive_datagrams(socket: Arc<UdpSocket>, control: ControlHandle) {
-    receive(&socket, |from, datagram| {
-        control.tell(Note::Datagram(from, datagram.map(Box::new)));
-    })
-    .await;
-}
-
 impl Message<Note> for ControlState {
     type Reply = ();
 
@@ -130,7 +98,7 @@
             let actor: ActorRef<Self> = ctx.actor_ref().clone();
             self.me = Some(ControlHandle::new(actor));
         }
-        let now = self.config.clock.now();
+        let now = self.process.clock.now();
         self.take(now, msg);
         self.work(now);
     }
@@ -143,8 +111,7 @@
         // A receiver that is gone no longer wants its answer.
         match msg {
             Question::Dump(tx) => drop(tx.send(self.dump())),
-            Question::Heads(tx) => drop(tx.send(self.membership.heads())),
-            Question::Record(key, tx) => drop(tx.send(self.membership.record(&key).cloned())),
+            Question::Peer(question) => question.answer(&self.membership),
         }
     }
 }
@@ -152,18 +119,10 @@
 impl ControlState {
     fn take(&mut self, now: Millis, note: Note) {
         match note {
-            Note::Datagram(from, Ok(datagram)) => {
-                self.push_membership(MembershipEvent::Datagram {
-                    from,
-                    datagram: *datagram,
-                });
-            }
-            Note::Datagram(from, Err(e)) => {
-                self.config.metrics.count("datagrams.refused");
-                log::warn!(from:% = from; "datagram refused: {e}");
+            Note::Peer(news) => {
+                let event = self.process.event(news);
+                self.steps.extend(event.map(Step::Membership));
             }
-            Note::Record(record) => self.push_membership(MembershipEvent::Record(record)),
-            Note::PullFailed(from, key) => self.push_membership(MembershipEvent::PullFailed { from, key }),
             Note::HostList(list) => self.push_membership(MembershipEvent::HostList(list)),
             Note::Watched(environment, range) => self.watched(&environment, &range),
             Note::Compared(environment, revision) => {
@@ -224,15 +183,9 @@
     }
 
     fn dump(&self) -> StateDump {
-        let now = self.config.clock.now();
-        StateDump {
-            process: "control",
-            host: self.config.settings.host.clone(),
-            incarnation: self.config.incarnation,
-            now,
-            membership: self.membership.dump(),
-            environments: self.environments.iter().map(|env| env.dump(now)).collect(),
-        }
+        let now = self.process.clock.now();
+        let environments = self.environments.iter().map(|env| env.dump(now)).collect();
+        self.process.dump("control", &self.membership, environments)
     }
 
     pub(super) fn index_of(&self, environment: &EnvironmentId) -> Option<usize> {
--- a/crates/control/src/state/apply.rs
+++ b/crates/control/src/state/apply.rs
@@ -4,11 +4,11 @@
 
 use carawayseam_external::engine::EngineLoadout;
 use carawayseam_lease::{LeaseAction, LeaseEvent, OrderOutcome, PlanAction, PlanEvent};
-use carawayseam_membership::{Action as MembershipAction, Event as MembershipEvent, WatchAction, WatchEvent};
-use carawayseam_node::{current_key, pull_record, send};
+use carawayseam_membership::{Event as MembershipEvent, WatchAction, WatchEvent};
+use carawayseam_node::{PeerDuty, current_key, pull};
 use carawayseam_rollout::DriverEvent;
 use carawayseam_types::{EngineId, Millis};
-use carawayseam_wire::{RecordKey, Topic, encode};
+use carawayseam_wire::{Topic, encode};
 use serde::Serialize;
 
 use super::actor::{ControlState, Step};
@@ -34,20 +34,23 @@
         let mut actions = Vec::new();
         self.membership.handle(now, event, &mut actions);
         for action in actions {
-            match action {
-                MembershipAction::Send { to, datagram } => send(&self.config.datagrams, to, &datagram),
-                MembershipAction::Pull { from, key } => self.spawn(|control| pull(from, key, control)),
-                MembershipAction::Apply(record) => self.put_in_force(&record),
-                MembershipAction::Peers(peers) => self.take_peers(peers),
-                MembershipAction::Deliver(item) => self.take_item(now, &item),
-                MembershipAction::Refuse(refused) => {
-                    self.config.metrics.count("news.refused");
-                    log::warn!("refused: {refused}");
-                }
+            if let Some(duty) = self.process.carry_out(action) {
+                self.take_duty(now, duty);
             }
         }
     }
 
+    fn take_duty(&mut self, now: Millis, duty: PeerDuty) {
+        match duty {
+            PeerDuty::Pull(from, key) => self.spawn(|control| async move {
+                control.tell(Note::Peer(pull(from, key).await));
+            }),
+            PeerDuty::Apply(record) => self.put_in_force(&record),
+            PeerDuty::Peers(peers) => self.take_peers(peers),
+            PeerDuty::Deliver(item) => self.take_item(now, &item),
+        }
+    }
+
     fn run_lease(&mut self, now: Millis, index: usize, event: LeaseEvent) {
         let mut actions = Vec::new();
         self.environments[index].lease.handle(now, event, &mut actions);
@@ -55,7 +58,7 @@
         for action in actions {
             match action {
                 LeaseAction::Call { call, request } => {
-                    let (outside, environment) = (self.config.outside.clone(), environment.clone());
+                    let (outside, environment) = (self.outside.clone(), environment.clone());
                     self.spawn(|control| async move {
                         let answer = outside.call_store(request).await;
                         control.tell(Note::Lease(environment, call, answer));
@@ -63,12 +66,12 @@
                 }
                 LeaseAction::Acquired { token } => {
                     log::info!(environment:% = environment, token:% = token; "control lease acquired");
-                    self.config.metrics.count("lease.acquired");
+                    self.process.metrics.count("lease.acquired");
                     self.acquired(index);
                 }
                 LeaseAction::Lost { token, cause } => {
                     log::warn!(environment:% = environment, token:% = token; "control lease lost: {cause}");
-                    self.config.metrics.count("lease.lost");
+                    self.process.metrics.count("lease.lost");
                     self.lost(index);
                 }
             }
@@ -135,7 +138,7 @@
                 .push_back(Step::Plan(index, PlanEvent::StateFailed(engine)));
             return;
         };
-        let outside = self.config.outside.clone();
+        let outside = self.outside.clone();
         self.spawn(|control| async move {
             let event = outside.read_engine(engine, address).await;
             control.tell(Note::Plan(environment, event));
@@ -146,7 +149,7 @@
     fn order(&mut self, index: usize, engine: EngineId, wanted: EngineLoadout) {
         let environment = self.environments[index].name.clone();
         let address = self.address_of(index, &engine);
-        let permit = self.environments[index].lease.permit(&self.config.clock);
+        let permit = self.environments[index].lease.permit(&self.process.clock);
         let (address, permit) = match (address, permit) {
             (Some(address), Ok(permit)) => (address, permit),
             (None, _) => {
@@ -162,9 +165,9 @@
                 return;
             }
         };
-        let valid_until = self.config.clock.now() + permit.remaining();
+        let valid_until = self.process.clock.now() + permit.remaining();
         log::info!(engine:% = engine, version:% = wanted.version; "order given");
-        let outside = self.config.outside.clone();
+        let outside = self.outside.clone();
         self.spawn(|control| async move {
             let event = outside
                 .order_engine(engine, address, permit, valid_until, wanted)
@@ -187,7 +190,7 @@
                 // Reading all keys anew helps even where every watch stays silent.
                 WatchAction::Reopen { .. } => {
                     log::warn!(environment:% = self.environments[index].name; "the watch went silent");
-                    self.config.metrics.count("watch.silent");
+                    self.process.metrics.count("watch.silent");
                     self.open_watch(index, 0);
                 }
             }
@@ -197,7 +200,7 @@
     /// Reads the one key whose change matters most.
     fn compare(&mut self, index: usize) {
         let environment = self.environments[index].name.clone();
-        let store = self.config.outside.store.clone();
+        let store = self.outside.store.clone();
         self.spawn(|control| async move {
             match store.get(&current_key(&environment)).await {
                 Ok(Some(entry)) => drop(control.tell(Note::Compared(environment, entry.revision))),
@@ -209,7 +212,7 @@
 
     pub(super) fn open_watch(&mut self, index: usize, after: u64) {
         let Some(control) = self.me.clone() else { return };
-        let store = self.config.outside.watched.clone();
+        let store = self.outside.watched.clone();
         let environment = self.environments[index].name.clone();
         self.environments[index].watch = Some(watch::start(store, environment, after, control));
     }
@@ -232,11 +235,3 @@
         }
     }
 }
-
-async fn pull(from: SocketAddr, key: RecordKey, control: ControlHandle) {
-    let note = match pull_record(from, key.clone()).await {
-        Some(record) => Note::Record(record),
-        None => Note::PullFailed(from, key),
-    };
-    control.tell(note);
-}
--- a/crates/control/src/state/environment.rs
+++ b/crates/control/src/state/environment.rs
@@ -6,10 +6,10 @@
 use carawayseam_config::Document;
 use carawayseam_lease::{Lease, LeaseConfig, Planner, PlannerLimits};
 use carawayseam_membership::WatchGuard;
+use carawayseam_node::HostProcess;
 use carawayseam_rollout::Driver;
 use carawayseam_types::{BackendName, EnvironmentId, Incarnation, Millis, MoveId, Revision, VersionId};
 
-use super::actor::StateConfig;
 use super::messages::EnvironmentDump;
 use crate::watch::{WATCH_WAIT, Watch};
 
@@ -52,9 +52,9 @@
 }
 
 impl Environment {
-    pub(super) fn new(name: EnvironmentId, config: &StateConfig) -> Self {
-        let Incarnation(seed) = config.incarnation;
-        let lease = LeaseConfig::new(name.clone(), config.settings.host.clone(), seed);
+    pub(super) fn new(name: EnvironmentId, process: &HostProcess) -> Self {
+        let Incarnation(seed) = process.incarnation;
+        let lease = LeaseConfig::new(name.clone(), process.settings.host.clone(), seed);
         Self {
             lease: Lease::new(lease),
             name,
@@ -64,7 +64,7 @@
             is_holder: false,
             stands: false,
             said_held_at: Millis::ZERO,
-            heard_holder_at: config.clock.now(),
+            heard_holder_at: process.clock.now(),
             planner: Planner::new(PlannerLimits::default()),
             drivers: BTreeMap::new(),
             stored: BTreeMap::new(),
--- a/crates/control/src/state/handle.rs
+++ b/crates/control/src/state/handle.rs
@@ -1,5 +1,6 @@
 //! How tasks reach the control state.
 
+use carawayseam_node::PeerQuestion;
 use carawayseam_wire::{Head, Record, RecordKey};
 use kameo::actor::ActorRef;
 use tokio::sync::oneshot;
@@ -36,11 +37,15 @@
     }
 
     pub(crate) async fn heads(&self) -> Vec<Head> {
-        self.ask(Question::Heads).await.unwrap_or_default()
+        self.ask(|tx| Question::Peer(PeerQuestion::Heads(tx)))
+            .await
+            .unwrap_or_default()
     }
 
     pub(crate) async fn local_record(&self, key: RecordKey) -> Option<Record> {
-        self.ask(|tx| Question::Record(key, tx)).await.flatten()
+        self.ask(|tx| Question::Peer(PeerQuestion::Record(key, tx)))
+            .await
+            .flatten()
     }
 
     async fn ask<T>(&self, question: impl FnOnce(oneshot::Sender<T>) -> Question) -> Option<T> {
--- a/crates/control/src/state/messages.rs
+++ b/crates/control/src/state/messages.rs
@@ -1,14 +1,11 @@
 //! Messages to the control state, and what it answers.
 
-use std::net::SocketAddr;
-
 use carawayseam_external::hosts::HostList;
 use carawayseam_external::kv::Range;
 use carawayseam_lease::{CallId, LeaseDump, PlanEvent, PlannerDump, StoreAnswer};
-use carawayseam_membership::MembershipDump;
+use carawayseam_node::{PeerNews, PeerQuestion};
 use carawayseam_rollout::MoveRecord;
-use carawayseam_types::{BackendName, EnvironmentId, HostId, Incarnation, Millis};
-use carawayseam_wire::{Datagram, Head, Record, RecordKey, WireError};
+use carawayseam_types::{BackendName, EnvironmentId};
 use serde::Serialize;
 use tokio::sync::oneshot;
 
@@ -17,9 +14,7 @@
 /// A message that asks for no answer.
 #[derive(Debug)]
 pub(crate) enum Note {
-    Datagram(SocketAddr, Result<Box<Datagram>, WireError>),
-    Record(Record),
-    PullFailed(SocketAddr, RecordKey),
+    Peer(PeerNews),
     HostList(HostList),
     Watched(EnvironmentId, Range),
     Compared(EnvironmentId, u64),
@@ -34,26 +29,11 @@
 #[derive(Debug)]
 pub(crate) enum Question {
     Dump(oneshot::Sender<StateDump>),
-    Heads(oneshot::Sender<Vec<Head>>),
-    Record(RecordKey, oneshot::Sender<Option<Record>>),
+    Peer(PeerQuestion),
 }
 
 /// The state of the process, for the state dump.
-#[derive(Debug, Serialize)]
-pub(crate) struct StateDump {
-    /// Always `control`.
-    pub(crate) process: &'static str,
-    /// The host.
-    pub(crate) host: HostId,
-    /// The process's life.
-    pub(crate) incarnation: Incarnation,
-    /// The time of the dump.
-    pub(crate) now: Millis,
-    /// Peers and records.
-    pub(crate) membership: MembershipDump,
-    /// Each environment.
-    pub(crate) environments: Vec<EnvironmentDump>,
-}
+pub(crate) type StateDump = carawayseam_node::StateDump<EnvironmentDump>;
 
 /// One environment, for the state dump.
 #[derive(Debug, Serialize)]
--- a/crates/control/src/state/moves.rs
+++ b/crates/control/src/state/moves.rs
@@ -169,7 +169,7 @@
     /// Writes a record, but only under a lease that holds at this moment.
     fn write_move(&mut self, index: usize, record: &MoveRecord) {
         let env = &mut self.environments[index];
-        if let Err(e) = env.lease.permit(&self.config.clock) {
+        if let Err(e) = env.lease.permit(&self.process.clock) {
             log::warn!(move_id:% = record.spec.name; "move not written: {e}");
             env.is_beginning.retain(|backend| *backend != record.spec.backend);
             return;
@@ -177,7 +177,7 @@
         let backend = record.spec.backend.clone();
         let expect = env.stored.get(&backend).map_or(0, |stored| stored.store_revision);
         let key = move_key(&env.name, &backend);
-        let (outside, environment, record) = (self.config.outside.clone(), env.name.clone(), record.clone());
+        let (outside, environment, record) = (self.outside.clone(), env.name.clone(), record.clone());
         self.spawn(|control| async move {
             let outcome = outside.write_move(key, &record, expect).await;
             control.tell(Note::MoveWritten(environment, backend, outcome));
@@ -230,7 +230,7 @@
                     move_id:% = mv.spec.name, phase:% = phase, share:% = mv.share, revision:% = mv.revision;
                     "move is {phase}: {cause}"
                 );
-                self.config.metrics.count("moves.changed");
+                self.process.metrics.count("moves.changed");
             }
             Err(e) => log::error!("{} not read: {e}", record.head.key),
         }
--- a/crates/control/src/state/news.rs
+++ b/crates/control/src/state/news.rs
@@ -6,7 +6,7 @@
 use carawayseam_external::kv::{Entry, Range};
 use carawayseam_lease::PlanEvent;
 use carawayseam_membership::{Event as MembershipEvent, WatchEvent, watchers};
-use carawayseam_node::{CurrentDocument, current_key, moves_prefix, record_of};
+use carawayseam_node::{CurrentDocument, current_key, document_of, moves_prefix, record_of};
 use carawayseam_rollout::{DriverEvent, Evidence, MoveRecord};
 use carawayseam_types::{BackendName, EnvironmentId, Millis, MoveId, Revision};
 use carawayseam_wire::{Item, Peer, Record, RecordKey, Topic, decode};
@@ -26,11 +26,11 @@
 impl ControlState {
     /// Watches the store if this process is among its zone's watchers or holds the lease.
     pub(super) fn watch_as_needed(&mut self, index: usize) {
-        let zone = &self.config.settings.zone;
+        let zone = &self.process.settings.zone;
         let near: Vec<&Peer> = self.peers.iter().filter(|peer| peer.zone == *zone).collect();
         let env = &self.environments[index];
         let chosen = watchers(&near, &prefix_of(&env.name), WATCHERS_PER_ZONE);
-        let is_chosen = near.is_empty() || chosen.iter().any(|peer| peer.host == self.config.settings.host);
+        let is_chosen = near.is_empty() || chosen.iter().any(|peer| peer.host == self.process.settings.host);
         let is_needed = is_chosen || env.is_holder;
         match &env.watch {
             None if is_needed => self.open_watch(index, 0),
@@ -48,7 +48,7 @@
         let live: Vec<&Peer> = self.peers.iter().collect();
         let key = format!("control/{}", env.name);
         let chosen = watchers(&live, &key, LEASE_CANDIDATES);
-        let is_chosen = live.is_empty() || chosen.iter().any(|peer| peer.host == self.config.settings.host);
+        let is_chosen = live.is_empty() || chosen.iter().any(|peer| peer.host == self.process.settings.host);
         let is_unheld = now.since(env.heard_holder_at) >= UNHELD_AFTER;
         env.is_holder || is_chosen || is_unheld
     }
@@ -132,11 +132,8 @@
                 let Some(index) = self.index_of(environment) else {
                     return;
                 };
-                let file = format!("{environment}@{}", record.head.revision);
-                match Document::from_yaml(&file, &record.body) {
-                    Ok(document) => self.configure(index, record.head.revision, Arc::new(document)),
-                    // It was checked before promotion, so this process is older than the document.
-                    Err(e) => log::error!("document not put in force: {e}"),
+                if let Some(document) = document_of(record) {
+                    self.configure(index, record.head.revision, document);
                 }
             }
             RecordKey::Move(..) => self.tell_move(record),
@@ -148,7 +145,7 @@
         log::info!(environment:% = env.name, revision:% = revision; "document in force");
         env.document = Some(Arc::clone(&document));
         env.revision = Some(revision);
-        self.config.log_revision.set(revision);
+        self.process.log_revision.set(revision);
         self.steps
             .push_back(Step::Plan(index, PlanEvent::Document(document)));
     }
@@ -210,7 +207,7 @@
     pub(super) fn say_held(&mut self, now: Millis, index: usize) {
         let env = &mut self.environments[index];
         let is_due = now.since(env.said_held_at) >= HELD_PERIOD;
-        if !env.is_holder || !is_due || env.lease.permit(&self.config.clock).is_err() {
+        if !env.is_holder || !is_due || env.lease.permit(&self.process.clock).is_err() {
             return;
         }
         env.said_held_at = now;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,11 +22,5 @@
 #[must_use]
 pub fn main() -> ExitCode {
     let flags = flags::parse();
-    match process::run(&flags) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("carawayseam-entry: {e:#}");
-            ExitCode::FAILURE
-        }
-    }
+    carawayseam_node::exit_code("carawayseam-entry", process::run(&flags))
 }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -7,7 +7,7 @@
 use axum::serve::ListenerExt;
 use carawayseam_claims::Identity;
 use carawayseam_clients::{ClaimClient, EngineClient, Http, KvClient, ServiceClient};
-use carawayseam_node::{LogRevision, Metrics, Settings, Sockets, init_logging, wait_for_stop};
+use carawayseam_node::{HostProcess, LogRevision, Metrics, Settings, Sockets, init_logging, wait_for_stop};
 use carawayseam_types::{Clock, Incarnation, Millis};
 use eyre::WrapErr;
 use serde::Serialize;
@@ -17,7 +17,7 @@
 use tokio::task::JoinHandle;
 
 use crate::flags::Flags;
-use crate::state::{ControlHandle, StateConfig};
+use crate::state::ControlHandle;
 use crate::traffic::Traffic;
 use crate::{admin, feeds, state, traffic};
 
@@ -67,7 +67,7 @@
         host: settings.host.clone(),
         incarnation,
     };
-    let config = StateConfig {
+    let process = HostProcess {
         log_revision,
         settings: Arc::clone(&settings),
         clock: clock.clone(),
@@ -76,7 +76,7 @@
         datagrams: Arc::clone(&sockets.datagrams),
         metrics: metrics.clone(),
     };
-    let control = start_control(config).await?;
+    let control = start_control(process).await?;
     let traffic = Arc::new(Traffic {
         settings: Arc::clone(&settings),
         clock,
@@ -127,26 +127,30 @@
 }
 
 /// Starts the thread that holds the control state.
-async fn start_control(config: StateConfig) -> eyre::Result<ControlHandle> {
+async fn start_control(process: HostProcess) -> eyre::Result<ControlHandle> {
     let (tx, rx) = oneshot::channel();
     thread::Builder::new()
         .name("control".to_owned())
-        .spawn(move || run_control(&config, tx))
+        .spawn(move || run_control(&process, tx))
         .wrap_err("cannot start the control thread")?;
     rx.await.wrap_err("the control thread ended")?
 }
 
-fn run_control(config: &StateConfig, started: oneshot::Sender<eyre::Result<ControlHandle>>) {
+fn run_control(process: &HostProcess, started: oneshot::Sender<eyre::Result<ControlHandle>>) {
     let runtime = match Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => return answer(started, Err(e.into())),
     };
-    run_actor(&runtime, config, started);
+    run_actor(&runtime, process, started);
 }
 
-fn run_actor(runtime: &Runtime, config: &StateConfig, started: oneshot::Sender<eyre::Result<ControlHandle>>) {
+fn run_actor(
+    runtime: &Runtime,
+    process: &HostProcess,
+    started: oneshot::Sender<eyre::Result<ControlHandle>>,
+) {
     runtime.block_on(async {
-        let handle = state::start(config);
+        let handle = state::start(process);
         let ended = handle.clone();
         answer(started, Ok(handle));
         ended.wait_for_end().await;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -7,6 +7,6 @@
 mod messages;
 mod news;
 
-pub(crate) use actor::{StateConfig, start};
+pub(crate) use actor::start;
 pub(crate) use handle::ControlHandle;
 pub(crate) use messages::{Assignment, AttemptNews, EngineReading, Signal, StateDump, Submission};
--- a/crates/entry/src/state/actor.rs
+++ b/crates/entry/src/state/actor.rs
@@ -1,25 +1,22 @@
 //! The actor that owns the control state.
 
 use std::collections::{HashMap, VecDeque};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use carawayseam_membership::{Event as MembershipEvent, Membership, MembershipConfig};
-use carawayseam_node::{LogRevision, Metrics, Settings, receive};
+use carawayseam_membership::{Event as MembershipEvent, Membership};
+use carawayseam_node::{HostProcess, tick};
 use carawayseam_rollout::{GateEvent, Pick};
 use carawayseam_scheduler::{AttemptFailure, EngineReport, EngineStanding, Event, Origin};
 use carawayseam_types::{
-    AttemptId, Clock, EngineId, EnvironmentId, Incarnation, Millis, NotRunReason, Refusal, RequestSeq, Tokens,
+    AttemptId, EngineId, EnvironmentId, Millis, NotRunReason, Refusal, RequestSeq, Tokens,
 };
 use carawayseam_wire::{Peer, PeerRole};
 use kameo::Actor;
 use kameo::actor::{ActorRef, Spawn};
 use kameo::mailbox;
 use kameo::message::{Context, Message};
-use tokio::net::UdpSocket;
 use tokio::sync::watch;
-use tokio::time::{MissedTickBehavior, interval};
 
 use super::environment::Environment;
 use super::handle::{ControlHandle, Documents};
@@ -28,18 +25,6 @@
 const TICK: Millis = Millis(40);
 const RETRY_AFTER_NO_DOCUMENT: Millis = Millis::from_secs(1);
 
-/// What the control state is made of.
-#[derive(Debug, Clone)]
-pub(crate) struct StateConfig {
-    pub(crate) settings: Arc<Settings>,
-    pub(crate) clock: Clock,
-    pub(crate) incarnation: Incarnation,
-    pub(crate) address: SocketAddr,
-    pub(crate) datagrams: Arc<UdpSocket>,
-    pub(crate) metrics: Metrics,
-    pub(crate) log_revision: LogRevision,
-}
-
 /// Work that one message brings about, in order.
 #[derive(Debug)]
 pub(super) enum Step {
@@ -52,7 +37,7 @@
 /// The control state of the process.
 #[derive(Debug, Actor)]
 pub(crate) struct ControlState {
-    pub(super) config: StateConfig,
+    pub(super) process: HostProcess,
     pub(super) membership: Membership,
     pub(super) environments: Vec<Environment>,
     pub(super) documents: watch::Sender<Documents>,
@@ -69,26 +54,16 @@
 }
 
 /// Starts the control state on the current runtime.
-pub(crate) fn start(config: &StateConfig) -> ControlHandle {
-    let names = &config.settings.environments;
+pub(crate) fn start(process: &HostProcess) -> ControlHandle {
+    let names = &process.settings.environments;
     let documents = names.iter().map(|name| (name.clone(), None)).collect();
     let (tx, rx) = watch::channel(documents);
     let caught_up = Arc::new(AtomicBool::new(false));
-    let membership = MembershipConfig::new(
-        config.settings.host.clone(),
-        PeerRole::Entry,
-        config.settings.zone.clone(),
-        config.address,
-        config.incarnation,
-    );
-    let membership = membership
-        .seeds(config.settings.seeds.clone())
-        .seed(config.incarnation.0);
     let state = ControlState {
-        membership: Membership::new(membership),
+        membership: process.membership(PeerRole::Entry),
         environments: names
             .iter()
-            .map(|name| Environment::new(name.clone(), config))
+            .map(|name| Environment::new(name.clone(), process))
             .collect(),
         documents: tx,
         caught_up: Arc::clone(&caught_up),
@@ -97,33 +72,19 @@
         heard_leaving: HashMap::new(),
         steps: VecDeque::new(),
         me: None,
-        config: config.clone(),
+        process: process.clone(),
     };
     let actor = ControlState::spawn_with_mailbox(state, mailbox::unbounded());
-    tokio::spawn(tick(actor.clone()));
-    tokio::spawn(receive_datagrams(Arc::clone(&config.datagrams), actor.clone()));
-    ControlHandle::new(actor, rx, caught_up)
-}
-
-async fn tick(actor: ActorRef<ControlState>) {
-    let mut ticks = interval(TICK.to_duration());
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        ticks.tick().await;
-        if actor.tell(Note::Tick).try_send().is_err() {
-            return;
-        }
-    }
-}
-
-async fn receive_datagrams(socket: Arc<UdpSocket>, actor: ActorRef<ControlState>) {
-    receive(&socket, |from, datagram| {
-        let note = Note::Datagram(from, datagram.map(Box::new));
-        if actor.tell(note).try_send().is_err() {
-            log::debug!("the control state has ended");
-        }
-    })
-    .await;
+    let handle = ControlHandle::new(actor, rx, caught_up);
+    let ticking = handle.clone();
+    tokio::spawn(tick(TICK, move || ticking.tell(Note::Tick)));
+    let receiving = handle.clone();
+    tokio::spawn(
+        process
+            .clone()
+            .receive_datagrams(move |news| receiving.tell(Note::Peer(news))),
+    );
+    handle
 }
 
 impl Message<Note> for ControlState {
@@ -133,7 +94,7 @@
         if self.me.is_none() {
             self.me = Some(ctx.actor_ref().clone());
         }
-        let now = self.config.clock.now();
+        let now = self.process.clock.now();
         self.take(now, msg);
         self.work(now);
     }
@@ -146,8 +107,7 @@
         // A receiver that is gone no longer wants its answer.
         match msg {
             Question::Dump(tx) => drop(tx.send(self.dump())),
-            Question::Heads(tx) => drop(tx.send(self.membership.heads())),
-            Question::Record(key, tx) => drop(tx.send(self.membership.record(&key).cloned())),
+            Question::Peer(question) => question.answer(&self.membership),
             Question::EnginesToRead(tx) => drop(tx.send(self.engines_to_read())),
         }
     }
@@ -170,26 +130,9 @@
                 self.steps
                     .extend(events.into_iter().map(|event| Step::Gate(index, event)));
             }
-            Note::Datagram(from, Ok(datagram)) => {
-                self.steps.push_back(Step::Membership(MembershipEvent::Datagram {
-                    from,
-                    datagram: *datagram,
-                }));
-            }
-            Note::Datagram(from, Err(e)) => {
-                self.config.metrics.count("datagrams.refused");
-                log::warn!(from:% = from; "datagram refused: {e}");
-            }
-            Note::Record(record) => self
-                .steps
-                .push_back(Step::Membership(MembershipEvent::Record(record))),
-            Note::Heads(from, heads) => {
-                self.steps
-                    .push_back(Step::Membership(MembershipEvent::Heads { from, heads }));
-            }
-            Note::PullFailed(from, key) => {
-                self.steps
-                    .push_back(Step::Membership(MembershipEvent::PullFailed { from, key }));
+            Note::Peer(news) => {
+                let event = self.process.event(news);
+                self.steps.extend(event.map(Step::Membership));
             }
             Note::HostList(list) => self.host_list(now, list),
             Note::EngineLoad(environment, load) => {
@@ -257,7 +200,7 @@
         request.version = version;
         env.open_request(&request, pick_version, signals);
         if request.origin == Origin::Caller {
-            self.config.metrics.count("requests");
+            self.process.metrics.count("requests");
         }
         self.steps
             .push_back(Step::Scheduler(index, Event::Arrive(request)));
@@ -312,14 +255,8 @@
     }
 
     fn dump(&self) -> StateDump {
-        StateDump {
-            process: "entry",
-            host: self.config.settings.host.clone(),
-            incarnation: self.config.incarnation,
-            now: self.config.clock.now(),
-            membership: self.membership.dump(),
-            environments: self.environments.iter().map(Environment::dump).collect(),
-        }
+        let environments = self.environments.iter().map(Environment::dump).collect();
+        self.process.dump("entry", &self.membership, environments)
     }
 
     pub(super) fn index_of(&self, environment: &EnvironmentId) -> Option<usize> {
--- a/crates/entry/src/state/apply.rs
+++ b/crates/entry/src/state/apply.rs
@@ -5,13 +5,14 @@
 
 use carawayseam_config::Document;
 use carawayseam_external::engine::AttemptRef;
-use carawayseam_membership::{Action as MembershipAction, Event as MembershipEvent};
-use carawayseam_node::{pull_record, send};
+use carawayseam_membership::Event as MembershipEvent;
+use carawayseam_node::{PeerDuty, document_of, pull};
 use carawayseam_rollout::{GateAction, GateEvent, MoveRecord};
 use carawayseam_scheduler::{Action, Event};
-use carawayseam_types::{AttemptId, EngineId, HostId, Millis, RequestSeq, VersionId};
+use carawayseam_types::{
+    AttemptId, EngineId, EnvironmentId, HostId, Millis, RequestSeq, Revision, VersionId,
+};
 use carawayseam_wire::{Peer, PeerRole, Record, RecordKey, Topic, encode};
-use kameo::actor::ActorRef;
 use serde::Serialize;
 
 use super::actor::{ControlState, Step};
@@ -75,7 +76,7 @@
                 }
             }
             Action::Refuse { request, refusal } => {
-                self.config.metrics.count("requests.refused");
+                self.process.metrics.count("requests.refused");
                 self.finish(index, request, Signal::Refused(refusal));
             }
             Action::Abandon {
@@ -83,7 +84,7 @@
                 reason,
                 retry_after,
             } => {
-                self.config.metrics.count("requests.abandoned");
+                self.process.metrics.count("requests.abandoned");
                 self.finish(index, request, Signal::Abandoned { reason, retry_after });
             }
             Action::Forward { request, host } => self.forward(index, request, host),
@@ -150,8 +151,8 @@
 
     fn attempt_ref(&self, attempt: AttemptId) -> AttemptRef {
         AttemptRef {
-            host: self.config.settings.host.clone(),
-            incarnation: self.config.incarnation.0,
+            host: self.process.settings.host.clone(),
+            incarnation: self.process.incarnation.0,
             attempt,
         }
     }
@@ -173,7 +174,7 @@
                 serving,
                 cause,
             } => {
-                self.config.metrics.count("moves.stopped");
+                self.process.metrics.count("moves.stopped");
                 log::warn!(move_id:% = move_id, version:% = withdrawn; "version stopped here: {cause}");
                 let name = move_id.to_string();
                 let environment = self.environments[index].name.clone();
@@ -219,36 +220,38 @@
         let mut actions = Vec::new();
         self.membership.handle(now, event, &mut actions);
         for action in actions {
-            self.apply_membership(now, action);
+            if let Some(duty) = self.process.carry_out(action) {
+                self.take_duty(now, duty);
+            }
         }
     }
 
-    fn apply_membership(&mut self, now: Millis, action: MembershipAction) {
-        match action {
-            MembershipAction::Send { to, datagram } => send(&self.config.datagrams, to, &datagram),
-            MembershipAction::Pull { from, key } => {
-                if let Some(me) = &self.me {
-                    tokio::spawn(pull(from, key, me.clone()));
-                }
-            }
-            MembershipAction::Apply(record) => self.put_in_force(&record),
-            MembershipAction::Peers(peers) => self.take_peers(peers),
-            MembershipAction::Deliver(item) => self.take_item(now, &item),
-            MembershipAction::Refuse(refused) => {
-                self.config.metrics.count("news.refused");
-                log::warn!("refused: {refused}");
-            }
+    fn take_duty(&mut self, now: Millis, duty: PeerDuty) {
+        match duty {
+            PeerDuty::Pull(from, key) => self.pull(from, key),
+            PeerDuty::Apply(record) => self.put_in_force(&record),
+            PeerDuty::Peers(peers) => self.take_peers(peers),
+            PeerDuty::Deliver(item) => self.take_item(now, &item),
         }
     }
 
+    fn pull(&self, from: SocketAddr, key: RecordKey) {
+        let Some(me) = self.me.clone() else {
+            return;
+        };
+        tokio::spawn(async move {
+            let news = pull(from, key).await;
+            if me.tell(Note::Peer(news)).try_send().is_err() {
+                log::debug!("the control state has ended");
+            }
+        });
+    }
+
     fn put_in_force(&mut self, record: &Record) {
         match &record.head.key {
             RecordKey::Configuration(environment) => {
-                let file = format!("{environment}@{}", record.head.revision);
-                match Document::from_yaml(&file, &record.body) {
-                    Ok(document) => self.configure(record, Arc::new(document)),
-                    // It was checked before promotion, so this process is older than the document.
-                    Err(e) => log::error!("document not put in force: {e}"),
+                if let Some(document) = document_of(record) {
+                    self.configure(environment, record.head.revision, document);
                 }
             }
             RecordKey::Move(environment, _) => match serde_json::from_str::<MoveRecord>(&record.body) {
@@ -266,18 +269,15 @@
         }
     }
 
-    fn configure(&mut self, record: &Record, document: Arc<Document>) {
-        let RecordKey::Configuration(environment) = &record.head.key else {
-            return;
-        };
+    fn configure(&mut self, environment: &EnvironmentId, revision: Revision, document: Arc<Document>) {
         let Some(index) = self.index_of(environment) else {
             return;
         };
         let env = &mut self.environments[index];
         env.document = Some(Arc::clone(&document));
-        env.revision = Some(record.head.revision);
-        self.config.log_revision.set(record.head.revision);
-        log::info!(environment:% = environment, revision:% = record.head.revision; "document in force");
+        env.revision = Some(revision);
+        self.process.log_revision.set(revision);
+        log::info!(environment:% = environment, revision:% = revision; "document in force");
         self.documents
             .send_modify(|documents| documents[index].1 = Some(Arc::clone(&document)));
         self.steps
@@ -301,13 +301,3 @@
         }
     }
 }
-
-async fn pull(from: SocketAddr, key: RecordKey, actor: ActorRef<ControlState>) {
-    let note = match pull_record(from, key.clone()).await {
-        Some(record) => Note::Record(record),
-        None => Note::PullFailed(from, key),
-    };
-    if actor.tell(note).try_send().is_err() {
-        log::debug!("the control state has ended");
-    }
-}
--- a/crates/entry/src/state/environment.rs
+++ b/crates/entry/src/state/environment.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use carawayseam_config::Document;
+use carawayseam_node::HostProcess;
 use carawayseam_rollout::{Gate, GateEvent, Observation, Served};
 use carawayseam_scheduler::{Request, Scheduler, SchedulerConfig};
 use carawayseam_types::{
@@ -11,7 +12,6 @@
 };
 use tokio::sync::mpsc::UnboundedSender;
 
-use super::actor::StateConfig;
 use super::messages::{EnvironmentDump, Signal};
 
 /// A request open on this host.
@@ -41,16 +41,16 @@
 }
 
 impl Environment {
-    pub(super) fn new(name: EnvironmentId, config: &StateConfig) -> Self {
-        let host = config.settings.host.clone();
-        let zone = config.settings.zone.clone();
-        let Incarnation(seed) = config.incarnation;
+    pub(super) fn new(name: EnvironmentId, process: &HostProcess) -> Self {
+        let host = process.settings.host.clone();
+        let zone = process.settings.zone.clone();
+        let Incarnation(seed) = process.incarnation;
         Self {
             name,
             document: None,
             revision: None,
             scheduler: Scheduler::new(SchedulerConfig::new(host.clone(), zone).seed(seed)),
-            gate: Gate::new(host, config.incarnation),
+            gate: Gate::new(host, process.incarnation),
             requests: HashMap::new(),
             attempts: HashMap::new(),
             cache_seen: HashMap::new(),
--- a/crates/entry/src/state/handle.rs
+++ b/crates/entry/src/state/handle.rs
@@ -7,6 +7,7 @@
 use carawayseam_config::Document;
 use carawayseam_external::engine::{CacheEvents, LoadReport};
 use carawayseam_external::hosts::HostList;
+use carawayseam_node::{PeerNews, PeerQuestion};
 use carawayseam_rollout::Observation;
 use carawayseam_types::{AttemptId, EngineId, EnvironmentId, Millis, RequestSeq};
 use carawayseam_wire::{Head, Record, RecordKey};
@@ -100,11 +101,11 @@
     }
 
     pub(crate) fn record(&self, record: Record) {
-        self.tell(Note::Record(record));
+        self.tell(Note::Peer(PeerNews::Record(record)));
     }
 
     pub(crate) fn heads(&self, from: SocketAddr, heads: Vec<Head>) {
-        self.tell(Note::Heads(from, heads));
+        self.tell(Note::Peer(PeerNews::Heads(from, heads)));
     }
 
     pub(crate) fn host_list(&self, list: HostList) {
@@ -141,22 +142,29 @@
     }
 
     pub(crate) async fn local_heads(&self) -> Vec<Head> {
-        self.ask(Question::Heads).await.unwrap_or_default()
+        self.ask(|tx| Question::Peer(PeerQuestion::Heads(tx)))
+            .await
+            .unwrap_or_default()
     }
 
     pub(crate) async fn local_record(&self, key: RecordKey) -> Option<Record> {
-        self.ask(|tx| Question::Record(key, tx)).await.flatten()
+        self.ask(|tx| Question::Peer(PeerQuestion::Record(key, tx)))
+            .await
+            .flatten()
     }
 
     pub(crate) async fn engines_to_read(&self) -> Vec<EngineReading> {
         self.ask(Question::EnginesToRead).await.unwrap_or_default()
     }
 
-    fn tell(&self, note: Note) {
-        // The mailbox is unbounded, so this fails only once the actor has ended.
-        if self.actor.tell(note).try_send().is_err() {
+    /// Sends a message; false once the actor has ended.
+    pub(super) fn tell(&self, note: Note) -> bool {
+        // The mailbox is unbounded, so this fails only then.
+        let taken = self.actor.tell(note).try_send().is_ok();
+        if !taken {
             log::debug!("the control state has ended");
         }
+        taken
     }
 
     async fn ask<T>(&self, question: impl FnOnce(oneshot::Sender<T>) -> Question) -> Option<T> {
--- a/crates/entry/src/state/messages.rs
+++ b/crates/entry/src/state/messages.rs
@@ -4,14 +4,12 @@
 
 use carawayseam_external::engine::{AttemptRef, CacheEvents, LoadReport};
 use carawayseam_external::hosts::HostList;
-use carawayseam_membership::MembershipDump;
+use carawayseam_node::{PeerNews, PeerQuestion};
 use carawayseam_rollout::{GateDump, Observation};
 use carawayseam_scheduler::{AttemptFailure, Request, SchedulerDump};
 use carawayseam_types::{
-    AttemptId, EngineId, EnvironmentId, HostId, Incarnation, Millis, Refusal, RequestSeq, Tokens,
-    UnknownReason, VersionId,
+    AttemptId, EngineId, EnvironmentId, HostId, Millis, Refusal, RequestSeq, Tokens, UnknownReason, VersionId,
 };
-use carawayseam_wire::{Datagram, Head, Record, RecordKey, WireError};
 use serde::Serialize;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
@@ -104,10 +102,7 @@
     CallerGone(EnvironmentId, RequestSeq),
     Attempt(EnvironmentId, AttemptId, AttemptNews),
     Observed(EnvironmentId, RequestSeq, Observation),
-    Datagram(SocketAddr, Result<Box<Datagram>, WireError>),
-    Record(Record),
-    Heads(SocketAddr, Vec<Head>),
-    PullFailed(SocketAddr, RecordKey),
+    Peer(PeerNews),
     HostList(HostList),
     EngineLoad(EnvironmentId, LoadReport),
     CacheEvents(EnvironmentId, EngineId, CacheEvents),
@@ -120,27 +115,12 @@
 #[derive(Debug)]
 pub(crate) enum Question {
     Dump(oneshot::Sender<StateDump>),
-    Heads(oneshot::Sender<Vec<Head>>),
-    Record(RecordKey, oneshot::Sender<Option<Record>>),
+    Peer(PeerQuestion),
     EnginesToRead(oneshot::Sender<Vec<EngineReading>>),
 }
 
 /// The state of the process, for the state dump.
-#[derive(Debug, Serialize)]
-pub(crate) struct StateDump {
-    /// Always `entry`.
-    pub(crate) process: &'static str,
-    /// The host.
-    pub(crate) host: HostId,
-    /// The process's life.
-    pub(crate) incarnation: Incarnation,
-    /// The time of the dump.
-    pub(crate) now: Millis,
-    /// Peers and records.
-    pub(crate) membership: MembershipDump,
-    /// Each environment.
-    pub(crate) environments: Vec<EnvironmentDump>,
-}
+pub(crate) type StateDump = carawayseam_node::StateDump<EnvironmentDump>;
 
 /// One environment, for the state dump.
 #[derive(Debug, Serialize)]
--- a/crates/entry/src/state/news.rs
+++ b/crates/entry/src/state/news.rs
@@ -49,7 +49,7 @@
             Topic::Confirmed => Some(()),
         };
         if taken.is_none() {
-            self.config.metrics.count("news.unreadable");
+            self.process.metrics.count("news.unreadable");
             log::warn!(host:% = item.key.host; "{} could not be read", item.key.topic);
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,7 +1,7 @@
 //! What the entry and the control process have in common.
 //!
-//! Settings of a process, its log lines and metrics, and the sockets over
-//! which it meets its peers. Decisions stay in the pure libraries.
+//! Settings of a process, its log lines and metrics, its state dump, and the
+//! sockets over which it meets its peers. Decisions stay in the pure libraries.
 //!
 //! ```no_run
 //! use carawayseam_node::Settings;
@@ -12,6 +12,7 @@
 //! # Ok::<(), carawayseam_node::SettingsError>(())
 //! ```
 
+mod host_process;
 mod logging;
 mod metrics;
 mod settings;
@@ -20,12 +21,15 @@
 mod stored;
 mod streams;
 
+pub use host_process::{
+    HostProcess, PeerDuty, PeerNews, PeerQuestion, StateDump, document_of, exit_code, pull, tick,
+};
 pub use logging::{LogRevision, init_logging, init_stdout_logging};
 pub use metrics::Metrics;
 pub use settings::{Settings, SettingsError, parse_settings, read_settings_file};
-pub use sockets::{BindError, Sockets, receive, send};
+pub use sockets::{BindError, Sockets};
 pub use stop::wait_for_stop;
 pub use stored::{
     CurrentDocument, StoredError, current_key, move_key, moves_prefix, read_current, record_of,
 };
-pub use streams::{FrameStream, StreamError, connect, fetch_heads, pull_record};
+pub use streams::{FrameStream, StreamError, connect, fetch_heads};
