Do not blame a request that was answered for the crashes before

Change: a whole answer, plain or streamed, takes back what was counted before it, own crashes and those heard of; what a host took back it no longer tells.

--- a/crates/dispatch/src/poison.rs
+++ b/crates/dispatch/src/poison.rs
@@ -2,7 +2,7 @@
 //!
 //! Such a request is recognised by its content, since it comes again under another id and
 //! at any host. A crash is blamed on all that ran on the server, so one crash says little; a
-//! content that was there at several crashes is blocked.
+//! content that was there at several crashes is blocked, unless it was answered whole since.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -19,20 +19,29 @@
 /// Contents remembered at most.
 const MOST_KEPT: usize = 512;
 
+/// What one peer saw.
+#[derive(Debug, Default)]
+struct PeerCrashes {
+    seen: u32,
+    /// Those that came before a whole answer here.
+    cleared: u32,
+}
+
 #[derive(Debug, Default)]
 struct Suspect {
     /// The crashes that this host saw.
     own: u32,
     last: Option<(EngineId, Millis)>,
     /// The crashes that each peer saw.
-    peers: HashMap<HostId, u32>,
+    peers: HashMap<HostId, PeerCrashes>,
     at: Millis,
 }
 
 impl Suspect {
     /// The crashes of all hosts; a request runs at one host at a time, so none counts twice.
     fn crashes(&self) -> u32 {
-        self.own + self.peers.values().sum::<u32>()
+        let peers = self.peers.values().map(|peer| peer.seen - peer.cleared);
+        self.own + peers.sum::<u32>()
     }
 }
 
@@ -60,12 +69,23 @@
         self.forget(now);
         let suspect = self.0.entry(content).or_default();
         let known = suspect.peers.entry(host.clone()).or_default();
-        if crashes > *known {
-            *known = crashes;
+        if crashes > known.seen {
+            known.seen = crashes;
             suspect.at = now;
         }
     }
 
+    /// A content was answered whole, so the servers that crashed before were to blame.
+    pub fn answered(&mut self, content: Digest) {
+        let Some(suspect) = self.0.get_mut(&content) else {
+            return;
+        };
+        suspect.own = 0;
+        for peer in suspect.peers.values_mut() {
+            peer.cleared = peer.seen;
+        }
+    }
+
     /// Whether nothing is under suspicion.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/dispatch/tests/poison.rs
+++ b/crates/dispatch/tests/poison.rs
@@ -51,6 +51,31 @@
     assert!(suspects.is_blocked(Millis(5_500), CONTENT));
 }
 
+#[test]
+fn a_whole_answer_takes_back_the_crashes_before_it() {
+    let mut suspects = Suspects::default();
+    suspects.crashed(Millis(5_000), CONTENT, &engine(1));
+    suspects.heard(Millis(5_100), &host("a"), CONTENT, 1);
+    suspects.answered(CONTENT);
+    suspects.crashed(Millis(7_000), CONTENT, &engine(1));
+    suspects.heard(Millis(7_100), &host("a"), CONTENT, 2);
+    assert!(
+        !suspects.is_blocked(Millis(7_200), CONTENT),
+        "two crashes since the answer"
+    );
+    suspects.crashed(Millis(9_000), CONTENT, &engine(2));
+    assert!(suspects.is_blocked(Millis(9_100), CONTENT));
+}
+
+#[test]
+fn crashes_that_were_taken_back_are_told_to_nobody() {
+    let mut suspects = Suspects::default();
+    suspects.crashed(Millis(5_000), CONTENT, &engine(1));
+    assert_eq!(suspects.news(Millis(5_100)), [(CONTENT, 1)]);
+    suspects.answered(CONTENT);
+    assert_eq!(suspects.news(Millis(5_200)), []);
+}
+
 #[test]
 fn a_content_is_forgotten_after_a_minute() {
     let mut suspects = Suspects::default();
--- a/crates/gateway/src/traffic/crashes.rs
+++ b/crates/gateway/src/traffic/crashes.rs
@@ -39,6 +39,15 @@
         Err(Refusal::later(Reason::Poison, RETRY_AFTER_POISON))
     }
 
+    /// A whole answer takes back what the request was blamed for.
+    pub(super) fn clear_suspicion(&self) {
+        if lock(&self.shared.suspects).is_empty() {
+            return;
+        }
+        let content = self.content();
+        lock(&self.shared.suspects).answered(content);
+    }
+
     /// Looks whether the server that lost the answer is gone: then it crashed under this request.
     pub(super) fn check_for_crash(&self, assignment: &Assignment) {
         let shared = Arc::clone(&self.shared);
--- a/crates/gateway/src/traffic/plain.rs
+++ b/crates/gateway/src/traffic/plain.rs
@@ -51,6 +51,7 @@
         } else {
             slot.first_event();
             slot.end(AttemptEnd::Complete);
+            self.clear_suspicion();
         }
         self.keep(&assignment, connection, limit);
         let again = (is_failure && self.place.route.kind.may_repeat()).then(|| self.send_once_more());
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -188,6 +188,7 @@
         }
         journal::streamed(&self.exchange, Some(&run.assignment), &self.summary("complete"));
         run.slot.end(AttemptEnd::Complete);
+        self.exchange.clear_suspicion();
         self.exchange
             .keep(&run.assignment, run.connection, run.idle_limit);
     }
