Put together only what hosts that can ask each other have of a quota

Cause: found by the soak, which now plays an organisation with a quota: after all leases of the store lapse, each host still hears the others but can ask none, as their addresses are gone. Ruled out: own parts (100 tokens a window beside 97 allowed, worked out), and hosts that start anew (none of the breaks lies near a start). Change: the account gets the part of the hosts that can be asked. Test: hosts_that_the_store_lists_no_longer_stay_within_the_quota_together fails on the code before (182,000 tokens in a window, bound 104,000). In a_host_that_takes_over_an_account_begins_with_an_empty_one two of three hosts can be asked, so the account fills at two thirds; its time follows.

--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -233,9 +233,9 @@
     EVEN_PART / f64::from(group.all())
 }
 
-/// The part of a quota that the group has put together.
+/// The part of a quota that the hosts which can ask each other have put together.
 fn pooled_share(group: &Group) -> f64 {
-    (1.0 - EVEN_PART) * f64::from(group.heard.max(1)) / f64::from(group.all())
+    (1.0 - EVEN_PART) * group.reachable.len().max(1) as f64 / f64::from(group.all())
 }
 
 fn bucket<'a>(
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -43,7 +43,8 @@
     /// How long a planned stop may take.
     #[serde_as(as = "DisplayFromStr")]
     pub stop_within: Millis,
-    /// Tokens by which all hosts together may exceed an organisation's quota in one window.
+    /// Tokens by which all hosts together may exceed an organisation's quota in one window, beside a
+    /// tenth of what it allows there.
     pub quota_tolerance: f64,
     /// Bounds on sending a request to one more backend server.
     pub retries: RetrySettings,
