Count hosts on after their entries have gone

The trace of each grant: when the store drops all leases, hosts lose each other's addresses, send no more heartbeats, and after a second each counts itself as the only host there is and uses the whole quota, until the leases are renewed after up to 2.5 s. Ruled out: the account's keeper (each host kept one, at its part), and own parts. Change: dispatch::hosts: a host without an entry stays known as long as it is heard, and for 5 s more. So hosts go on to hear and ask each other, and count all of them where they cannot. What a missing peer means for fresh knowledge still goes by the store's list. Tests: three of the module, without network.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod engine;
 pub mod freshness;
 pub mod group;
+pub mod hosts;
 mod job;
 pub mod load;
 pub mod moves;
--- /dev/null
+++ b/crates/dispatch/tests/hosts.rs
@@ -0,0 +1,50 @@
+//! Which hosts are known, as their entries come and go.
+
+use std::net::SocketAddr;
+
+use carawayseam_dispatch::hosts::Hosts;
+use carawayseam_types::{HostId, Millis};
+
+fn host(number: u16) -> (HostId, SocketAddr) {
+    let name = format!("front-{number}").parse().expect("a valid name");
+    (name, SocketAddr::from(([10, 0, 0, 1], number)))
+}
+
+fn five() -> (Hosts, HostId) {
+    let mut hosts = Hosts::default();
+    hosts.set(Millis(0), (1..=5).map(host));
+    (hosts, host(1).0)
+}
+
+#[test]
+fn hosts_whose_entries_have_gone_stay_known_for_a_while() {
+    let (mut hosts, me) = five();
+    hosts.set(Millis(1_000), []);
+    assert_eq!((hosts.listed_beside(&me), hosts.known_beside(&me)), (0, 4));
+    assert!(!hosts.forget(Millis(5_000), |_| false));
+    assert!(hosts.forget(Millis(6_000), |_| false));
+    assert_eq!(hosts.known_beside(&me), 0);
+}
+
+#[test]
+fn a_host_that_is_heard_stays_known_without_an_entry() {
+    let (mut hosts, me) = five();
+    for number in 1..=5 {
+        hosts.remove(Millis(1_000), &host(number).0);
+    }
+    let heard = host(3);
+    hosts.forget(Millis(60_000), |host| *host == heard.0);
+    let known: Vec<_> = hosts.others(&me).collect();
+    assert_eq!(known, [(&heard.0, heard.1)]);
+}
+
+#[test]
+fn a_host_that_is_listed_again_is_known_once() {
+    let (mut hosts, me) = five();
+    hosts.remove(Millis(1_000), &host(2).0);
+    let (name, _) = host(2);
+    let (_, address) = host(9);
+    hosts.insert(name.clone(), address);
+    assert_eq!(hosts.known_beside(&me), 4);
+    assert!(hosts.others(&me).any(|known| known == (&name, address)));
+}
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -7,6 +7,7 @@
 
 use carawayseam_dispatch::engine::PeerLoad;
 use carawayseam_dispatch::group::Group;
+use carawayseam_dispatch::hosts::Hosts;
 use carawayseam_dispatch::load::{OwnLoad, WaitingCount};
 use carawayseam_dispatch::moves::{Answers, Decision, Evidence, MoveNews, Order};
 use carawayseam_dispatch::{Catalog, EngineEntry};
@@ -88,7 +89,7 @@
     log_revision: LogRevision,
     decisions: UnboundedSender<Decision>,
     engines: BTreeMap<EngineId, Listed>,
-    hosts: BTreeMap<HostId, SocketAddr>,
+    hosts: Hosts,
     heard: BTreeMap<HostId, Heard>,
     group: Group,
     swept_at: Millis,
@@ -106,7 +107,7 @@
             log_revision,
             decisions,
             engines: BTreeMap::new(),
-            hosts: BTreeMap::new(),
+            hosts: Hosts::default(),
             heard: BTreeMap::new(),
             group: Group::alone(shared.settings.host.clone()),
             shared,
@@ -125,7 +126,7 @@
             Note::MoveOrdered { order, revision } => self.move_ordered(now, order, revision),
             Note::MoveStands { status, revision } => self.move_stands(&status, revision),
             Note::Hosts(hosts) => {
-                self.hosts = hosts.into_iter().collect();
+                self.hosts.set(now, hosts);
                 self.hosts_changed(now);
             }
             Note::Host(host, address) => {
@@ -135,7 +136,7 @@
             }
             Note::HostRemoved(host) => {
                 log::info!(peer:% = host; "peer no longer listed");
-                self.hosts.remove(&host);
+                self.hosts.remove(now, &host);
                 self.hosts_changed(now);
             }
             Note::Beat(beat) => self.beat(now, *beat),
@@ -291,7 +292,7 @@
     /// Counts the hosts that share quotas and the retry budget.
     fn count_hosts(&mut self, now: Millis) {
         let me = &self.shared.settings.host;
-        let listed = self.hosts.keys().filter(|host| *host != me).count() as u32;
+        let known = self.hosts.known_beside(me);
         let fresh = self
             .heard
             .values()
@@ -300,10 +301,10 @@
         let others_serve = fresh.clone().any(|heard| heard.serves_keys);
         let mut reach = lock(&self.shared.reach);
         reach.others_serve = others_serve;
-        reach.misses_peers = heard < listed;
+        reach.misses_peers = heard < self.hosts.listed_beside(me);
         drop(reach);
         let group = Group {
-            known: listed.max(heard) + 1,
+            known: known.max(heard) + 1,
             heard: heard + 1,
             reachable: self.reachable(now),
         };
@@ -325,7 +326,7 @@
         let fresh = self
             .heard
             .iter()
-            .filter(|(host, heard)| now.since(heard.at) <= ASK_SILENCE && self.hosts.contains_key(*host));
+            .filter(|(host, heard)| now.since(heard.at) <= ASK_SILENCE && self.hosts.contains(host));
         let mut hosts: Vec<HostId> = fresh.map(|(host, _)| host.clone()).collect();
         hosts.push(self.shared.settings.host.clone());
         hosts.sort_unstable();
@@ -334,7 +335,9 @@
 
     /// Takes over where the other hosts are.
     fn hosts_changed(&mut self, now: Millis) {
-        self.shared.peers.set_addresses(self.hosts.clone());
+        let others = self.hosts.others(&self.shared.settings.host);
+        let addresses = others.map(|(host, address)| (host.clone(), address));
+        self.shared.peers.set_addresses(addresses.collect());
         self.count_hosts(now);
     }
 
@@ -350,7 +353,15 @@
             self.engines.retain(|id, _| !lapsed.contains(id));
             self.update_engines(now);
         }
-        self.count_hosts(now);
+        let is_heard = |host: &HostId| {
+            let heard = self.heard.get(host);
+            heard.is_some_and(|heard| now.since(heard.at) <= PEER_SILENCE)
+        };
+        if self.hosts.forget(now, is_heard) {
+            self.hosts_changed(now);
+        } else {
+            self.count_hosts(now);
+        }
         self.probe_engines(now);
         self.decide_moves(now);
         if now.since(self.swept_at) >= SWEEP_INTERVAL {
@@ -413,8 +424,8 @@
                 .collect(),
         };
         let me = &self.shared.settings.host;
-        let others = self.hosts.iter().filter(|(host, _)| *host != me);
-        (beat, others.map(|(_, address)| *address).collect())
+        let others = self.hosts.others(me);
+        (beat, others.map(|(_, address)| address).collect())
     }
 }
 
