--- a/crates/soak/src/broken.rs
+++ b/crates/soak/src/broken.rs
@@ -65,6 +65,16 @@
         /// How long before.
         ago: Millis,
     },
+    /// An organisation got more than its quota.
+    #[display("request {request} ran as one of {ran} in one window, of which {most} may run")]
+    OverQuota {
+        /// The request.
+        request: RequestId,
+        /// Requests that ran.
+        ran: usize,
+        /// Requests that may run.
+        most: usize,
+    },
     /// A leaving server got a request.
     #[display("request {request} ran on server {server} that left {ago} before it was sent")]
     RanOnLeaving {
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -12,11 +12,14 @@
 
 use crate::gateway::Gateway;
 use crate::ledger::{Answer, RequestId, Route};
+use crate::metered::{self, METERED_KEY};
 use crate::recorder::Recorder;
 use crate::servers::EVENTS;
 
 /// The longest pause between two requests of a caller.
 const LONGEST_PAUSE_MS: u64 = 40;
+/// The part of all requests that come from the organisation with a quota.
+const METERED_SHARE: f64 = 0.2;
 /// The pause after a gateway could not be reached.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(60);
 /// The routes' time limit.
@@ -51,21 +54,33 @@
         }
     }
 
-    async fn send(&self, client: &mut Client, rng: &mut StdRng) {
-        let id = RequestId(self.ids.fetch_add(1, Ordering::Relaxed));
+    /// The next request's route and the number of its key.
+    fn draw(&self, rng: &mut StdRng) -> (Route, usize) {
+        if rng.random_bool(METERED_SHARE) {
+            return (Route::Calls, METERED_KEY);
+        }
         let route = match rng.random_range(0..10) {
             0..=2 => Route::Calls,
             3 | 4 => Route::Reads,
             5 | 6 => Route::Guides,
             _ => Route::Steps,
         };
-        let key = rng.random_range(0..self.keys.len());
+        (route, rng.random_range(0..self.keys.len()))
+    }
+
+    fn key(&self, number: usize) -> &str {
+        self.keys.get(number).map_or(metered::KEY, String::as_str)
+    }
+
+    async fn send(&self, client: &mut Client, rng: &mut StdRng) {
+        let id = RequestId(self.ids.fetch_add(1, Ordering::Relaxed));
+        let (route, key) = self.draw(rng);
         let gateway = (self.number, self.gateway.incarnation());
         self.recorder
             .note(|now, ledger| ledger.sent(now, id, gateway, route, key));
         let path = format!("/{route}/{id}");
         let outcome = client
-            .send(&path, &id.to_string(), &self.keys[key], TIME_LIMIT.0)
+            .send(&path, &id.to_string(), self.key(key), TIME_LIMIT.0)
             .await;
         let answer = judge(route, id, outcome);
         self.recorder
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -5,6 +5,7 @@
 use carawayseam_types::Millis;
 
 use crate::broken::Broken;
+use crate::metered::{METERED_KEY, Runs, most_in_window};
 
 /// Faults are felt for this long after their end.
 const FAULT_FELT: Millis = Millis(3_000);
@@ -116,6 +117,7 @@
     in_use: HashMap<(usize, u32), Vec<(Millis, usize)>>,
     late: u32,
     exposure: Option<Exposure>,
+    metered: Runs,
     calm_sent: u32,
     calm_served: u32,
 }
@@ -200,6 +202,9 @@
             return Err(Broken::FalseRefusal { request: id, status });
         }
         let (sent, key, gateway) = (request.sent, request.key, request.gateway);
+        if key == METERED_KEY {
+            self.count_metered(now, id, sent)?;
+        }
         let revoked = Self::since(&self.revoked, key, sent);
         if let Some(ago) = revoked.filter(|ago| *ago > REVOCATION_LAG) {
             return Err(Broken::RevokedKey { request: id, ago });
@@ -215,6 +220,18 @@
         }
     }
 
+    fn count_metered(&mut self, now: Millis, id: RequestId, sent: Millis) -> Result<(), Broken> {
+        let (ran, most) = (self.metered.count(now, sent), most_in_window());
+        if ran > most {
+            return Err(Broken::OverQuota {
+                request: id,
+                ran,
+                most,
+            });
+        }
+        Ok(())
+    }
+
     /// The time from an event to the sending of a request, if it came before.
     fn since(events: &HashMap<usize, Millis>, subject: usize, sent: Millis) -> Option<Millis> {
         events
@@ -338,7 +355,8 @@
             return Err(Broken::CutByPlannedStop { request: id, gateway });
         }
         let key = self.requests.get(&id).map(|request| request.key);
-        let has_key = key.is_some_and(|key| !self.revoked.contains_key(&key));
+        // The organisation with a quota is refused most of what it asks.
+        let has_key = key.is_some_and(|key| key != METERED_KEY && !self.revoked.contains_key(&key));
         if has_key && self.in_touch(gateway, sent) {
             self.calm_sent += 1;
             self.calm_served += u32::from(*answer == Answer::Success);
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -7,6 +7,7 @@
 
 use crate::callers::TIME_LIMIT;
 use crate::ledger::Route;
+use crate::metered;
 
 /// The backend of all routes but the steps.
 pub(crate) const BACKEND: &str = "app";
@@ -59,6 +60,7 @@
                 route(Route::Steps, Kind::Read, &step_backend(self.step)),
             ],
             keys: self.keys.clone(),
+            metered: Some(metered::organisation()),
         };
         let document = configuration.document().to_string();
         self.store.put(CONFIGURATION_KEY, document.as_bytes());
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -164,34 +164,36 @@
     }
 
     async fn kill(&self, number: usize, lasts: Duration) -> eyre::Result<()> {
-        let _disturbed = self.recorder.disturb(Scope::Gateway(number));
         let gateway = &self.gateways[number];
-        gateway.signal(Signal::KILL).await;
-        // Who has begun to start it anew goes on with that.
-        let Ok(_restarting) = gateway.restarting.try_lock() else {
+        // One that is being started anew is left to that.
+        let Ok(restarting) = gateway.restarting.try_lock() else {
             return Ok(());
         };
+        let _disturbed = self.recorder.disturb(Scope::Gateway(number));
+        gateway.signal(Signal::KILL).await;
         gateway.wait().await?;
         sleep(lasts).await;
         gateway.spawn().await?;
+        drop(restarting);
         gateway.wait_until_ready(READY_LIMIT).await;
         Ok(())
     }
 
     async fn stop(&self, number: usize) -> eyre::Result<()> {
-        let _disturbed = self.recorder.disturb(Scope::PlannedStop(number));
         let gateway = &self.gateways[number];
-        let asked = self.recorder.now();
-        gateway.signal(Signal::TERM).await;
-        let Ok(_restarting) = gateway.restarting.try_lock() else {
+        let Ok(restarting) = gateway.restarting.try_lock() else {
             return Ok(());
         };
+        let _disturbed = self.recorder.disturb(Scope::PlannedStop(number));
+        let asked = self.recorder.now();
+        gateway.signal(Signal::TERM).await;
         let ended_well = gateway.wait().await.unwrap_or(false);
         self.recorder
             .judge(|_, ledger| ledger.stopped(asked, number, ended_well));
         gateway.signal(Signal::KILL).await;
         gateway.wait().await?;
         gateway.spawn().await?;
+        drop(restarting);
         gateway.wait_until_ready(READY_LIMIT).await;
         Ok(())
     }
--- a/crates/soak/tests/ledger.rs
+++ b/crates/soak/tests/ledger.rs
@@ -1,6 +1,6 @@
 //! Each promise is seen to be broken where it is, and kept where it is.
 
-use carawayseam_soak::{Answer, Broken, Ledger, RequestId, Route, Scope};
+use carawayseam_soak::{Answer, Broken, Ledger, METERED_KEY, RequestId, Route, Scope, most_in_window};
 use carawayseam_types::Millis;
 
 const ID: RequestId = RequestId(7);
@@ -70,6 +70,22 @@
     Ledger::default().ran(Millis(5), ID, 1)
 });
 
+/// Runs requests of the organisation with a quota, `gap` milliseconds apart.
+fn metered(count: usize, gap: u64) -> Result<(), Broken> {
+    let mut ledger = Ledger::default();
+    (0..count as u64).try_for_each(|number| {
+        let (id, at) = (RequestId(number), Millis(number * gap));
+        ledger.sent(at, id, (0, 1), Route::Calls, METERED_KEY);
+        ledger.ran(at, id, 1)
+    })
+}
+
+promise!(a_quota_that_is_used_up: Ok(()) => metered(most_in_window(), 0));
+
+promise!(a_quota_that_is_exceeded: Err(Broken::OverQuota { .. }) => metered(most_in_window() + 1, 0));
+
+promise!(a_quota_counts_in_windows: Ok(()) => metered(most_in_window() * 4, 100));
+
 promise!(a_step_back: Err(Broken::SteppedBack { used: 1, seen: 2, .. }) => {
     let mut ledger = sent(0, Route::Steps);
     ledger.stepped(Millis(10), ID, 2).and_then(|()| {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -17,6 +17,12 @@
     length: Millis(36_000),
 };
 
+/// The first round of a run by hand.
+const ONE_ROUND: Size = Size {
+    length: Millis(18_000),
+    ..USUAL
+};
+
 macro_rules! kept {
     ($name:ident: $seed:expr, $size:expr) => {
         #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -38,3 +44,6 @@
 
 // The state of a backend's second move was never written: the write expected no earlier one.
 kept!(a_second_move_ends_in_time: 300, USUAL);
+
+// After all leases lapsed, each gateway counted itself alone and used the whole quota.
+kept!(a_quota_holds_when_all_leases_lapse: 504, ONE_ROUND);
