--- a/crates/node/src/host_process.rs
+++ b/crates/node/src/host_process.rs
@@ -154,7 +154,7 @@
         }
     }
 
-    /// Hands datagrams on until `tell` says that nobody takes them.
+    /// Hands datagrams on for as long as the process lives; `tell` says whether they are taken.
     pub async fn receive_datagrams(self, tell: impl Fn(PeerNews) -> bool) {
         receive(&self.datagrams, |from, datagram| {
             if !tell(PeerNews::Datagram(from, datagram.map(Box::new))) {
