--- a/crates/control/src/state/actor.rs
+++ b/crates/control/src/state/actor.rs
@@ -4,7 +4,7 @@
 
 use carawayseam_lease::{LeaseEvent, PlanEvent};
 use carawayseam_membership::{Event as MembershipEvent, Membership, WatchEvent};
-use carawayseam_node::{HostProcess, tick};
+use carawayseam_node::HostProcess;
 use carawayseam_rollout::DriverEvent;
 use carawayseam_types::{BackendName, EnvironmentId, Millis};
 use carawayseam_wire::{Peer, PeerRole};
@@ -64,14 +64,8 @@
     };
     let actor = ControlState::spawn_with_mailbox(state, mailbox::unbounded());
     let handle = ControlHandle::new(actor);
-    let ticking = handle.clone();
-    tokio::spawn(tick(TICK, move || ticking.tell(Note::Tick)));
-    let receiving = handle.clone();
-    tokio::spawn(
-        process
-            .clone()
-            .receive_datagrams(move |news| receiving.tell(Note::Peer(news))),
-    );
+    let fed = handle.clone();
+    process.feed(TICK, move |note| fed.tell(note), || Note::Tick, Note::Peer);
     tokio::spawn(read_hosts(outside.clone(), handle.clone()));
     handle
 }
--- a/crates/entry/src/state/actor.rs
+++ b/crates/entry/src/state/actor.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use carawayseam_membership::{Event as MembershipEvent, Membership};
-use carawayseam_node::{HostProcess, tick};
+use carawayseam_node::HostProcess;
 use carawayseam_rollout::{GateEvent, Pick};
 use carawayseam_scheduler::{AttemptFailure, EngineReport, EngineStanding, Event, Origin};
 use carawayseam_types::{
@@ -76,14 +76,8 @@
     };
     let actor = ControlState::spawn_with_mailbox(state, mailbox::unbounded());
     let handle = ControlHandle::new(actor, rx, caught_up);
-    let ticking = handle.clone();
-    tokio::spawn(tick(TICK, move || ticking.tell(Note::Tick)));
-    let receiving = handle.clone();
-    tokio::spawn(
-        process
-            .clone()
-            .receive_datagrams(move |news| receiving.tell(Note::Peer(news))),
-    );
+    let fed = handle.clone();
+    process.feed(TICK, move |note| fed.tell(note), || Note::Tick, Note::Peer);
     handle
 }
 
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -81,6 +81,13 @@
     serves_keys: bool,
 }
 
+impl Heard {
+    /// Whether the host counts among those heard.
+    fn is_fresh(&self, now: Millis) -> bool {
+        now.since(self.at) <= PEER_SILENCE
+    }
+}
+
 /// The control state of the process.
 #[derive(Debug, Actor)]
 pub(crate) struct ControlState {
@@ -182,7 +189,7 @@
         }
         let me = &self.shared.settings.host;
         let heard = self.heard.iter();
-        let before = heard.filter(|(host, heard)| *host < me && now.since(heard.at) <= PEER_SILENCE);
+        let before = heard.filter(|(host, heard)| *host < me && heard.is_fresh(now));
         let rank = before.count() as u32;
         for decision in lock(&self.shared.moves).decide(now, rank) {
             if let Err(e) = self.decisions.send(decision) {
@@ -255,7 +262,7 @@
         if (beat.incarnation, beat.seq) <= (heard.incarnation, heard.seq) {
             return;
         }
-        let was_silent = now.since(heard.at) > PEER_SILENCE;
+        let was_silent = !heard.is_fresh(now);
         *heard = Heard {
             incarnation: beat.incarnation,
             seq: beat.seq,
@@ -293,10 +300,7 @@
     fn count_hosts(&mut self, now: Millis) {
         let me = &self.shared.settings.host;
         let known = self.hosts.known_beside(me);
-        let fresh = self
-            .heard
-            .values()
-            .filter(|heard| now.since(heard.at) <= PEER_SILENCE);
+        let fresh = self.heard.values().filter(|heard| heard.is_fresh(now));
         let heard = fresh.clone().count() as u32;
         let others_serve = fresh.clone().any(|heard| heard.serves_keys);
         let mut reach = lock(&self.shared.reach);
@@ -355,7 +359,7 @@
         }
         let is_heard = |host: &HostId| {
             let heard = self.heard.get(host);
-            heard.is_some_and(|heard| now.since(heard.at) <= PEER_SILENCE)
+            heard.is_some_and(|heard| heard.is_fresh(now))
         };
         if self.hosts.forget(now, is_heard) {
             self.hosts_changed(now);
--- a/crates/node/src/host_process.rs
+++ b/crates/node/src/host_process.rs
@@ -154,14 +154,26 @@
         }
     }
 
-    /// Hands datagrams on for as long as the process lives; `tell` says whether they are taken.
-    pub async fn receive_datagrams(self, tell: impl Fn(PeerNews) -> bool) {
-        receive(&self.datagrams, |from, datagram| {
-            if !tell(PeerNews::Datagram(from, datagram.map(Box::new))) {
-                log::debug!("the control state has ended");
-            }
-        })
-        .await;
+    /// Starts to tell the control state the time, each `period`, and what datagrams bring.
+    ///
+    /// The ticks end once `tell` says that nobody listens.
+    pub fn feed<N: 'static>(
+        &self,
+        period: Millis,
+        tell: impl Fn(N) -> bool + Clone + Send + Sync + 'static,
+        tick: fn() -> N,
+        news: fn(PeerNews) -> N,
+    ) {
+        let ticking = tell.clone();
+        tokio::spawn(each(period, move || ticking(tick())));
+        let datagrams = Arc::clone(&self.datagrams);
+        tokio::spawn(async move {
+            receive(&datagrams, |from, datagram| {
+                // The process goes on to its end without the control state.
+                let _taken = tell(news(PeerNews::Datagram(from, datagram.map(Box::new))));
+            })
+            .await;
+        });
     }
 
     /// The state dump of the process.
@@ -209,7 +221,7 @@
 }
 
 /// Calls `tell` once each `period` until it says that nobody listens.
-pub async fn tick(period: Millis, tell: impl Fn() -> bool) {
+async fn each(period: Millis, tell: impl Fn() -> bool) {
     let mut ticks = interval(period.to_duration());
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     while tell() {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,7 +22,7 @@
 mod streams;
 
 pub use host_process::{
-    HostProcess, PeerDuty, PeerNews, PeerQuestion, StateDump, document_of, exit_code, pull, tick,
+    HostProcess, PeerDuty, PeerNews, PeerQuestion, StateDump, document_of, exit_code, pull,
 };
 pub use logging::{LogRevision, init_logging, init_stdout_logging};
 pub use metrics::Metrics;
