Begin the moves of control's tests once the hosts are up

The move stood in the document that the fleet starts with; a printed record of each poll shows that under load the start took more than 4 s, the move was "growing" at the first poll, and was finished while the test went on waiting for its first share. All their assertions stand as they were.

--- a/tests/process/control.rs
+++ b/tests/process/control.rs
@@ -1,10 +1,10 @@
 //! Control survives freezes, kills and outages.
 
-use carawayseam_testbed::{Fleet, FleetBuilder, Reply};
+use carawayseam_testbed::{Fleet, Reply};
 use carawayseam_types::{Clock, Revision};
 use serde_json::{Value, json};
 
-use crate::util::{SMALL, two_hosts, with_document};
+use crate::util::two_hosts;
 
 /// The place of the host whose control process holds the lease, and its token.
 async fn holder(fleet: &Fleet) -> Option<(usize, u64)> {
@@ -85,13 +85,22 @@
     }
 );
 
-fn moving(within: &str) -> FleetBuilder {
+/// Promotes a move, and waits for its first share.
+///
+/// The hosts are up by then, so the first share is seen however long their start took.
+async fn begin_move(fleet: &Fleet, within: &str) {
     let moves = format!(
         "\nmoves:\n  - {{name: pay-to-2, backend: pay, from: pay-1, to: pay-2, within: {within}, first_share: \"100\"}}\n"
     );
-    with_document(&format!("{SMALL}{moves}"))
-        .host("entry-a", "zone-a")
-        .host("entry-b", "zone-b")
+    fleet
+        .promote_directly(&format!("{}{moves}", fleet.document), Revision(2))
+        .await
+        .expect("it is promoted");
+    let begun = || async { move_record(fleet).await["phase"] == "small-share" };
+    fleet
+        .wait_for("the move's first share", begun)
+        .await
+        .expect("the move begins");
 }
 
 async fn move_record(fleet: &Fleet) -> Value {
@@ -120,13 +129,9 @@
 
 on_fleet!(
     move_goes_on_under_a_new_holder_when_the_holder_is_killed,
-    moving("60s"),
+    two_hosts(),
     |fleet| {
-        let begun = || async { move_record(&fleet).await["phase"] == "small-share" };
-        fleet
-            .wait_for("the move's first share", begun)
-            .await
-            .expect("the move begins");
+        begin_move(&fleet, "60s").await;
         let (old, _) = wait_for_holder(&fleet, None).await;
         fleet.hosts[old]
             .control
@@ -154,13 +159,9 @@
 
 on_fleet!(
     deadline_in_an_outage_is_honoured_by_every_host_alone,
-    moving("15s"),
+    two_hosts(),
     |fleet| {
-        let begun = || async { move_record(&fleet).await["phase"] == "small-share" };
-        fleet
-            .wait_for("the move's first share", begun)
-            .await
-            .expect("the move begins");
+        begin_move(&fleet, "15s").await;
         let deadline = move_record(&fleet).await["deadline"]
             .as_u64()
             .expect("a deadline");
@@ -183,12 +184,8 @@
     }
 );
 
-on_fleet!(operator_takes_a_move_back, moving("60s"), |fleet| {
-    let begun = || async { move_record(&fleet).await["phase"] == "small-share" };
-    fleet
-        .wait_for("the move's first share", begun)
-        .await
-        .expect("the move begins");
+on_fleet!(operator_takes_a_move_back, two_hosts(), |fleet| {
+    begin_move(&fleet, "60s").await;
     let file = fleet
         .write_document("document.yaml", &fleet.document)
         .expect("it is written");
