Heed what servers say of themselves, and bound answers without end

A server that leaves was known only from the store's list, which may hold an old entry; a 503 with a time to come back closed the server for 100 ms; and of an answer's bytes only what is kept was bounded. Interim answers and the digits of a chunk's size keep nothing, so they were read at full speed to the deadline. A stream that sent single bytes of an event never counted as stalled. ruled out: ejecting servers that close: they are full, not broken. Marks that end when an entry is gone: the store lists old entries again. Telling peers for ever: a host that starts is told when it is first heard. change: dispatch::leavers keeps a server's own word until it starts anew and tells peers; servers close for the time they name, and what cannot be in time is refused at once with the time until the first opens; a metered stream bounds what is read until a head, for a plain answer and for one event; only a whole event ends a stream's pause.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -9,6 +9,7 @@
 
 use crate::engine::{AttemptEnd, Engine, EngineEntry, Part, PeerLoad};
 use crate::job::{Action, Job, Ticket};
+use crate::leavers::{Leaver, Leavers};
 use crate::load::{EngineDump, OwnLoad, WaitingCount};
 use crate::pool::{Pool, Waiting};
 use crate::retries::{RetryBounds, RetryBudget};
@@ -51,6 +52,7 @@
     running: HashMap<Ticket, Running>,
     waiting_at: HashMap<Ticket, BackendName>,
     peers_waiting: HashMap<HostId, (Millis, Vec<WaitingCount>)>,
+    leavers: Leavers,
 }
 
 impl Dispatcher {
@@ -69,6 +71,7 @@
             running: HashMap::new(),
             waiting_at: HashMap::new(),
             peers_waiting: HashMap::new(),
+            leavers: Leavers::default(),
         }
     }
 
@@ -84,7 +87,8 @@
     pub fn set_engines(&mut self, now: Millis, entries: Vec<EngineEntry>) -> Vec<Action> {
         self.now = self.now.max(now);
         let mut by_backend: HashMap<BackendName, Vec<EngineEntry>> = HashMap::new();
-        for entry in entries {
+        for mut entry in entries {
+            entry.leaving |= self.leavers.contains(&entry.id, entry.started);
             by_backend.entry(entry.backend.clone()).or_default().push(entry);
         }
         for (backend, pool) in &mut self.pools {
@@ -97,6 +101,32 @@
         self.pump_all()
     }
 
+    /// A server leaves, as it said itself or a peer told; true if that is news.
+    pub fn server_leaves(&mut self, now: Millis, leaver: Leaver, is_own: bool) -> bool {
+        let mut engines = self.pools.values_mut().flat_map(|pool| &mut pool.engines);
+        let known = engines.find(|engine| engine.entry.id == leaver.engine);
+        if let Some(known) = known.filter(|known| known.entry.started <= leaver.started) {
+            known.entry.leaving = true;
+        }
+        self.leavers.note(now, leaver, is_own)
+    }
+
+    /// The servers that peers should know to leave.
+    #[must_use]
+    pub fn leavers(&self, now: Millis, has_new_peer: bool) -> Vec<Leaver> {
+        self.leavers.news(now, has_new_peer)
+    }
+
+    /// A server wants nothing from this host for a while; what cannot wait so long is refused.
+    pub fn server_closes(&mut self, now: Millis, engine: &EngineId, span: Millis) {
+        self.now = self.now.max(now);
+        for pool in self.pools.values_mut() {
+            if let Some(engine) = pool.engine_mut(engine) {
+                engine.close(now + span);
+            }
+        }
+    }
+
     /// Takes a new request.
     pub fn submit(&mut self, now: Millis, job: Job) -> (Ticket, Vec<Action>) {
         self.budget(&job.backend).on_request();
@@ -180,7 +210,7 @@
     /// More events came, `mean_ms` apart.
     pub fn events(&mut self, now: Millis, ticket: Ticket, mean_ms: f64) {
         self.now = self.now.max(now);
-        let Some(running) = self.running.get(&ticket) else {
+        let Some(running) = self.running.get_mut(&ticket) else {
             return;
         };
         let Some(pool) = self.pools.get_mut(&running.backend) else {
@@ -384,6 +414,7 @@
 
     /// Starts what can start.
     fn pump(&mut self, backend: &BackendName, actions: &mut Vec<Action>) {
+        self.refuse_while_closed(backend, actions);
         let Some(pool) = self.pools.get_mut(backend) else {
             return;
         };
@@ -414,11 +445,29 @@
                 engine: engine.entry.id.clone(),
                 address: engine.entry.address,
                 version: engine.entry.version.clone(),
+                started: engine.entry.started,
                 expected: Millis(expected as u64),
             });
         }
     }
 
+    /// Refuses what cannot be in time, as all servers want nothing from this host for a while.
+    fn refuse_while_closed(&mut self, backend: &BackendName, actions: &mut Vec<Action>) {
+        let now = self.now;
+        let Some(pool) = self.pools.get_mut(backend) else {
+            return;
+        };
+        let Some(reopens_at) = pool.reopens_at(now) else {
+            return;
+        };
+        for Waiting { ticket, .. } in pool.take_hopeless(reopens_at) {
+            self.waiting_at.remove(&ticket);
+            let spread = self.rng.random_range(1.0..RETRY_SPREAD);
+            let retry_after = Millis((reopens_at.since(now).0 as f64 * spread) as u64);
+            actions.push(Action::Refuse { ticket, retry_after });
+        }
+    }
+
     /// Refuses what waited too long.
     fn give_up(&mut self, actions: &mut Vec<Action>) {
         let now = self.now;
@@ -441,7 +490,8 @@
 
 /// The time in which the queue of a pool should have passed.
 fn retry_after(pool: &Pool) -> Millis {
-    let slots: u32 = pool.engines.iter().map(|engine| engine.entry.slots).sum();
+    let working = pool.engines.iter().filter(|engine| engine.can_work());
+    let slots: u32 = working.map(|engine| engine.entry.slots).sum();
     let request_ms = pool.usual.event * 32.0;
     let wait_ms = pool.waiting.len() as f64 * request_ms / f64::from(slots.max(1));
     Millis(wait_ms as u64).clamp(LEAST_RETRY_AFTER, MOST_RETRY_AFTER)
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -114,6 +114,8 @@
     failures: f64,
     judged_at: Millis,
     paused_until: Millis,
+    /// Until when the server wants nothing from this host, as it said itself.
+    closed_until: Millis,
     /// When to connect again to see whether it can be reached; none while it can.
     probe_at: Option<Millis>,
     /// Parts that were read here, with the time of their last use.
@@ -133,13 +135,29 @@
             failures: 0.0,
             judged_at: Millis::ZERO,
             paused_until: Millis::ZERO,
+            closed_until: Millis::ZERO,
             probe_at: None,
             parts: HashMap::new(),
         }
     }
 
     pub(crate) fn takes_work(&self, now: Millis) -> bool {
-        !self.entry.leaving && now >= self.paused_until && self.probe_at.is_none()
+        self.can_work() && now >= self.paused_until && now >= self.closed_until
+    }
+
+    /// Whether the server stays and can be reached, though it may take nothing just now.
+    pub(crate) const fn can_work(&self) -> bool {
+        !self.entry.leaving && self.probe_at.is_none()
+    }
+
+    /// The server wants nothing from this host for a while.
+    pub(crate) fn close(&mut self, until: Millis) {
+        self.closed_until = self.closed_until.max(until);
+    }
+
+    /// Until when the server is closed to this host; none if it is not.
+    pub(crate) fn closed_until(&self, now: Millis) -> Option<Millis> {
+        Some(self.closed_until).filter(|until| now < *until)
     }
 
     /// Whether it is time to connect again to a server that could not be reached.
@@ -242,7 +260,9 @@
         }
     }
 
-    /// Forgets what a server holds and how fast it is: it started anew.
+    /// Forgets what a server holds and how it did: it started anew.
+    ///
+    /// What it said of its load holds on: its entry may be known here before its words are over.
     pub(crate) fn restart(&mut self) {
         self.parts.clear();
         self.failures = 0.0;
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -40,6 +40,18 @@
     pub tried: Vec<EngineId>,
 }
 
+impl Job {
+    /// Until when waiting for a server makes sense: a request that was sent before may have run,
+    /// and is better late than lost.
+    pub(crate) fn waits_until(&self) -> Millis {
+        if self.tried.is_empty() {
+            self.objective.min(self.give_up)
+        } else {
+            self.give_up
+        }
+    }
+}
+
 /// What the host is to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
@@ -53,6 +65,8 @@
         address: SocketAddr,
         /// Its version.
         version: VersionId,
+        /// When it started, if it is known.
+        started: Option<u64>,
         /// The expected time to the first event, or to a plain answer.
         expected: Millis,
     },
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -15,6 +15,9 @@
 //! | [`quota`] | an organisation's tokens a second, shared by all hosts |
 //! | [`retries`] | the budget for sending a request once more |
 //! | [`engine`] | one backend server as this host knows it |
+//! | [`group`] | hosts that hear each other, and who of them does what for all |
+//! | [`history`] | the store's latest changes, for peers that follow it through this host |
+//! | [`leavers`] | servers that said of themselves that they leave |
 //! | [`load`] | what a host tells of its load |
 //! | [`dispatcher`] | queues, and the choice of a backend server |
 //!
@@ -37,6 +40,7 @@
 pub mod group;
 pub mod hosts;
 mod job;
+pub mod leavers;
 pub mod load;
 pub mod moves;
 pub mod outage;
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -118,6 +118,21 @@
         }
     }
 
+    /// When the first server opens again; none unless all that can work are closed to this host.
+    pub(crate) fn reopens_at(&self, now: Millis) -> Option<Millis> {
+        let working = self.engines.iter().filter(|engine| engine.can_work());
+        let closed = working.map(|engine| engine.closed_until(now));
+        // One that is open makes the whole `None`.
+        let closed: Option<Vec<Millis>> = closed.collect();
+        closed?.into_iter().min()
+    }
+
+    /// Takes the requests that need not wait if no server opens before `reopens_at`.
+    pub(crate) fn take_hopeless(&mut self, reopens_at: Millis) -> Vec<Waiting> {
+        let is_hopeless = |waiting: &mut Waiting| waiting.job.waits_until() <= reopens_at;
+        self.waiting.extract_if(.., is_hopeless).collect()
+    }
+
     pub(crate) fn engine_mut(&mut self, id: &EngineId) -> Option<&mut Engine> {
         self.engines.iter_mut().find(|engine| engine.entry.id == *id)
     }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -8,6 +8,7 @@
 use carawayseam_dispatch::engine::PeerLoad;
 use carawayseam_dispatch::group::Group;
 use carawayseam_dispatch::hosts::Hosts;
+use carawayseam_dispatch::leavers::Leaver;
 use carawayseam_dispatch::load::{OwnLoad, WaitingCount};
 use carawayseam_dispatch::moves::{Answers, Decision, Evidence, MoveNews, Order};
 use carawayseam_dispatch::{Catalog, EngineEntry};
@@ -31,6 +32,9 @@
 /// Idle connections are looked through this often.
 const SWEEP_INTERVAL: Millis = Millis(500);
 
+/// A peer that was not heard before is told what others know for so long.
+const NEW_PEER_FOR: Millis = Millis(2_000);
+
 /// Something that changes what the host believes.
 #[derive(Debug)]
 pub(crate) enum Note {
@@ -99,6 +103,8 @@
     hosts: Hosts,
     heard: BTreeMap<HostId, Heard>,
     group: Group,
+    /// Until when a peer that was heard for the first time, or again, is told what others know.
+    new_peer_until: Millis,
     swept_at: Millis,
 }
 
@@ -118,6 +124,7 @@
             heard: BTreeMap::new(),
             group: Group::alone(shared.settings.host.clone()),
             shared,
+            new_peer_until: Millis::ZERO,
             swept_at: Millis::ZERO,
         }
     }
@@ -271,6 +278,7 @@
         };
         if was_silent {
             log::info!(peer:% = beat.host; "peer heard");
+            self.new_peer_until = now + NEW_PEER_FOR;
             self.count_hosts(now);
         }
         for (content, crashes) in &beat.crashes {
@@ -292,6 +300,12 @@
                 .collect(),
         };
         let mut desk = lock(&self.shared.desk);
+        for (engine, started) in beat.leavers {
+            let leaver = Leaver { engine, started };
+            if desk.dispatcher.server_leaves(now, leaver.clone(), false) {
+                log::info!(engine:% = leaver.engine, peer:% = beat.host; "a peer told that a backend server leaves");
+            }
+        }
         let actions = desk.dispatcher.peer_load(now, &beat.host, load);
         desk.carry_out(now, actions);
     }
@@ -392,6 +406,8 @@
     fn own_beat(&self, now: Millis, seq: u64) -> (Beat, Vec<SocketAddr>) {
         let desk = lock(&self.shared.desk);
         let load = desk.dispatcher.own_load();
+        let has_new_peer = now < self.new_peer_until;
+        let leavers = desk.dispatcher.leavers(now, has_new_peer);
         drop(desk);
         let beat = Beat {
             host: self.shared.settings.host.clone(),
@@ -426,6 +442,10 @@
                 .into_iter()
                 .map(move_counts)
                 .collect(),
+            leavers: leavers
+                .into_iter()
+                .map(|leaver| (leaver.engine, leaver.started))
+                .collect(),
         };
         let me = &self.shared.settings.host;
         let others = self.hosts.others(me);
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use carawayseam_types::Millis;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response, StatusCode};
@@ -13,13 +13,22 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::metered::{Allowance, Metered};
 use crate::sockets;
 
+/// The largest head of an answer; what is longer is no answer.
+const MOST_HEAD_BYTES: usize = 64 * 1_024;
+/// What may be read until an answer's head is whole, interim answers among it.
+const MOST_BYTES_BEFORE_BODY: usize = 256 * 1_024;
+/// The largest answer to a call that is read whole.
+const MOST_CALL_BYTES: usize = 32 * 1_024 * 1_024;
+
 /// A connection to a server. Dropping it closes it.
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    allowance: Allowance,
 }
 
 impl Drop for Connection {
@@ -47,8 +56,10 @@
     /// The operating system's, or [`io::ErrorKind::TimedOut`].
     pub async fn open(address: SocketAddr, within: Millis, silence: Millis) -> io::Result<Self> {
         let stream = sockets::connect(address, within, silence).await?;
+        let allowance = Allowance::default();
         let (sender, connection) = http1::Builder::new()
-            .handshake(TokioIo::new(stream))
+            .max_buf_size(MOST_HEAD_BYTES)
+            .handshake(TokioIo::new(Metered::new(stream, allowance.clone())))
             .await
             .map_err(io::Error::other)?;
         let driver = tokio::spawn(async move {
@@ -57,7 +68,11 @@
                 log::trace!("connection to {address} ended: {e}");
             }
         });
-        Ok(Self { sender, driver })
+        Ok(Self {
+            sender,
+            driver,
+            allowance,
+        })
     }
 
     /// Whether another request can be sent: the last answer ended cleanly and nothing came after it.
@@ -66,13 +81,21 @@
         self.sender.is_ready() && !self.sender.is_closed()
     }
 
-    /// Sends a request and waits for the answer's head.
+    /// Bounds what is read of an answer from now on, in bytes.
+    pub(crate) fn allow(&self, bytes: usize) {
+        self.allowance.set(bytes);
+    }
+
+    /// Sends a request and waits for the answer's head; the answer's body may be as large as an answer to a call.
     ///
     /// # Errors
     ///
     /// [`SendError`] tells whether the request may have been read.
     pub async fn send(&mut self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, SendError> {
-        self.sender.try_send_request(req).await.map_err(|mut e| {
+        self.allow(MOST_BYTES_BEFORE_BODY);
+        let sent = self.sender.try_send_request(req).await;
+        self.allow(MOST_CALL_BYTES);
+        sent.map_err(|mut e| {
             let unsent = e.take_message().is_some();
             let error = e.into_error();
             if unsent {
@@ -158,7 +181,10 @@
         SendError::MaybeSent(e) => CallError::NoAnswer(e.to_string()),
     })?;
     let status = response.status();
-    match response.into_body().collect().await {
+    match Limited::new(response.into_body(), MOST_CALL_BYTES)
+        .collect()
+        .await
+    {
         Ok(body) => Ok((status, body.to_bytes())),
         Err(e) => Err(CallError::NoAnswer(e.to_string())),
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod flags;
 pub mod http_client;
 mod journal;
+mod metered;
 mod metrics;
 mod peer_link;
 pub mod platform;
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -118,6 +118,10 @@
     pub not_run: bool,
     /// Whether the answer is signed and not re-encoded, as each of the servers' own is.
     pub is_genuine: bool,
+    /// Whether the server says that it leaves.
+    pub is_leaving: bool,
+    /// How long the server wants nothing from this host, as it says.
+    pub closed_for: Option<Millis>,
 }
 
 /// Where things lie in the store.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -52,6 +52,8 @@
     pub(crate) engine: EngineId,
     pub(crate) address: SocketAddr,
     pub(crate) version: VersionId,
+    /// When the server started, if it is known.
+    pub(crate) started: Option<u64>,
     pub(crate) expected: Millis,
 }
 
@@ -130,12 +132,14 @@
                     engine,
                     address,
                     version,
+                    started,
                     expected,
                 } => {
                     let assignment = Assignment {
                         engine,
                         address,
                         version,
+                        started,
                         expected,
                     };
                     (ticket, Decision::Start(assignment))
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use carawayseam_dispatch::leavers::Leaver;
 use carawayseam_dispatch::{AttemptEnd, Ticket};
 use carawayseam_types::{BackendName, Millis, VersionId};
 use http_body_util::Full;
@@ -14,7 +15,7 @@
 use super::exchange::Exchange;
 use super::slots::KeptSlot;
 use crate::http_client::{Connection, SendError};
-use crate::platform::Outgoing;
+use crate::platform::{AnswerHead, Outgoing};
 use crate::shared::{Assignment, Shared, lock};
 
 /// How long connecting to a server may take.
@@ -272,6 +273,9 @@
     let head = exchange.shared.headers.read_answer(response.headers());
     let status = response.status();
     let is_own = head.id.is_none() || head.id == exchange.head.id;
+    if is_own && status != StatusCode::MISDIRECTED_REQUEST {
+        note_server_state(exchange, &assignment, status, &head);
+    }
     let failure = match status {
         _ if !is_own => Some(Failure::MaybeRun(AttemptEnd::Lost)),
         StatusCode::MISDIRECTED_REQUEST => Some(Failure::NotRun(AttemptEnd::Misdirected)),
@@ -296,6 +300,30 @@
     }
 }
 
+/// Heeds what a server says of itself beside its answer.
+fn note_server_state(exchange: &Exchange, assignment: &Assignment, status: StatusCode, head: &AnswerHead) {
+    let shared = &exchange.shared;
+    let now = shared.now();
+    let engine = &assignment.engine;
+    if head.is_leaving {
+        let leaver = Leaver {
+            engine: engine.clone(),
+            started: assignment.started,
+        };
+        if lock(&shared.desk).dispatcher.server_leaves(now, leaver, true) {
+            log::info!(engine:% = engine; "backend server says that it leaves");
+        }
+    }
+    let closed_for = head
+        .closed_for
+        .filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
+    if let Some(span) = closed_for {
+        log::info!(engine:% = engine, span_ms = span.0; "backend server wants nothing for a while");
+        shared.metrics.count("engine_closed", "retry-after");
+        lock(&shared.desk).dispatcher.server_closes(now, engine, span);
+    }
+}
+
 /// Headers that concern one connection only.
 const HOP_HEADERS: [&str; 8] = [
     "connection",
--- a/crates/gateway/src/traffic/events.rs
+++ b/crates/gateway/src/traffic/events.rs
@@ -2,6 +2,8 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// The longest event; what is longer is no event.
+pub(super) const MOST_EVENT_BYTES: usize = 1_024 * 1_024;
 const ID_FIELD: &[u8] = b"id:";
 
 /// Collects bytes and gives out whole events.
@@ -44,6 +46,11 @@
         self.last_id
     }
 
+    /// Whether the unfinished event is longer than any event may be.
+    pub(crate) fn is_overlong(&self) -> bool {
+        self.pending.len() > MOST_EVENT_BYTES
+    }
+
     /// Whether bytes of an unfinished event wait.
     pub(crate) fn has_partial(&self) -> bool {
         !self.pending.is_empty()
--- a/crates/gateway/src/traffic/plain.rs
+++ b/crates/gateway/src/traffic/plain.rs
@@ -32,6 +32,7 @@
         let (mut parts, body) = response.into_parts();
         let limit = idle_limit(&parts.headers);
         remove_hop_headers(&mut parts.headers);
+        connection.allow(MOST_ANSWER_BYTES.saturating_mul(2));
         let reading = Limited::new(body, MOST_ANSWER_BYTES).collect();
         let body = match timeout(self.time_left().to_duration(), reading).await {
             Ok(Ok(body)) => body.to_bytes(),
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -12,7 +12,7 @@
 
 use super::answer::{AnswerBody, BodyError};
 use super::attempt::{Answered, Failure, Slot, idle_limit, remove_hop_headers};
-use super::events::{EventCutter, WholeEvents};
+use super::events::{EventCutter, MOST_EVENT_BYTES, WholeEvents};
 use super::exchange::Exchange;
 use crate::http_client::Connection;
 use crate::journal::{self, StreamSummary};
@@ -247,9 +247,14 @@
 }
 
 /// Reads until whole events came, the stream ended, or it broke.
+///
+/// Only a whole event ends a pause: a server that sends single bytes is as stalled as a silent one.
 async fn read(exchange: &Exchange, run: &mut Run, cutter: &mut EventCutter) -> Next {
+    let since = exchange.shared.now();
+    run.connection.allow(MOST_EVENT_BYTES.saturating_mul(2));
     loop {
         let left = exchange.time_left();
+        let waited = exchange.shared.now().since(since);
         let may_resume =
             exchange.place.route.kind.may_repeat() && exchange.attempts < exchange.place.route.max_attempts;
         let pause = if run.had_event {
@@ -257,12 +262,21 @@
         } else {
             run.assignment.expected.times(FIRST_EXPECTED) + FIRST_EXTRA
         };
-        let within = if may_resume { left.min(pause) } else { left };
+        let within = if may_resume {
+            left.min(pause.since(waited))
+        } else {
+            left
+        };
         match timeout(within.to_duration(), run.body.frame()).await {
             Ok(Some(Ok(frame))) => {
                 let events = frame.data_ref().and_then(|bytes| cutter.push(bytes));
-                if let Some(events) = events {
-                    return Next::Events(events);
+                match events {
+                    Some(events) => return Next::Events(events),
+                    None if cutter.is_overlong() => {
+                        log::debug!(engine:% = run.assignment.engine; "an event has no end");
+                        return Next::Broken(AttemptEnd::Lost);
+                    }
+                    None => {}
                 }
             }
             Ok(Some(Err(e))) => {
--- a/crates/soak/src/broken.rs
+++ b/crates/soak/src/broken.rs
@@ -85,6 +85,16 @@
         /// How long before.
         ago: Millis,
     },
+    /// A server got requests though it wants none for a while.
+    #[display("request {request} is one of {arrivals} that came to server {server} though it wants none")]
+    SentWhileClosed {
+        /// The request.
+        request: RequestId,
+        /// The server.
+        server: usize,
+        /// How many came.
+        arrivals: u32,
+    },
     /// A planned stop cut a request.
     #[display("request {request} was cut by a planned stop of gateway {gateway}")]
     CutByPlannedStop {
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -17,6 +17,10 @@
 const STEP_BACK_LAG: Millis = Millis(250);
 /// A leaving server may get requests for this long.
 const LEAVING_LAG: Millis = Millis(2_000);
+/// A server that wants nothing for a while may get requests that were on their way for this long.
+const CLOSED_LAG: Millis = Millis(500);
+/// Requests that it may get afterwards.
+const CLOSED_ARRIVALS: u32 = 2;
 /// A request gets its final answer this long after its route's time limit, at the latest.
 pub(crate) const ANSWER_LAG: Millis = Millis(500);
 /// Late answers that are allowed in a run.
@@ -89,6 +93,19 @@
     sent: Millis,
     runs: u32,
     refused: Option<u16>,
+    /// The server whose answer says that it leaves.
+    told_leaving: Option<usize>,
+}
+
+/// A gateway process and a server.
+type Pair = ((usize, u32), usize);
+
+/// A time in which a server wants nothing from a gateway.
+#[derive(Debug)]
+struct Closed {
+    from: Millis,
+    until: Millis,
+    arrivals: u32,
 }
 
 #[derive(Debug)]
@@ -113,6 +130,9 @@
     configurations: Vec<Millis>,
     revoked: HashMap<usize, Millis>,
     leaving: HashMap<usize, Millis>,
+    /// When a gateway passed on an answer that says that its server leaves.
+    passed_leaving: HashMap<Pair, Millis>,
+    closed: HashMap<Pair, Closed>,
     /// Configurations that servers saw in use, by gateway and incarnation, with the time.
     in_use: HashMap<(usize, u32), Vec<(Millis, usize)>>,
     late: u32,
@@ -179,6 +199,7 @@
             sent: now,
             runs: 0,
             refused: None,
+            told_leaving: None,
         };
         self.requests.insert(request, request_sent);
     }
@@ -202,6 +223,9 @@
             return Err(Broken::FalseRefusal { request: id, status });
         }
         let (sent, key, gateway) = (request.sent, request.key, request.gateway);
+        let pair = ((gateway, request.incarnation), server);
+        self.judge_closed(now, id, pair)?;
+        self.judge_passed_leaving(id, sent, pair)?;
         if key == METERED_KEY {
             self.count_metered(now, id, sent)?;
         }
@@ -220,6 +244,68 @@
         }
     }
 
+    /// Notes that a server refused a request, and wants nothing from its gateway for a while.
+    ///
+    /// # Errors
+    ///
+    /// The promise that this breaks.
+    pub fn closed(&mut self, now: Millis, id: RequestId, server: usize, span: Millis) -> Result<(), Broken> {
+        let Some(request) = self.requests.get(&id) else {
+            return Ok(());
+        };
+        let pair = ((request.gateway, request.incarnation), server);
+        self.judge_closed(now, id, pair)?;
+        let closed = Closed {
+            from: now + CLOSED_LAG,
+            until: now + span,
+            arrivals: 0,
+        };
+        self.closed.entry(pair).or_insert(closed);
+        Ok(())
+    }
+
+    fn judge_closed(&mut self, now: Millis, id: RequestId, pair: Pair) -> Result<(), Broken> {
+        let Some(closed) = self.closed.get_mut(&pair) else {
+            return Ok(());
+        };
+        if now >= closed.until {
+            self.closed.remove(&pair);
+            return Ok(());
+        }
+        closed.arrivals += u32::from(now > closed.from);
+        let (arrivals, from) = (closed.arrivals, closed.from);
+        let ((gateway, _), server) = pair;
+        if arrivals > CLOSED_ARRIVALS && self.was_calm(from, &[Scope::Gateway(gateway)]) {
+            return Err(Broken::SentWhileClosed {
+                request: id,
+                server,
+                arrivals,
+            });
+        }
+        Ok(())
+    }
+
+    /// Notes that the answer to a request says that its server leaves.
+    pub fn says_leaving(&mut self, id: RequestId, server: usize) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.told_leaving = Some(server);
+        }
+    }
+
+    fn judge_passed_leaving(&self, id: RequestId, sent: Millis, pair: Pair) -> Result<(), Broken> {
+        let ((gateway, _), server) = pair;
+        let passed = self.passed_leaving.get(&pair).filter(|at| **at < sent);
+        let ago = passed.map(|at| sent.since(*at)).filter(|ago| *ago > LEAVING_LAG);
+        match ago {
+            Some(ago) if self.was_calm(sent - ago, &[Scope::Gateway(gateway)]) => Err(Broken::RanOnLeaving {
+                request: id,
+                server,
+                ago,
+            }),
+            _ => Ok(()),
+        }
+    }
+
     fn count_metered(&mut self, now: Millis, id: RequestId, sent: Millis) -> Result<(), Broken> {
         let (ran, most) = (self.metered.count(now, sent), most_in_window());
         if ran > most {
@@ -315,7 +401,13 @@
                     });
                 }
             }
-            Answer::Success | Answer::Failure(_) | Answer::Cut => {}
+            Answer::Success => {
+                if let Some(server) = request.told_leaving {
+                    let pair = ((gateway, request.incarnation), server);
+                    self.passed_leaving.entry(pair).or_insert(now);
+                }
+            }
+            Answer::Failure(_) | Answer::Cut => {}
         }
         self.judge_time(now, id, (gateway, sent), limit)?;
         self.judge_calm(id, (gateway, sent), runs, answer)
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -14,6 +14,8 @@
 const ROUND: Millis = Millis(18_000);
 /// Faults of a round, for each gateway.
 const FAULTS_PER_GATEWAY: f64 = 0.8;
+/// Faults of a round beside these, in which servers speak of themselves or without end.
+const SERVER_FAULTS: usize = 2;
 /// Planned stops begin this long after the faults, when their effects are over.
 const STOP_AFTER_FAULTS: Millis = Millis(3_300);
 const SHORTEST_FAULT: u64 = 200;
@@ -47,6 +49,10 @@
     BreaksOff,
     /// It answers for another request.
     Garbles,
+    /// It refuses, and says that it wants nothing for a while.
+    Closes,
+    /// It sends bytes without end.
+    Endless,
 }
 
 /// One thing that happens.
@@ -78,6 +84,8 @@
     Misbehave(usize, Misbehaviour),
     /// A server says that it leaves, and is replaced.
     Leave(usize),
+    /// A server says only in its answers that it leaves, and is replaced.
+    LeaveByWord(usize),
     /// The operator writes the next configuration.
     Configure,
     /// The operator takes a key away.
@@ -126,12 +134,36 @@
             round(&mut rng, size, from, &mut entries);
             from += ROUND;
         }
+        add_server_faults(seed, size, &mut entries);
         entries.retain(|entry| entry.at < size.length);
         entries.sort_by_key(|entry| entry.at);
         Self { seed, entries }
     }
 }
 
+/// Adds what servers say of themselves, from a generator of its own: the other faults of a seed stay as they were.
+fn add_server_faults(seed: u64, size: Size, entries: &mut Vec<Entry>) {
+    let mut rng = StdRng::seed_from_u64(!seed);
+    let faulty = (ROUND.0 as f64 * FAULTY_PART) as u64;
+    let mut from = Millis::ZERO;
+    while from < size.length {
+        for _ in 0..SERVER_FAULTS {
+            let server = rng.random_range(0..size.servers);
+            let fault = match rng.random_range(0..3) {
+                0 => Fault::LeaveByWord(server),
+                1 => Fault::Misbehave(server, Misbehaviour::Closes),
+                _ => Fault::Misbehave(server, Misbehaviour::Endless),
+            };
+            entries.push(Entry {
+                at: from + Millis(rng.random_range(0..faulty)),
+                lasts: Millis(rng.random_range(SHORTEST_FAULT..LONGEST_FAULT)),
+                fault,
+            });
+        }
+        from += ROUND;
+    }
+}
+
 fn round(rng: &mut StdRng, size: Size, from: Millis, entries: &mut Vec<Entry>) {
     let faulty = (ROUND.0 as f64 * FAULTY_PART) as u64;
     let count = (size.gateways as f64 * FAULTS_PER_GATEWAY).ceil() as usize + 2;
--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -4,9 +4,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use carawayseam_platform_standins::documents::ServerEntry;
-use carawayseam_platform_standins::engine::{answer, chunk, event, misdirected, rejected, stream_head};
+use carawayseam_platform_standins::engine::{
+    answer, chunk, event, leaving, misdirected, rejected, rejected_for, stream_head,
+};
 use carawayseam_platform_standins::{Engine, Received, Step};
 use carawayseam_testbed::{Relay, TestbedError};
+use carawayseam_types::Millis;
 use rand::RngExt;
 
 use crate::ledger::RequestId;
@@ -25,6 +28,8 @@
 const LONGEST_WORK_MS: u64 = 60;
 /// The share of requests that a misbehaving server harms.
 const HARMED_SHARE: f64 = 0.5;
+/// How long a server that closes wants nothing.
+const CLOSED_FOR: Millis = Millis(1_500);
 /// The share of failures in a bad version's answers.
 const BAD_VERSION_SHARE: f64 = 0.5;
 
@@ -53,7 +58,15 @@
     pub(crate) identity: Identity,
     pub(crate) link: Relay,
     engine: Engine,
-    misbehaviour: Arc<Mutex<Option<Misbehaviour>>>,
+    conduct: Arc<Mutex<Conduct>>,
+}
+
+/// How a server behaves now.
+#[derive(Debug, Clone, Copy, Default)]
+struct Conduct {
+    trouble: Option<Misbehaviour>,
+    /// Whether its answers say that it leaves.
+    says_leaving: bool,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -62,12 +75,12 @@
 
 impl Server {
     pub(crate) async fn start(identity: Identity, recorder: Recorder) -> Result<Self, TestbedError> {
-        let misbehaviour = Arc::new(Mutex::new(None));
-        let behaves = Arc::clone(&misbehaviour);
+        let conduct = Arc::new(Mutex::new(Conduct::default()));
+        let behaves = Arc::clone(&conduct);
         let me = identity.clone();
         let engine = Engine::start(move |received, _| {
-            let trouble = *lock(&behaves);
-            serve(&me, &recorder, received, trouble)
+            let conduct = *lock(&behaves);
+            serve(&me, &recorder, received, conduct)
         });
         let engine = engine.await;
         let link = Relay::start(engine.address).await?;
@@ -75,12 +88,17 @@
             identity,
             link,
             engine,
-            misbehaviour,
+            conduct,
         })
     }
 
     pub(crate) fn misbehave(&self, trouble: Option<Misbehaviour>) {
-        *lock(&self.misbehaviour) = trouble;
+        lock(&self.conduct).trouble = trouble;
+    }
+
+    /// Says in all answers from now on that it leaves.
+    pub(crate) fn say_leaving(&self) {
+        lock(&self.conduct).says_leaving = true;
     }
 
     /// Ends at once, with all its connections.
@@ -104,27 +122,34 @@
     }
 }
 
-fn serve(
-    me: &Identity,
-    recorder: &Recorder,
-    received: &Received,
-    trouble: Option<Misbehaviour>,
-) -> Vec<Step> {
+fn serve(me: &Identity, recorder: &Recorder, received: &Received, conduct: Conduct) -> Vec<Step> {
     let mut rng = rand::rng();
-    let trouble = trouble.filter(|_| rng.random_bool(HARMED_SHARE));
+    let id = RequestId(received.request_id().parse().unwrap_or_default());
+    let trouble = conduct.trouble.filter(|_| rng.random_bool(HARMED_SHARE));
     match trouble {
         _ if received.expected_server().is_some_and(|id| id != me.id()) => {
             return vec![Step::Write(misdirected(received))];
         }
         Some(Misbehaviour::Full) => return vec![Step::Write(rejected(received))],
+        Some(Misbehaviour::Closes) => {
+            recorder.judge(|now, ledger| ledger.closed(now, id, me.number, CLOSED_FOR));
+            return vec![Step::Write(rejected_for(
+                received,
+                &CLOSED_FOR.as_secs_f64().to_string(),
+            ))];
+        }
         _ => {}
     }
-    note_run(me, recorder, received);
+    note_run(me, recorder, id);
+    if conduct.says_leaving {
+        recorder.note(|_, ledger| ledger.says_leaving(id, me.number));
+    }
     let work = Step::Wait(rng.random_range(SHORTEST_WORK_MS..LONGEST_WORK_MS));
     let fails = me.is_bad && rng.random_bool(BAD_VERSION_SHARE);
     let steps = match trouble {
         Some(Misbehaviour::Fails) => failure(received),
         Some(Misbehaviour::LosesAnswers) => vec![Step::Close],
+        Some(Misbehaviour::Endless) => endless(received),
         Some(Misbehaviour::Garbles) => {
             let id = received.request_id();
             let other = answer(received, "200 OK", &format!("{id} done"));
@@ -133,11 +158,26 @@
         _ if fails => failure(received),
         trouble => success(received, trouble == Some(Misbehaviour::BreaksOff)),
     };
-    std::iter::once(work).chain(steps).collect()
+    let mut steps: Vec<Step> = std::iter::once(work).chain(steps).collect();
+    if conduct.says_leaving
+        && let Some(Step::Write(head)) = steps.get_mut(1)
+    {
+        *head = leaving(head);
+    }
+    steps
 }
 
-fn note_run(me: &Identity, recorder: &Recorder, received: &Received) {
-    let id = RequestId(received.request_id().parse().unwrap_or_default());
+/// A stream with an event that has no end, or an answer with a header that has none.
+fn endless(received: &Received) -> Vec<Step> {
+    let head = if received.head.contains("/guides/") {
+        stream_head(received) + "ffffff\r\nid: 1\ndata: "
+    } else {
+        "HTTP/1.1 200 OK\r\nX-Filler: ".to_owned()
+    };
+    vec![Step::Write(head), Step::WriteForever("x".to_owned())]
+}
+
+fn note_run(me: &Identity, recorder: &Recorder, id: RequestId) {
     recorder.judge(|now, ledger| ledger.ran(now, id, me.number));
     match me.step {
         Some(step) => recorder.judge(|now, ledger| ledger.stepped(now, id, step)),
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -148,6 +148,7 @@
             Fault::Crash(slot) => return self.crash(slot, lasts).await,
             Fault::Misbehave(slot, trouble) => self.misbehave(slot, trouble, lasts).await,
             Fault::Leave(slot) => return self.leave(slot).await,
+            Fault::LeaveByWord(slot) => return self.leave_by_word(slot).await,
             Fault::Configure => return self.configure().await,
             Fault::Revoke => self.revoke().await,
             Fault::Move(quality) => return self.move_version(quality).await,
@@ -264,6 +265,18 @@
         Ok(())
     }
 
+    /// A server says only in its answers that it leaves, and ends later.
+    async fn leave_by_word(&self, slot: usize) -> eyre::Result<()> {
+        let server = self.slot(slot).await;
+        self.replace(slot, &server).await?;
+        server.say_leaving();
+        sleep(LEAVES_AFTER).await;
+        let _disturbed = self.recorder.disturb(Scope::Servers);
+        self.remove_entry(&server);
+        server.stop();
+        Ok(())
+    }
+
     /// Announces that a server leaves, and ends it later.
     async fn retire(&self, server: &Server) {
         self.write_entry(server, true);
--- a/crates/soak/tests/ledger.rs
+++ b/crates/soak/tests/ledger.rs
@@ -188,3 +188,43 @@
     ledger.ran(Millis(2_905), ID, 1).expect("it is sent");
     answered(&mut ledger, 2_950, &Answer::Cut).expect("the fault may have cut it");
 }
+
+/// A server closes for 1.5 s, and a request of the same gateway comes to it so much later.
+fn comes_to_closed(ledger: &mut Ledger, late: &[u64]) -> Result<(), Broken> {
+    ledger.closed(Millis(5), ID, 1, Millis(1_500))?;
+    late.iter().try_for_each(|at| {
+        let id = RequestId(1_000 + at);
+        ledger.sent(Millis(*at), id, (0, 1), Route::Reads, 0);
+        ledger.ran(Millis(*at), id, 1)
+    })
+}
+
+promise!(a_server_that_wants_nothing: Err(Broken::SentWhileClosed { server: 1, arrivals: 3, .. }) => {
+    comes_to_closed(&mut sent(0, Route::Reads), &[600, 900, 1_400])
+});
+
+promise!(requests_on_their_way_to_a_server_that_closes: Ok(()) => {
+    comes_to_closed(&mut sent(0, Route::Reads), &[50, 100, 400, 600, 1_400])
+});
+
+promise!(a_server_that_wants_requests_again: Ok(()) => {
+    comes_to_closed(&mut sent(0, Route::Reads), &[1_600, 1_700, 1_800])
+});
+
+/// A server says in an answer that it leaves, and a request of the same gateway is sent so much later.
+fn sent_after_the_word(ledger: &mut Ledger, later: u64) -> Result<(), Broken> {
+    ledger.ran(Millis(5), ID, 1)?;
+    ledger.says_leaving(ID, 1);
+    answered(ledger, 50, &Answer::Success)?;
+    let id = RequestId(1_000);
+    ledger.sent(Millis(50 + later), id, (0, 1), Route::Reads, 0);
+    ledger.ran(Millis(55 + later), id, 1)
+}
+
+promise!(a_server_that_leaves_by_its_own_word: Err(Broken::RanOnLeaving { server: 1, .. }) => {
+    sent_after_the_word(&mut sent(0, Route::Reads), 2_100)
+});
+
+promise!(a_server_that_has_just_said_that_it_leaves: Ok(()) => {
+    sent_after_the_word(&mut sent(0, Route::Reads), 1_900)
+});
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -1,6 +1,6 @@
 //! What hosts that route alone tell each other several times a second.
 
-use carawayseam_types::{BackendName, EngineKey, HostId, Incarnation, Millis, Tier};
+use carawayseam_types::{BackendName, EngineId, EngineKey, HostId, Incarnation, Millis, Tier};
 use serde::{Deserialize, Serialize};
 
 /// One host's heartbeat with its load.
@@ -22,6 +22,8 @@
     pub moves: Vec<MoveCounts>,
     /// Contents under which servers crashed, and how often the sender saw it.
     pub crashes: Vec<(u128, u32)>,
+    /// Backend servers that told the sender lately that they leave, each with its start.
+    pub leavers: Vec<(EngineId, Option<u64>)>,
 }
 
 /// What a host counted during one move.
--- a/crates/wire/tests/beat.rs
+++ b/crates/wire/tests/beat.rs
@@ -24,6 +24,7 @@
         waiting: Vec::new(),
         moves: Vec::new(),
         crashes: Vec::new(),
+        leavers: Vec::new(),
     }
 }
 
