Keep sums of peers' loads as heartbeats come

cause: each heartbeat of each peer wrote an entry for each server and looked at all that waits again; each choice of a server added up all peers for each server.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -11,7 +11,8 @@
 use crate::job::{Action, Job, Ticket};
 use crate::leavers::{Leaver, Leavers};
 use crate::load::{EngineDump, OwnLoad, WaitingCount};
-use crate::pool::{Pool, Waiting};
+use crate::peer_loads::PeerLoads;
+use crate::pool::{Pool, View, Waiting};
 use crate::retries::{RetryBounds, RetryBudget};
 
 /// The time to come back that a refused caller is told at least.
@@ -21,6 +22,8 @@
 
 /// Refused callers come back at times up to this much later, so that they do not come together.
 const RETRY_SPREAD: f64 = 1.4;
+/// Announcements of peers that come closer together are looked at together.
+const LEAST_PUMP_INTERVAL: Millis = Millis(10);
 /// A request whose expected wait is this part of the time to its objective is refused at once.
 const HOPELESS_PART: f64 = 1.3;
 
@@ -51,8 +54,9 @@
     hosts: u32,
     running: HashMap<Ticket, Running>,
     waiting_at: HashMap<Ticket, BackendName>,
-    peers_waiting: HashMap<HostId, (Millis, Vec<WaitingCount>)>,
+    peers: PeerLoads,
     leavers: Leavers,
+    pumped_at: Millis,
 }
 
 impl Dispatcher {
@@ -70,8 +74,9 @@
             hosts: 1,
             running: HashMap::new(),
             waiting_at: HashMap::new(),
-            peers_waiting: HashMap::new(),
+            peers: PeerLoads::default(),
             leavers: Leavers::default(),
+            pumped_at: Millis::ZERO,
         }
     }
 
@@ -282,6 +287,7 @@
     /// Time passed.
     pub fn tick(&mut self, now: Millis) -> Vec<Action> {
         self.now = self.now.max(now);
+        self.peers.expire(self.now);
         let mut actions = self.pump_all();
         self.give_up(&mut actions);
         actions
@@ -290,33 +296,33 @@
     /// Takes what a peer announced.
     pub fn peer_load(&mut self, now: Millis, host: &HostId, load: OwnLoad) -> Vec<Action> {
         self.now = self.now.max(now);
-        let loads: HashMap<EngineKey, PeerLoad> = load.engines.into_iter().collect();
-        for engine in self.pools.values_mut().flat_map(|pool| &mut pool.engines) {
-            let load = loads.get(&engine.key).copied().unwrap_or_default();
-            engine.on_peer_load(now, host, load);
+        self.peers.announce(now, host, load);
+        // Many peers announce; looking after each of them at all that waits would cost more than it brings.
+        if self.now.since(self.pumped_at) < LEAST_PUMP_INTERVAL {
+            return Vec::new();
         }
-        self.peers_waiting.insert(host.clone(), (now, load.waiting));
-        self.sum_peers_waiting();
         self.pump_all()
     }
 
     /// Gives a peer a slot of a server; none if the server is not known here.
     pub fn grant_slot(&mut self, now: Millis, host: &HostId, engine: EngineKey) -> Option<bool> {
-        let engine = self.engine_by_key(engine)?;
-        Some(engine.grant(now, host))
+        let known = self.engine_by_key(engine)?;
+        let is_free = known.running + self.peers.at(engine).running < known.entry.slots;
+        if is_free {
+            self.peers.grant(now, host, engine);
+        }
+        Some(is_free)
     }
 
     /// A peer's request left a server.
     pub fn slot_returned(&mut self, now: Millis, host: &HostId, engine: EngineKey) -> Vec<Action> {
         self.now = self.now.max(now);
-        if let Some(engine) = self.engine_by_key(engine) {
-            engine.returned(host);
-        }
+        self.peers.returned(host, engine);
         self.pump_all()
     }
 
-    fn engine_by_key(&mut self, key: EngineKey) -> Option<&mut Engine> {
-        let mut engines = self.pools.values_mut().flat_map(|pool| &mut pool.engines);
+    fn engine_by_key(&self, key: EngineKey) -> Option<&Engine> {
+        let mut engines = self.pools.values().flat_map(|pool| &pool.engines);
         engines.find(|engine| engine.key == key)
     }
 
@@ -348,6 +354,12 @@
         }
     }
 
+    /// Loads of peers that are kept, over all peers and servers.
+    #[must_use]
+    pub fn peer_loads(&self) -> usize {
+        self.peers.len()
+    }
+
     /// Requests that wait and run here.
     #[must_use]
     pub fn counts(&self) -> (usize, usize) {
@@ -368,7 +380,7 @@
                     version: engine.entry.version.clone(),
                     takes_work: engine.takes_work(now),
                     running: engine.running,
-                    used: engine.used(now),
+                    used: engine.running + self.peers.at(engine.key).running,
                     failure_share: engine.failure_share(now),
                     event_ms: pace.event,
                     thousand_tokens_ms: pace.token * 1_000.0,
@@ -384,21 +396,8 @@
             .or_insert_with(|| RetryBudget::new(bounds, hosts))
     }
 
-    fn sum_peers_waiting(&mut self) {
-        const COUNTS: Millis = Millis(700);
-        let now = self.now;
-        self.peers_waiting.retain(|_, (at, _)| now.since(*at) <= COUNTS);
-        for pool in self.pools.values_mut() {
-            pool.peers_waiting.clear();
-        }
-        for waiting in self.peers_waiting.values().flat_map(|(_, waiting)| waiting) {
-            if let Some(pool) = self.pools.get_mut(&waiting.backend) {
-                pool.peers_waiting.push((waiting.tier, waiting.count));
-            }
-        }
-    }
-
     fn pump_all(&mut self) -> Vec<Action> {
+        self.pumped_at = self.now;
         let mut actions = Vec::new();
         let busy: Vec<BackendName> = self
             .pools
@@ -418,11 +417,17 @@
         let Some(pool) = self.pools.get_mut(backend) else {
             return;
         };
-        while let Some((waiting, ix)) = pool.next(self.now, &self.zone, &mut self.rng) {
+        let view = View {
+            now: self.now,
+            zone: &self.zone,
+            peers: &self.peers,
+            peers_waiting: self.peers.waiting_for(backend).collect(),
+        };
+        while let Some((waiting, ix)) = pool.next(&view, &mut self.rng) {
             self.waiting_at.remove(&waiting.ticket);
             pool.count_start(self.now, waiting.job.tier);
-            let peers_ahead = pool.engines[ix].peer_load(self.now).prompt_ahead;
             let engine = &mut pool.engines[ix];
+            let peers_ahead = self.peers.at(engine.key).prompt_ahead;
             let job = waiting.job;
             let own = f64::from(job.prompt.saturating_sub(engine.kept_tokens(&job.parts)));
             engine.running += 1;
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -3,12 +3,10 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use carawayseam_types::{BackendName, EngineId, EngineKey, HostId, Millis, VersionId, ZoneId};
+use carawayseam_types::{BackendName, EngineId, EngineKey, Millis, VersionId, ZoneId};
 
 use crate::speed::Speed;
 
-/// A peer's announcement counts for so long.
-const PEER_LOAD_COUNTS: Millis = Millis(1_500);
 /// The weight of one outcome in the share of failures.
 const OUTCOME_WEIGHT: f64 = 0.2;
 /// Without outcomes for this long, half of the share of failures is forgotten.
@@ -108,9 +106,6 @@
     pub(crate) running: u32,
     pub(crate) prompt_ahead: f64,
     pub(crate) speed: Speed,
-    peers: HashMap<HostId, (Millis, PeerLoad)>,
-    /// Slots given to peers since they announced their load.
-    granted: HashMap<HostId, (Millis, u32)>,
     failures: f64,
     judged_at: Millis,
     paused_until: Millis,
@@ -130,8 +125,6 @@
             running: 0,
             prompt_ahead: 0.0,
             speed: Speed::default(),
-            peers: HashMap::new(),
-            granted: HashMap::new(),
             failures: 0.0,
             judged_at: Millis::ZERO,
             paused_until: Millis::ZERO,
@@ -174,55 +167,6 @@
         self.probe_at = None;
     }
 
-    pub(crate) fn on_peer_load(&mut self, now: Millis, host: &HostId, load: PeerLoad) {
-        self.peers.insert(host.clone(), (now, load));
-        self.granted.remove(host);
-    }
-
-    /// Gives a peer a slot, if one is free.
-    pub(crate) fn grant(&mut self, now: Millis, host: &HostId) -> bool {
-        let is_free = self.used(now) < self.entry.slots;
-        if is_free {
-            let (at, count) = self.granted.entry(host.clone()).or_default();
-            *at = now;
-            *count += 1;
-        }
-        is_free
-    }
-
-    /// A peer's request left the server.
-    pub(crate) fn returned(&mut self, host: &HostId) {
-        let granted = self.granted.get_mut(host).map(|(_, count)| count);
-        match (granted, self.peers.get_mut(host)) {
-            (Some(count), _) if *count > 0 => *count -= 1,
-            (_, Some((_, load))) => load.running = load.running.saturating_sub(1),
-            (_, None) => {}
-        }
-    }
-
-    /// The load of all peers that was announced lately.
-    pub(crate) fn peer_load(&self, now: Millis) -> PeerLoad {
-        let fresh = self
-            .peers
-            .values()
-            .filter(|(at, _)| now.since(*at) <= PEER_LOAD_COUNTS);
-        let mut sum = fresh.fold(PeerLoad::default(), |sum, (_, load)| PeerLoad {
-            running: sum.running + load.running,
-            prompt_ahead: sum.prompt_ahead + load.prompt_ahead,
-        });
-        let granted = self
-            .granted
-            .values()
-            .filter(|(at, _)| now.since(*at) <= PEER_LOAD_COUNTS);
-        sum.running += granted.map(|(_, count)| *count).sum::<u32>();
-        sum
-    }
-
-    /// The requests of all hosts here.
-    pub(crate) fn used(&self, now: Millis) -> u32 {
-        self.running + self.peer_load(now).running
-    }
-
     pub(crate) fn on_end(&mut self, now: Millis, end: AttemptEnd) {
         match end {
             AttemptEnd::Taken => self.paused_until = now + TAKEN_PAUSE,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod load;
 pub mod moves;
 pub mod outage;
+mod peer_loads;
 pub mod poison;
 mod pool;
 pub mod quota;
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -8,6 +8,7 @@
 
 use crate::engine::Engine;
 use crate::job::{Job, Ticket};
+use crate::peer_loads::PeerLoads;
 use crate::speed::Pace;
 
 /// What a server in another availability zone must be better by, in milliseconds.
@@ -47,6 +48,26 @@
     pub(crate) job: Job,
 }
 
+/// What a host knows beside its own requests.
+pub(crate) struct View<'a> {
+    pub(crate) now: Millis,
+    pub(crate) zone: &'a ZoneId,
+    pub(crate) peers: &'a PeerLoads,
+    /// Requests of each tier that wait at peers.
+    pub(crate) peers_waiting: Vec<(Tier, u32)>,
+}
+
+impl View<'_> {
+    /// Requests of higher tiers that wait at peers.
+    fn waiting_above(&self, tier: Tier) -> u32 {
+        let above = self
+            .peers_waiting
+            .iter()
+            .filter(|(other, _)| other.outranks(tier));
+        above.map(|(_, count)| *count).sum()
+    }
+}
+
 /// The order of work: what can still be in time, by tier, the most pressing first.
 type Rank = (bool, Tier, Millis, Ticket);
 
@@ -55,8 +76,6 @@
     pub(crate) engines: Vec<Engine>,
     pub(crate) waiting: Vec<Waiting>,
     pub(crate) usual: Pace,
-    /// Requests of each tier that wait at peers.
-    pub(crate) peers_waiting: Vec<(Tier, u32)>,
     /// How often requests of each tier start here.
     starts: BTreeMap<Tier, StartRate>,
 }
@@ -90,7 +109,6 @@
             engines: Vec::new(),
             waiting: Vec::new(),
             usual: Pace::ASSUMED,
-            peers_waiting: Vec::new(),
             starts: BTreeMap::new(),
         }
     }
@@ -138,11 +156,12 @@
     }
 
     /// Takes the next request that can start, with its server's place.
-    pub(crate) fn next(&mut self, now: Millis, zone: &ZoneId, rng: &mut StdRng) -> Option<(Waiting, usize)> {
+    pub(crate) fn next(&mut self, view: &View<'_>, rng: &mut StdRng) -> Option<(Waiting, usize)> {
         if self.waiting.is_empty() {
             return None;
         }
-        let candidates = self.candidates(now, zone);
+        let now = view.now;
+        let candidates = self.candidates(view);
         let free: u32 = candidates.iter().map(|candidate| candidate.free).sum();
         if free == 0 {
             return None;
@@ -158,7 +177,7 @@
         let kept_free = kept_free(&candidates);
         for ((is_late, tier, _, _), ix) in order {
             let kept = if is_late { kept_free } else { 0 };
-            if free <= self.waiting_above(tier) + kept {
+            if free <= view.waiting_above(tier) + kept {
                 return None;
             }
             if let Some(engine) = self.choose(now, &self.waiting[ix].job, &candidates, rng) {
@@ -169,13 +188,14 @@
     }
 
     /// The servers that take work, with or without a free slot.
-    fn candidates(&self, now: Millis, zone: &ZoneId) -> Vec<Candidate> {
+    fn candidates(&self, view: &View<'_>) -> Vec<Candidate> {
+        let now = view.now;
         let per_slot = if self.is_plain() { PLAIN_PER_SLOT } else { 1 };
         let engines = self.engines.iter().enumerate();
         engines
             .filter(|(_, engine)| engine.takes_work(now))
             .map(|(ix, engine)| {
-                let peers = engine.peer_load(now);
+                let peers = view.peers.at(engine.key);
                 let used = engine.running + peers.running;
                 let capacity = engine.entry.slots * per_slot;
                 Candidate {
@@ -186,7 +206,7 @@
                     capacity,
                     free: capacity.saturating_sub(used),
                     failing_ms: engine.failure_share(now).powi(2) * FAILING_MS,
-                    distance_ms: if engine.entry.zone == *zone {
+                    distance_ms: if engine.entry.zone == *view.zone {
                         0.0
                     } else {
                         OTHER_ZONE_MS
@@ -201,15 +221,6 @@
         self.waiting.iter().all(|waiting| waiting.job.prompt == 0)
     }
 
-    /// Requests of higher tiers that wait at peers.
-    fn waiting_above(&self, tier: Tier) -> u32 {
-        let above = self
-            .peers_waiting
-            .iter()
-            .filter(|(other, _)| other.outranks(tier));
-        above.map(|(_, count)| *count).sum()
-    }
-
     /// The best server with a free slot; none if it is better to wait for another.
     fn choose(&self, now: Millis, job: &Job, candidates: &[Candidate], rng: &mut StdRng) -> Option<usize> {
         let version_fits = |candidate: &&Candidate| {
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -5,7 +5,7 @@
 use carawayseam_dispatch::{Action, Dispatcher, EngineEntry, Job, Ticket};
 use carawayseam_types::{EngineId, Millis, Tier};
 
-const BOUNDS: RetryBounds = RetryBounds {
+pub(crate) const BOUNDS: RetryBounds = RetryBounds {
     ratio: 0.2,
     extra: 8.0,
 };
