Follow the store through two hosts of each availability zone

A host that the store turned away could prove nothing and served nobody with a key. ruled out: pushes to all, as their way is not known and so no age is proved; serializable reads, which may be seconds old while a leaving server binds within two; one follower a zone, as a kill leaves the zone without. change: two hosts of a zone, by hash among those that can be asked, watch; the others ask them each 300 ms.

--- a/crates/dispatch/src/group.rs
+++ b/crates/dispatch/src/group.rs
@@ -27,12 +27,17 @@
     /// The host that keeps what all share under a name, by the highest hash of both names.
     #[must_use]
     pub fn keeper(&self, name: &str) -> Option<&HostId> {
-        let second = Digest::of(name.as_bytes());
-        let weight = |host: &&HostId| {
-            let first = Digest::of(host.as_str().as_bytes());
-            Digest::of(&(first.0 ^ second.0).to_le_bytes())
-        };
-        self.reachable.iter().max_by_key(weight)
+        let name = Digest::of(name.as_bytes());
+        self.reachable.iter().max_by_key(|host| weight(host, name))
+    }
+
+    /// Those hosts among the ones nearby that do for the others what is named, the first one first.
+    #[must_use]
+    pub fn delegates(&self, name: &str, count: usize, is_near: impl Fn(&HostId) -> bool) -> Vec<HostId> {
+        let name = Digest::of(name.as_bytes());
+        let mut near: Vec<&HostId> = self.reachable.iter().filter(|host| is_near(host)).collect();
+        near.sort_by_key(|host| std::cmp::Reverse(weight(host, name)));
+        near.into_iter().take(count).cloned().collect()
     }
 
     /// The keeper, unless it is the host that asks.
@@ -47,3 +52,9 @@
         self.known.max(self.heard).max(1)
     }
 }
+
+/// Orders hosts differently for each name, and alike at all hosts.
+fn weight(host: &HostId, name: Digest) -> Digest {
+    let host = Digest::of(host.as_str().as_bytes());
+    Digest::of(&(host.0 ^ name.0).to_le_bytes())
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod engine;
 pub mod freshness;
 pub mod group;
+pub mod history;
 pub mod hosts;
 mod job;
 pub mod leavers;
--- a/crates/dispatch/src/outage.rs
+++ b/crates/dispatch/src/outage.rs
@@ -48,6 +48,13 @@
         ends
     }
 
+    /// A peer follows the store for this host, and keeps missing entries until a time.
+    pub fn on_peer_answer(&mut self, now: Millis, keep_until: Option<Millis>) -> bool {
+        let ends = self.on_answer(now);
+        self.keep_until = self.keep_until.max(keep_until);
+        ends
+    }
+
     /// Until when a missing entry is kept; none in calm times, in which it is gone at once.
     #[must_use]
     pub fn keep_until(&self, now: Millis) -> Option<Millis> {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 mod keeping;
 mod moves;
+mod news;
 mod peers;
 mod registration;
 mod state;
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -10,6 +10,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::keeping;
+use super::news::{self, WantedPiece};
 use super::state::{ControlState, Note, OwnBeat};
 use crate::shared::Shared;
 
@@ -65,6 +66,21 @@
                 Ok(PeerMessage::SlotReturn { host, engine }) => {
                     keeping::take_slot_back(&shared, &host, engine);
                 }
+                Ok(PeerMessage::NewsAsk { host, ask, after }) => news::answer(&shared, &host, ask, after),
+                Ok(PeerMessage::PieceAsk {
+                    host,
+                    ask,
+                    key,
+                    revision,
+                    offset,
+                }) => {
+                    let wanted = WantedPiece {
+                        key,
+                        revision,
+                        offset,
+                    };
+                    news::answer_piece(&shared, &host, ask, &wanted);
+                }
                 Ok(PeerMessage::Answer { ask, answer }) => shared.peers.answered(ask, answer),
                 Err(e) => log::warn!(from:% = from; "a datagram cannot be read: {e}"),
             },
--- a/crates/gateway/src/control/registration.rs
+++ b/crates/gateway/src/control/registration.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use carawayseam_types::{Incarnation, Millis};
+use carawayseam_types::{Incarnation, Millis, ZoneId};
 use carawayseam_wire::encode;
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
@@ -23,6 +23,8 @@
     pub(crate) address: SocketAddr,
     /// Its start.
     pub(crate) incarnation: Incarnation,
+    /// Its availability zone.
+    pub(crate) zone: ZoneId,
 }
 
 /// Keeps this host registered until it stops.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -13,13 +13,14 @@
 use carawayseam_dispatch::moves::{Answers, Decision, Evidence, MoveNews, Order};
 use carawayseam_dispatch::{Catalog, EngineEntry};
 use carawayseam_node::LogRevision;
-use carawayseam_types::{Digest, EngineId, EngineKey, HostId, Incarnation, Millis};
+use carawayseam_types::{Digest, EngineId, EngineKey, HostId, Incarnation, Millis, ZoneId};
 use carawayseam_wire::{Beat, EngineLoad, MoveCounts, WaitingLoad};
 use kameo::Actor;
 use kameo::message::{Context, Message};
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::platform::{MoveOrder, MoveStatus};
+use crate::settings::Settings;
 use crate::shared::{Shared, lock};
 use crate::sockets;
 
@@ -34,6 +35,10 @@
 
 /// A peer that was not heard before is told what others know for so long.
 const NEW_PEER_FOR: Millis = Millis(2_000);
+/// Hosts of each availability zone that follow the store for the others there.
+const FOLLOWERS_PER_ZONE: usize = 2;
+/// The name under which these are chosen.
+const STORE: &str = "store";
 
 /// Something that changes what the host believes.
 #[derive(Debug)]
@@ -59,9 +64,9 @@
     /// The store holds how a move stands.
     MoveStands { status: MoveStatus, revision: u64 },
     /// All hosts that the store lists.
-    Hosts(Vec<(HostId, SocketAddr)>),
+    Hosts(Vec<HostEntry>),
     /// A host registered itself.
-    Host(HostId, SocketAddr),
+    Host(HostEntry),
     /// A host's registration ended.
     HostRemoved(HostId),
     /// A peer's heartbeat.
@@ -70,6 +75,15 @@
     Tick,
 }
 
+/// A host that registered itself.
+#[derive(Debug)]
+pub(crate) struct HostEntry {
+    pub(crate) host: HostId,
+    /// Where it takes heartbeats.
+    pub(crate) address: SocketAddr,
+    pub(crate) zone: ZoneId,
+}
+
 #[derive(Debug)]
 struct Listed {
     entry: EngineEntry,
@@ -101,6 +115,8 @@
     decisions: UnboundedSender<Decision>,
     engines: BTreeMap<EngineId, Listed>,
     hosts: Hosts,
+    /// The availability zone of each host that was ever listed.
+    zones: BTreeMap<HostId, ZoneId>,
     heard: BTreeMap<HostId, Heard>,
     group: Group,
     /// Until when a peer that was heard for the first time, or again, is told what others know.
@@ -121,6 +137,7 @@
             decisions,
             engines: BTreeMap::new(),
             hosts: Hosts::default(),
+            zones: BTreeMap::new(),
             heard: BTreeMap::new(),
             group: Group::alone(shared.settings.host.clone()),
             shared,
@@ -139,12 +156,10 @@
             Note::EngineRemoved { engine, keep_until } => self.engine_removed(now, &engine, keep_until),
             Note::MoveOrdered { order, revision } => self.move_ordered(now, order, revision),
             Note::MoveStands { status, revision } => self.move_stands(&status, revision),
-            Note::Hosts(hosts) => {
-                self.hosts.set(now, hosts);
-                self.hosts_changed(now);
-            }
-            Note::Host(host, address) => {
+            Note::Hosts(entries) => self.all_hosts(now, entries),
+            Note::Host(HostEntry { host, address, zone }) => {
                 log::info!(peer:% = host, address:% = address; "peer listed");
+                self.zones.insert(host.clone(), zone);
                 self.hosts.insert(host, address);
                 self.hosts_changed(now);
             }
@@ -330,13 +345,46 @@
             return;
         }
         log::info!(known = group.known, heard = group.heard, reachable = group.reachable.len(); "peers counted");
-        self.shared.known_hosts.store(group.known, Ordering::Relaxed);
         let mut desk = lock(&self.shared.desk);
         desk.quotas.set_group(now, group.clone());
         desk.dispatcher.set_hosts(group.known);
         drop(desk);
         self.shared.peers.set_group(group.clone());
         self.group = group;
+        self.choose_sources();
+    }
+
+    /// Chooses whom this host asks of the store, if it does not follow the store itself.
+    fn choose_sources(&self) {
+        let Settings { host: me, zone, .. } = &self.shared.settings;
+        let is_near = |host: &HostId| host == me || self.zones.get(host) == Some(zone);
+        let mut sources = self.group.delegates(STORE, FOLLOWERS_PER_ZONE, is_near);
+        if sources.contains(me) {
+            sources.clear();
+        }
+        self.shared.peers.set_sources(sources);
+        let mut by_zone: BTreeMap<&ZoneId, usize> = BTreeMap::from([(zone, 1)]);
+        let others = self.hosts.others(me);
+        for zone in others.filter_map(|(host, _)| self.zones.get(host)) {
+            *by_zone.entry(zone).or_default() += 1;
+        }
+        let followers: usize = by_zone
+            .values()
+            .map(|hosts| (*hosts).min(FOLLOWERS_PER_ZONE))
+            .sum();
+        self.shared
+            .store_followers
+            .store(followers as u32, Ordering::Relaxed);
+    }
+
+    fn all_hosts(&mut self, now: Millis, entries: Vec<HostEntry>) {
+        let mut hosts = Vec::new();
+        for HostEntry { host, address, zone } in entries {
+            self.zones.insert(host.clone(), zone);
+            hosts.push((host, address));
+        }
+        self.hosts.set(now, hosts);
+        self.hosts_changed(now);
     }
 
     /// The hosts that can be asked now, this one among them.
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -4,22 +4,29 @@
 use std::sync::atomic::Ordering;
 
 use carawayseam_dispatch::Catalog;
+use carawayseam_dispatch::history::History;
 use carawayseam_dispatch::outage::Outage;
 use carawayseam_types::{HostId, Millis};
-use carawayseam_wire::decode;
+use carawayseam_wire::{AskAnswer, PeerMessage, StoreNews, decode};
+use compact_str::CompactString;
 use kameo::actor::ActorRef;
 use tokio::time::sleep;
 
+use super::news::{self, Heard};
 use super::registration::HostRecord;
-use super::state::{ControlState, Note};
+use super::state::{ControlState, HostEntry, Note};
 use crate::platform::{Change, DecodeError, Item, Platform, Store, StoreError, StoreKeys};
 use crate::shared::{Shared, lock};
 
+/// A host that does not follow the store itself asks one that does this often.
+const ASK_INTERVAL: Millis = Millis(300);
+/// Hosts that are asked when the store does not answer.
+const MOST_VOUCHERS: usize = 3;
 /// A watch returns after this time even if nothing changed, and so proves that nothing did.
 const WATCH_WAIT: Millis = Millis(500);
 /// The pause between watches, in which changes gather: calls are bounded over all hosts.
 const GATHER_TIME: Millis = Millis(140);
-/// How much longer the pause is for each host.
+/// How much longer the pause is for each host that follows the store.
 const GATHER_TIME_PER_HOST: Millis = Millis(25);
 /// The longest pause.
 const LONGEST_GATHER_TIME: Millis = Millis(1_000);
@@ -65,6 +72,25 @@
     outage: Outage,
 }
 
+/// Which peers are asked of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Asked {
+    /// Those that follow it for this host.
+    Sources,
+    /// Any, as the store does not answer this host.
+    Vouchers,
+}
+
+/// What a peer told of the store.
+enum Told {
+    /// All that is known.
+    All,
+    /// Some of it.
+    Part,
+    /// Nothing that helps.
+    Nothing,
+}
+
 /// An outcome that never comes.
 type Never = std::convert::Infallible;
 
@@ -90,8 +116,9 @@
         self.tell(Note::Engines { listed, keep_until });
         let hosts = hosts.iter().filter_map(|item| self.host(item)).collect();
         self.tell(Note::Hosts(hosts));
+        lock(&self.shared.store_history).changes = History::since(revision);
         self.tell(Note::Confirmed { sent_at });
-        self.watch(revision, pause).await
+        self.follow(pause).await
     }
 
     async fn list_all(&mut self, prefix: &str, revision: &mut u64) -> Result<Vec<Item>, StoreError> {
@@ -107,23 +134,31 @@
         }
     }
 
-    async fn watch(&mut self, mut revision: u64, pause: &mut Millis) -> Result<Never, StoreError> {
+    /// Follows the store through other hosts, or by itself where it is up to it or none of them answers.
+    async fn follow(&mut self, pause: &mut Millis) -> Result<Never, StoreError> {
         loop {
+            if self.ask_peers(Asked::Sources).await {
+                *pause = FIRST_RETRY;
+                sleep(ASK_INTERVAL.to_duration()).await;
+                continue;
+            }
             let sent_at = self.shared.now();
+            let revision = self.revision();
             match self.store.watch("", revision, WATCH_WAIT).await {
                 Ok((changes, current)) => {
                     *pause = FIRST_RETRY;
                     self.note_answer();
                     for change in changes {
-                        self.change(change);
+                        self.change(change.revision(), change);
                     }
-                    revision = revision.max(current);
-                    self.tell(Note::Confirmed { sent_at });
+                    self.proved(current, sent_at);
                     sleep(self.gather_time().to_duration()).await;
                 }
                 Err(StoreError::HistoryGone) => return Err(StoreError::HistoryGone),
                 Err(e) => {
                     self.note_failure(&e);
+                    // The store may turn this host away alone.
+                    self.ask_peers(Asked::Vouchers).await;
                     sleep(pause.to_duration()).await;
                     *pause = pause.times(2).min(LONGEST_RETRY);
                 }
@@ -131,17 +166,131 @@
         }
     }
 
+    /// Asks other hosts of the store; whether one of them told all.
+    async fn ask_peers(&mut self, asked: Asked) -> bool {
+        let peers = match asked {
+            Asked::Sources => self.shared.peers.sources(),
+            Asked::Vouchers => self.shared.peers.others(MOST_VOUCHERS),
+        };
+        for peer in peers {
+            while let Some(told) = self.ask(&peer, asked).await {
+                match told {
+                    Told::All => return true,
+                    Told::Part => {}
+                    Told::Nothing => break,
+                }
+            }
+        }
+        false
+    }
+
+    async fn ask(&mut self, peer: &HostId, asked: Asked) -> Option<Told> {
+        let asked_at = self.shared.now();
+        let after = self.revision();
+        let message = |ask| PeerMessage::NewsAsk {
+            host: self.shared.settings.host.clone(),
+            ask,
+            after,
+        };
+        let answer = self
+            .shared
+            .peers
+            .ask(peer, news::ASK_LIMIT, news::ASKS, message)
+            .await;
+        let Some(AskAnswer::News(news)) = answer else {
+            self.shared.metrics.count("store_asks", "unanswered");
+            return None;
+        };
+        let Some(news) = news else {
+            self.shared.metrics.count("store_asks", "not-known");
+            return Some(Told::Nothing);
+        };
+        self.shared.metrics.count("store_asks", "answered");
+        let told = if news.is_whole { Told::All } else { Told::Part };
+        if asked == Asked::Sources {
+            let now = self.shared.now();
+            let keep_until = (news.kept_for > Millis::ZERO).then_some(now + news.kept_for);
+            let returned = self.outage.on_peer_answer(now, keep_until);
+            self.note_return(returned);
+        }
+        // Where an item could not be read, what follows it is asked for again.
+        match self.take_news(asked_at, peer, news).await {
+            Ok(()) => Some(told),
+            Err(e) => {
+                self.note_failure(&e);
+                Some(Told::Nothing)
+            }
+        }
+    }
+
+    async fn take_news(
+        &mut self,
+        asked_at: Millis,
+        peer: &HostId,
+        news: StoreNews,
+    ) -> Result<(), StoreError> {
+        for told in news.changes {
+            let revision = told.revision;
+            let change = match news::heard(told) {
+                Heard::Whole(change) => Some(change),
+                Heard::Large(key) => self.read_item(peer, &key, revision).await?.map(Change::Put),
+            };
+            // An item that is gone again is told as removed later.
+            if let Some(change) = change {
+                self.change(revision, change);
+            }
+        }
+        if news.is_whole {
+            self.proved(news.end, Millis(asked_at.0.saturating_sub(news.age.0)));
+        } else {
+            lock(&self.shared.store_history).changes.advance(news.end);
+        }
+        Ok(())
+    }
+
+    /// Reads an item from the store, or from a peer if the store does not answer.
+    async fn read_item(
+        &mut self,
+        peer: &HostId,
+        key: &CompactString,
+        revision: u64,
+    ) -> Result<Option<Item>, StoreError> {
+        match self.store.list(key, "").await {
+            Ok(page) => Ok(page.items.into_iter().find(|item| item.key == *key)),
+            Err(e) => match news::fetch(&self.shared, peer, key, revision).await {
+                Some(item) => Ok(Some(item)),
+                None => Err(e),
+            },
+        }
+    }
+
+    /// The revision up to which all changes are known here.
+    fn revision(&self) -> u64 {
+        lock(&self.shared.store_history).changes.end()
+    }
+
+    /// All changes up to a revision are known, and there were no later ones at `sent_at`.
+    fn proved(&self, revision: u64, sent_at: Millis) {
+        let mut history = lock(&self.shared.store_history);
+        history.changes.advance(revision);
+        history.keep_until = self.outage.keep_until(self.shared.now());
+        drop(history);
+        self.tell(Note::Confirmed { sent_at });
+    }
+
     fn gather_time(&self) -> Millis {
-        let hosts = self.shared.known_hosts.load(Ordering::Relaxed);
+        let hosts = self.shared.store_followers.load(Ordering::Relaxed);
         let time = GATHER_TIME + GATHER_TIME_PER_HOST.times(u64::from(hosts));
         time.min(LONGEST_GATHER_TIME)
     }
 
-    fn change(&self, change: Change) {
-        match change {
-            Change::Put(item) => self.put(&item),
-            Change::Removed(key) => self.removed(&key),
+    /// Takes a change that was told under a revision, and keeps it for peers.
+    fn change(&self, revision: u64, change: Change) {
+        match &change {
+            Change::Put(item) => self.put(item),
+            Change::Removed { key, .. } => self.removed(key),
         }
+        lock(&self.shared.store_history).changes.push(revision, change);
     }
 
     fn put(&self, item: &Item) {
@@ -161,8 +310,8 @@
             self.move_order(item);
         } else if item.key.starts_with(self.keys.move_states.as_str()) {
             self.move_status(item);
-        } else if let Some((host, address)) = self.host(item) {
-            self.tell(Note::Host(host, address));
+        } else if let Some(entry) = self.host(item) {
+            self.tell(Note::Host(entry));
         }
     }
 
@@ -212,11 +361,11 @@
         }
     }
 
-    fn host(&self, item: &Item) -> Option<(HostId, std::net::SocketAddr)> {
+    fn host(&self, item: &Item) -> Option<HostEntry> {
         let name = item.key.strip_prefix(self.keys.hosts.as_str())?;
         let record = decode::<HostRecord>(&item.value);
         match (name.parse(), record) {
-            (Ok(host), Ok(record)) => Some((host, record.address)),
+            (Ok(host), Ok(HostRecord { address, zone, .. })) => Some(HostEntry { host, address, zone }),
             (Err(e), _) => {
                 log::warn!(key:% = item.key; "the entry names no host: {e}");
                 None
@@ -235,7 +384,12 @@
     }
 
     fn note_answer(&mut self) {
-        if self.outage.on_answer(self.shared.now()) {
+        let returned = self.outage.on_answer(self.shared.now());
+        self.note_return(returned);
+    }
+
+    fn note_return(&self, returned: bool) {
+        if returned {
             lock(&self.shared.reach).store_is_away = false;
             log::info!(dependency = "store"; "dependency regained");
         }
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -20,6 +20,8 @@
     me: HostId,
     addresses: Mutex<BTreeMap<HostId, SocketAddr>>,
     group: Mutex<Group>,
+    /// The hosts to ask of the store; none if this one follows it itself.
+    sources: Mutex<Vec<HostId>>,
     asks: Mutex<Asks>,
 }
 
@@ -48,6 +50,7 @@
             me: me.clone(),
             group: Mutex::new(Group::alone(me.clone())),
             addresses: Mutex::default(),
+            sources: Mutex::default(),
             asks: Mutex::default(),
         })
     }
@@ -83,6 +86,21 @@
         *lock(&self.group) = group;
     }
 
+    /// Takes which hosts to ask of the store.
+    pub(crate) fn set_sources(&self, sources: Vec<HostId>) {
+        *lock(&self.sources) = sources;
+    }
+
+    /// The hosts to ask of the store, the first one first; none if this one follows it itself.
+    pub(crate) fn sources(&self) -> Vec<HostId> {
+        lock(&self.sources).clone()
+    }
+
+    /// Some other hosts that can be asked now.
+    pub(crate) fn others(&self, count: usize) -> Vec<HostId> {
+        lock(&self.group).delegates(self.me.as_str(), count, |host| *host != self.me)
+    }
+
     /// The other host that keeps what is shared under a name; none if this one does.
     pub(crate) fn keeper(&self, name: &str) -> Option<HostId> {
         lock(&self.group).keeper_beside(&self.me, name).cloned()
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -188,7 +188,23 @@
     /// An item was written.
     Put(Item),
     /// An item was removed.
-    Removed(CompactString),
+    Removed {
+        /// Its key.
+        key: CompactString,
+        /// The store's revision at its removal.
+        revision: u64,
+    },
+}
+
+impl Change {
+    /// The store's revision at the change.
+    #[must_use]
+    pub const fn revision(&self) -> u64 {
+        match self {
+            Self::Put(item) => item.revision,
+            Self::Removed { revision, .. } => *revision,
+        }
+    }
 }
 
 /// One page of a listing.
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -29,7 +29,7 @@
 use crate::platform::Platform;
 use crate::readiness;
 use crate::settings::Settings;
-use crate::shared::{Desk, Phase, Shared, lock};
+use crate::shared::{Desk, Phase, Shared, StoreHistory, lock};
 use crate::traffic::{self, Connections};
 
 /// What an answer to a watch may hide, and what may pass between the proof and a server.
@@ -137,7 +137,8 @@
         metrics: Metrics::default(),
         peers,
         reach: Mutex::new(Reach::default()),
-        known_hosts: AtomicU32::new(1),
+        store_followers: AtomicU32::new(1),
+        store_history: Mutex::new(StoreHistory::default()),
         unready_since: Mutex::new(None),
         open_requests: AtomicUsize::new(0),
     }
@@ -186,6 +187,7 @@
         let record = HostRecord {
             address: shared.settings.peers_announced.unwrap_or(shared.settings.peers),
             incarnation,
+            zone: shared.settings.zone.clone(),
         };
         let store = platform.store(shared.settings.store);
         tokio::spawn(control::register(
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use carawayseam_dispatch::freshness::{Freshness, Reach};
+use carawayseam_dispatch::history::History;
 use carawayseam_dispatch::moves::Moves;
 use carawayseam_dispatch::poison::Suspects;
 use carawayseam_dispatch::quota::Quotas;
@@ -15,7 +16,7 @@
 
 use crate::metrics::Metrics;
 use crate::peer_link::PeerLink;
-use crate::platform::Headers;
+use crate::platform::{Change, Headers};
 use crate::settings::Settings;
 use crate::traffic::Connections;
 
@@ -155,6 +156,23 @@
     }
 }
 
+/// What this host can tell its peers of the store.
+#[derive(Debug)]
+pub(crate) struct StoreHistory {
+    pub(crate) changes: History<Change>,
+    /// Until when missing entries of backend servers may come back after an outage of the store.
+    pub(crate) keep_until: Option<Millis>,
+}
+
+impl Default for StoreHistory {
+    fn default() -> Self {
+        Self {
+            changes: History::since(u64::MAX),
+            keep_until: None,
+        }
+    }
+}
+
 /// What the control thread and the traffic threads share.
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
@@ -173,8 +191,10 @@
     pub(crate) peers: PeerLink,
     /// What this host reaches.
     pub(crate) reach: Mutex<Reach>,
-    /// Hosts that are known, this one among them.
-    pub(crate) known_hosts: AtomicU32,
+    /// Hosts that follow the store themselves, in all availability zones.
+    pub(crate) store_followers: AtomicU32,
+    /// What peers may ask of the store.
+    pub(crate) store_history: Mutex<StoreHistory>,
     /// When the balancer was first told to send callers elsewhere; none while it is not.
     pub(crate) unready_since: Mutex<Option<Millis>>,
     /// Requests whose answers are not complete.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -25,5 +25,8 @@
     MAX_DATAGRAM_BYTES, MAX_STREAM_BYTES, PROTOCOL_VERSION, WireError, decode, decode_datagram, encode,
 };
 pub use datagram::{Body, Datagram, Item, ItemKey, ItemPart, News, Peer, PeerRole, PeerState, Topic};
-pub use peers::{AskAnswer, PeerMessage, QuotaAsk, QuotaOutcome, SlotOutcome};
+pub use peers::{
+    AskAnswer, ItemPiece, PeerMessage, QuotaAsk, QuotaOutcome, SlotOutcome, StoreChange, StoreChangeKind,
+    StoreNews,
+};
 pub use stream::{ForwardFrame, ForwardedRequest, Head, Record, RecordKey, StreamReply, StreamRequest};
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -1,6 +1,7 @@
 //! Datagrams between hosts that route alone.
 
 use carawayseam_types::{EngineKey, HostId, Millis, OrganisationId};
+use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
 use crate::Beat;
@@ -21,6 +22,28 @@
         /// The server.
         engine: EngineKey,
     },
+    /// Asks for the store's changes after a revision.
+    NewsAsk {
+        /// The asking host.
+        host: HostId,
+        /// Repeated in the answer.
+        ask: u64,
+        /// The revision.
+        after: u64,
+    },
+    /// Asks for a piece of an item that is too large for a datagram.
+    PieceAsk {
+        /// The asking host.
+        host: HostId,
+        /// Repeated in the answer.
+        ask: u64,
+        /// The item's key.
+        key: CompactString,
+        /// The revision of its change.
+        revision: u64,
+        /// Where the piece begins, in bytes.
+        offset: u32,
+    },
     /// Answers an ask.
     Answer {
         /// The ask's number.
@@ -60,12 +83,62 @@
 }
 
 /// What became of an ask.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AskAnswer {
     /// For tokens.
     Quota(QuotaOutcome),
     /// For a slot.
     Slot(SlotOutcome),
+    /// For the store's changes; none if the host cannot tell them all.
+    News(Option<StoreNews>),
+    /// For a piece of an item; none if the host no longer has it.
+    Piece(Option<ItemPiece>),
+}
+
+/// A piece of an item's value.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemPiece {
+    /// The length of the whole value, in bytes.
+    pub total: u32,
+    /// The piece.
+    pub bytes: Vec<u8>,
+}
+
+/// What a host knows of the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreNews {
+    /// The revision up to which the changes tell all.
+    pub end: u64,
+    /// Whether nothing later is known.
+    pub is_whole: bool,
+    /// The age of the proof that nothing later was there.
+    pub age: Millis,
+    /// How much longer missing entries of backend servers may come back after an outage of the store.
+    pub kept_for: Millis,
+    /// The changes in order.
+    pub changes: Vec<StoreChange>,
+}
+
+/// One change in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreChange {
+    /// The item's key.
+    pub key: CompactString,
+    /// The revision of the change.
+    pub revision: u64,
+    /// What became of the item.
+    pub kind: StoreChangeKind,
+}
+
+/// What became of an item of the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreChangeKind {
+    /// It was written.
+    Put(Vec<u8>),
+    /// It was written, and is too large for a datagram.
+    PutLarge,
+    /// It was removed.
+    Removed,
 }
 
 /// What became of an ask for a slot.
