Log and count the rate limits that backend servers report

Decisions are as before. A response can end a limit only if its request was sent after the limit was known, since responses arrive out of order.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`hosts`] | the known hosts and their addresses |
 //! | [`history`] | the store's latest changes, for peers that follow the store through this host |
 //! | [`draining_servers`] | backend servers that reported that they are draining |
+//! | [`server_limits`] | rate limits that backend servers reported |
 //! | [`load`] | the load that a host reports to peers and operators |
 //! | [`dispatcher`] | request queues and backend server selection |
 //!
@@ -51,6 +52,7 @@
 pub mod quota;
 pub mod retries;
 pub mod rollouts;
+pub mod server_limits;
 mod speed;
 
 pub use catalog::{Catalog, Configuration};
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -6,7 +6,7 @@
 use carawayseam_dispatch::engine::PromptPart;
 use carawayseam_dispatch::rollouts::RolloutState;
 use carawayseam_dispatch::{Configuration, EngineEntry};
-use carawayseam_types::{BackendName, EngineId, Millis, OrganisationId, VersionId};
+use carawayseam_types::{BackendName, EngineId, Millis, OrganisationId, RequestRate, VersionId};
 use compact_str::CompactString;
 use hyper::HeaderMap;
 
@@ -123,6 +123,20 @@
     pub is_draining: bool,
     /// How long this host should send no further requests to the server.
     pub retry_after: Option<Millis>,
+    /// The rate limit that the server reports for the requests of all hosts together.
+    pub rate_limit: ReportedRateLimit,
+}
+
+/// The rate limit in a response of a backend server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum ReportedRateLimit {
+    /// The response reports no limit.
+    #[default]
+    Unlimited,
+    /// The server accepts requests at this rate from all hosts together.
+    Limited(RequestRate),
+    /// The response reports a limit that cannot be read.
+    Unreadable,
 }
 
 /// The keys and key prefixes that the gateway uses in the store.
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -2,17 +2,27 @@
 
 use std::sync::atomic::Ordering;
 
-use carawayseam_types::{EngineId, HostId, Millis, OrganisationId};
+use carawayseam_types::{EngineId, HostId, Millis, OrganisationId, RequestRate};
 use hyper::StatusCode;
 
-use crate::shared::{Assignment, Shared};
+use crate::shared::{Assignment, Shared, lock};
 use crate::traffic::{Exchange, Failure, Refusal};
 
 /// Records that a request was assigned to a backend server.
 pub(crate) fn record_assignment(exchange: &Exchange, assignment: &Assignment) {
+    let limit = lock(&exchange.shared.dispatch)
+        .server_limits
+        .get(&assignment.engine);
+    if limit.is_some() {
+        exchange
+            .shared
+            .metrics
+            .count("requests_to_limited_engines", "sent");
+    }
     log::debug!(
         request = exchange.head.id.as_deref(),
         engine:% = assignment.engine,
+        limit_per_s = limit.map(RequestRate::per_second),
         version:% = assignment.version,
         expected_ms = assignment.expected_first_event.0,
         waited_ms = exchange.shared.now().since(exchange.arrived).0;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -10,6 +10,7 @@
 use carawayseam_dispatch::poison::PoisonTracker;
 use carawayseam_dispatch::quota::Quotas;
 use carawayseam_dispatch::rollouts::Rollouts;
+use carawayseam_dispatch::server_limits::ServerLimits;
 use carawayseam_dispatch::{Action, AttemptEnd, Catalog, Dispatcher, Job, Ticket};
 use carawayseam_types::{Clock, EngineId, Millis, VersionId};
 use tokio::sync::{oneshot, watch};
@@ -66,11 +67,12 @@
     Refuse { retry_after: Millis },
 }
 
-/// The dispatcher, the quotas, and the requests that wait for a decision.
+/// The dispatcher, the quotas, the servers' rate limits, and the requests that wait for a decision.
 #[derive(Debug)]
 pub(crate) struct DispatchState {
     pub(crate) dispatcher: Dispatcher,
     pub(crate) quotas: Quotas,
+    pub(crate) server_limits: ServerLimits,
     waiters: HashMap<Ticket, oneshot::Sender<Decision>>,
 }
 
@@ -79,6 +81,7 @@
         Self {
             dispatcher,
             quotas,
+            server_limits: ServerLimits::default(),
             waiters: HashMap::new(),
         }
     }
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use carawayseam_dispatch::draining_servers::DrainingServer;
 use carawayseam_dispatch::{AttemptEnd, Ticket};
-use carawayseam_types::{BackendName, Millis, VersionId};
+use carawayseam_types::{BackendName, EngineId, Millis, VersionId};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderMap, HeaderName};
@@ -15,7 +15,7 @@
 use super::exchange::Exchange;
 use super::slots::RemoteSlot;
 use crate::http_client::{Connection, SendError};
-use crate::platform::{OutgoingHead, ResponseHead};
+use crate::platform::{OutgoingHead, ReportedRateLimit, ResponseHead};
 use crate::shared::{Assignment, Shared, lock};
 
 /// The maximum time to connect to a server.
@@ -339,6 +339,37 @@
         shared.metrics.count("engine_closed", "retry-after");
         lock(&shared.dispatch).dispatcher.close_server(now, engine, span);
     }
+    record_rate_limit(exchange, engine, head.rate_limit);
+}
+
+/// Records the rate limit that a response reports, or that it reports none.
+fn record_rate_limit(exchange: &Exchange, engine: &EngineId, reported: ReportedRateLimit) {
+    let shared = &exchange.shared;
+    let limit = match reported {
+        ReportedRateLimit::Unlimited => None,
+        ReportedRateLimit::Limited(limit) => Some(limit),
+        ReportedRateLimit::Unreadable => {
+            shared.metrics.count("engine_limits", "unreadable");
+            log::warn!(engine:% = engine; "the rate limit of a backend server cannot be read; ignored");
+            return;
+        }
+    };
+    let now = shared.now();
+    let is_change =
+        lock(&shared.dispatch)
+            .server_limits
+            .record_response(now, engine, exchange.assigned_at, limit);
+    match limit {
+        _ if !is_change => {}
+        Some(limit) => {
+            shared.metrics.count("engine_limits", "reported");
+            log::info!(engine:% = engine, limit_per_s = limit.per_second(); "backend server limits its request rate");
+        }
+        None => {
+            shared.metrics.count("engine_limits", "ended");
+            log::info!(engine:% = engine; "backend server no longer limits its request rate");
+        }
+    }
 }
 
 /// The hop-by-hop headers.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -32,4 +32,4 @@
     ZoneId,
 };
 pub use outcome::{NotRunReason, Outcome, Refusal, UnknownReason};
-pub use quantity::{Bytes, Permille, Tier, Tokens, TokensPerSecond};
+pub use quantity::{Bytes, Permille, RequestRate, Tier, Tokens, TokensPerSecond};
--- a/crates/types/src/quantity.rs
+++ b/crates/types/src/quantity.rs
@@ -73,6 +73,56 @@
     }
 }
 
+/// A rate in requests per second, with a resolution of one request per 1,000 seconds.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    derive_more::Display,
+)]
+#[serde(transparent)]
+#[display("{}/s", self.per_second())]
+pub struct RequestRate {
+    /// The number of requests in 1,000 seconds.
+    pub per_1000_s: u32,
+}
+
+impl RequestRate {
+    /// Returns the rate in requests per second.
+    #[must_use]
+    pub fn per_second(self) -> f64 {
+        f64::from(self.per_1000_s) / 1_000.0
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = ParseError;
+
+    /// Parses a decimal number without sign or exponent; a number that is too large becomes the largest rate.
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let digits = text.strip_suffix("/s").unwrap_or(text);
+        let is_decimal = digits.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+        match digits.parse::<f64>() {
+            Ok(per_second) if is_decimal => Ok(Self {
+                per_1000_s: (per_second * 1_000.0).round() as u32,
+            }),
+            _ => Err(ParseError::new(
+                text,
+                "request rate",
+                "a decimal number a second, such as `2.4/s`",
+            )),
+        }
+    }
+}
+
 /// A size in bytes.
 #[derive(
     Debug,
