Move the accounts that hosts share out of the quota module

cause: a quota of an organisation is the only sum over hosts that the code can keep; a server's rate limit is one more. change: token buckets and the accounts of one owner a group, keyed by any name, stand in a module of their own; quotas use it.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -35,6 +35,7 @@
 //! assert!(!freshness.is_fresh(Millis(13_601)));
 //! ```
 
+mod accounts;
 pub mod catalog;
 pub mod dispatcher;
 pub mod draining_servers;
--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -11,6 +11,7 @@
 
 use carawayseam_types::{HostId, Millis, OrganisationId};
 
+use crate::accounts::{Accounts, Bucket, BucketParams, bucket_mut};
 use crate::catalog::TokenQuota;
 use crate::group::Group;
 
@@ -26,94 +27,6 @@
 ///
 /// All hosts may start at once, and twice within one window.
 const INITIAL_TOLERANCE_FRACTION: f64 = 0.2;
-/// Fraction of its capacity at which a bucket counts as full.
-const FULL_FRACTION: f64 = 0.9;
-
-/// A token bucket that refills at a fraction of an organisation's rate.
-#[derive(Debug, Default)]
-struct Bucket {
-    level: f64,
-    refilled_at: Millis,
-    /// Whether the initial tokens have been added.
-    is_initialised: bool,
-}
-
-/// The parameters of a bucket for a fraction of a quota.
-#[derive(Debug, Clone, Copy)]
-struct BucketParams {
-    /// Refill rate in tokens per second.
-    rate: f64,
-    /// Maximum number of tokens.
-    capacity: f64,
-    /// Tokens that are added at the first use.
-    initial: f64,
-}
-
-impl BucketParams {
-    fn new(quota: TokenQuota, tolerance: f64, fraction: f64) -> Self {
-        Self {
-            rate: (quota.per_second * fraction).max(MIN_RATE),
-            capacity: ((quota.burst + tolerance * TOLERANCE_FRACTION) * fraction).max(MIN_RATE),
-            initial: tolerance * INITIAL_TOLERANCE_FRACTION * fraction,
-        }
-    }
-}
-
-impl Bucket {
-    /// Returns an empty bucket.
-    const fn since(now: Millis) -> Self {
-        Self {
-            level: 0.0,
-            refilled_at: now,
-            is_initialised: false,
-        }
-    }
-
-    fn refill(&mut self, now: Millis, params: BucketParams) {
-        if !std::mem::replace(&mut self.is_initialised, true) {
-            self.level += params.initial;
-        }
-        let elapsed_ms = now.since(self.refilled_at).0 as f64;
-        self.level = params
-            .rate
-            .mul_add(elapsed_ms / 1_000.0, self.level)
-            .min(params.capacity);
-        self.refilled_at = now;
-    }
-
-    /// Takes tokens if they are available now; returns whether they were taken.
-    fn try_take(&mut self, now: Millis, params: BucketParams, tokens: f64) -> bool {
-        self.refill(now, params);
-        let is_available = self.level >= tokens;
-        if is_available {
-            self.level -= tokens;
-        }
-        is_available
-    }
-
-    /// Takes tokens that become available within `max_wait`, and returns the wait.
-    ///
-    /// If the wait is longer, no tokens are taken and the wait is returned as an error.
-    fn take(
-        &mut self,
-        now: Millis,
-        params: BucketParams,
-        tokens: f64,
-        max_wait: Millis,
-    ) -> Result<Millis, Millis> {
-        self.refill(now, params);
-        // A request larger than the bucket's capacity is admitted when the bucket is nearly full.
-        let needed = tokens.min(params.capacity * FULL_FRACTION);
-        let missing = (needed - self.level).max(0.0);
-        let wait = Millis((missing / params.rate * 1_000.0).ceil() as u64);
-        if wait > max_wait {
-            return Err(wait);
-        }
-        self.level -= tokens;
-        Ok(wait)
-    }
-}
-
 /// The account that a request's tokens were taken from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AccountKind {
@@ -126,12 +39,10 @@
 /// This host's local account for each organisation, and the shared accounts that it owns.
 #[derive(Debug)]
 pub struct Quotas {
-    me: HostId,
-    group: Group,
     /// Number of tokens by which all hosts together may exceed a quota in one window.
     tolerance: f64,
     local: HashMap<OrganisationId, Bucket>,
-    shared: HashMap<OrganisationId, Bucket>,
+    shared: Accounts<OrganisationId>,
 }
 
 impl Quotas {
@@ -141,11 +52,9 @@
     #[must_use]
     pub fn new(me: HostId, tolerance: f64) -> Self {
         Self {
-            group: Group::alone(me.clone()),
-            me,
             tolerance,
             local: HashMap::new(),
-            shared: HashMap::new(),
+            shared: Accounts::new(me),
         }
     }
 
@@ -156,32 +65,20 @@
         organisations: impl Iterator<Item = &'a OrganisationId>,
     ) {
         for organisation in organisations {
-            for buckets in [&mut self.local, &mut self.shared] {
-                let bucket = || Bucket::since(now);
-                buckets.entry(organisation.clone()).or_insert_with(bucket);
-            }
+            bucket_mut(&mut self.local, now, organisation);
+            self.shared.open(now, organisation);
         }
     }
 
     /// Updates the group of known hosts; shared accounts that this host newly owns start empty.
     pub fn set_group(&mut self, now: Millis, group: Group) {
-        if group.reachable != self.group.reachable {
-            for (organisation, bucket) in &mut self.shared {
-                let was_owner = self.group.owner(organisation.as_str()) == Some(&self.me);
-                let is_owner = group.owner(organisation.as_str()) == Some(&self.me);
-                if is_owner && !was_owner {
-                    *bucket = Bucket::since(now);
-                    bucket.is_initialised = true;
-                }
-            }
-        }
-        self.group = group;
+        self.shared.set_group(now, group);
     }
 
     /// Returns the remote owner of the shared account; `None` if this host owns it.
     #[must_use]
     pub fn remote_owner(&self, organisation: &OrganisationId) -> Option<&HostId> {
-        self.group.owner_other_than(&self.me, organisation.as_str())
+        self.shared.remote_owner(organisation)
     }
 
     /// Takes tokens from this host's local account if they are available now.
@@ -192,8 +89,8 @@
         quota: TokenQuota,
         tokens: f64,
     ) -> bool {
-        let params = BucketParams::new(quota, self.tolerance, local_fraction(&self.group));
-        bucket(&mut self.local, now, organisation).try_take(now, params, tokens)
+        let params = self.params(quota, self.local_fraction());
+        bucket_mut(&mut self.local, now, organisation).try_take(now, params, tokens)
     }
 
     /// Takes tokens from this host's local account when the owner of the shared account does not respond.
@@ -211,8 +108,8 @@
         tokens: f64,
         max_wait: Millis,
     ) -> Result<Millis, Millis> {
-        let params = BucketParams::new(quota, self.tolerance, local_fraction(&self.group));
-        bucket(&mut self.local, now, organisation).take(now, params, tokens, max_wait)
+        let params = self.params(quota, self.local_fraction());
+        bucket_mut(&mut self.local, now, organisation).take(now, params, tokens, max_wait)
     }
 
     /// Takes tokens from the group's shared account if this host owns it.
@@ -230,42 +127,34 @@
         tokens: f64,
         max_wait: Millis,
     ) -> Result<Millis, Option<Millis>> {
-        if self.remote_owner(organisation).is_some() {
-            return Err(None);
-        }
-        let params = BucketParams::new(quota, self.tolerance, shared_fraction(&self.group));
-        let taken = bucket(&mut self.shared, now, organisation).take(now, params, tokens, max_wait);
-        taken.map_err(Some)
+        let fraction = (1.0 - LOCAL_FRACTION) * self.shared.fraction();
+        let params = self.params(quota, fraction);
+        let bucket = self.shared.owned(now, organisation).ok_or(None)?;
+        bucket.take(now, params, tokens, max_wait).map_err(Some)
     }
 
     /// Returns the tokens of a request that was not sent to their account.
     pub fn refund(&mut self, organisation: &OrganisationId, source: AccountKind, tokens: f64) {
-        let buckets = match source {
-            AccountKind::Local => &mut self.local,
-            AccountKind::Shared => &mut self.shared,
-        };
-        if let Some(bucket) = buckets.get_mut(organisation) {
-            bucket.level += tokens;
+        match source {
+            AccountKind::Local => {
+                if let Some(bucket) = self.local.get_mut(organisation) {
+                    bucket.refund(tokens);
+                }
+            }
+            AccountKind::Shared => self.shared.refund(organisation, tokens),
         }
     }
-}
-
-/// Returns the fraction of a quota in each host's local account.
-fn local_fraction(group: &Group) -> f64 {
-    LOCAL_FRACTION / f64::from(group.all())
-}
 
-/// Returns the fraction of a quota in the shared account of the hosts that can reach each other.
-fn shared_fraction(group: &Group) -> f64 {
-    (1.0 - LOCAL_FRACTION) * group.reachable.len().max(1) as f64 / f64::from(group.all())
-}
+    /// Returns the fraction of a quota in each host's local account.
+    fn local_fraction(&self) -> f64 {
+        LOCAL_FRACTION / f64::from(self.shared.group().all())
+    }
 
-fn bucket<'a>(
-    buckets: &'a mut HashMap<OrganisationId, Bucket>,
-    now: Millis,
-    organisation: &OrganisationId,
-) -> &'a mut Bucket {
-    buckets
-        .entry(organisation.clone())
-        .or_insert_with(|| Bucket::since(now))
+    fn params(&self, quota: TokenQuota, fraction: f64) -> BucketParams {
+        BucketParams {
+            rate: (quota.per_second * fraction).max(MIN_RATE),
+            capacity: ((quota.burst + self.tolerance * TOLERANCE_FRACTION) * fraction).max(MIN_RATE),
+            initial: self.tolerance * INITIAL_TOLERANCE_FRACTION * fraction,
+        }
+    }
 }
--- a/crates/dispatch/tests/server_limits.rs
+++ b/crates/dispatch/tests/server_limits.rs
@@ -1,13 +1,14 @@
 //! Rate limits that backend servers report.
 
-mod support;
-
 use carawayseam_dispatch::server_limits::ServerLimits;
-use carawayseam_types::{Millis, RequestRate};
-use support::id;
+use carawayseam_types::{EngineId, Millis, RequestRate};
 
 const LIMIT: RequestRate = RequestRate { per_1000_s: 2_400 };
 
+fn id(name: &str) -> EngineId {
+    name.parse().expect("a valid name")
+}
+
 /// Records responses of server `a` as (arrival, time of sending, reported limit); returns the final limit.
 fn limit_after(responses: &[(u64, u64, Option<RequestRate>)]) -> Option<RequestRate> {
     let mut limits = ServerLimits::default();
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -31,6 +31,12 @@
             }
         }
 
+        impl AsRef<str> for $name {
+            fn as_ref(&self) -> &str {
+                self.as_str()
+            }
+        }
+
         impl FromStr for $name {
             type Err = ParseError;
 
