Compare a new version's response times with those of the old version

Only the first event was rated, never the events after it. Two kinds of evidence, over all hosts, by responses: most are slower than the old version's typical one; some are slower than those of its slowest server. Both fall again with good responses, so a version that turns slow late is found as soon. Unfinished responses count when they are very slow already, since a shift of all traffic lasts about a second.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -487,6 +487,8 @@
                 version: engine.entry.version.clone(),
                 started: engine.entry.started,
                 expected: Millis(expected as u64),
+                typical_first_event_ms: pool.baseline.first_event_ms(tokens_ahead),
+                typical_event_ms: pool.baseline.event,
             });
         }
     }
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -55,7 +55,7 @@
 }
 
 /// An action that the host has to carry out.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Action {
     /// Send the request to a server.
     Start {
@@ -71,6 +71,10 @@
         started: Option<u64>,
         /// Expected time to the first event or the plain response.
         expected: Millis,
+        /// Expected time to the first event on a typical server of the backend, in milliseconds.
+        typical_first_event_ms: f64,
+        /// Expected time between two events on a typical server of the backend, in milliseconds.
+        typical_event_ms: f64,
     },
     /// Respond to the caller that the request did not run.
     Refuse {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`catalog`] | routes, organisations and keys of one configuration |
 //! | [`freshness`] | how old the last confirmation of the configuration may be |
 //! | [`rollouts`] | rollouts of a backend's traffic to another version |
+//! | [`pace`] | evidence that a new version is slow |
 //! | [`outage`] | how long missing entries are kept after an outage of the store |
 //! | [`poison`] | requests that crash the servers that run them |
 //! | [`quota`] | an organisation's quota in tokens per second, shared by all hosts |
@@ -47,6 +48,7 @@
 mod job;
 pub mod load;
 pub mod outage;
+pub mod pace;
 mod peer_loads;
 pub mod poison;
 mod pool;
--- a/crates/dispatch/src/rollouts.rs
+++ b/crates/dispatch/src/rollouts.rs
@@ -2,14 +2,16 @@
 //!
 //! A canary share of the requests goes to the new version first. Each host counts the
 //! responses of both versions and adds the counts of its peers. If the new version fails
-//! clearly more often than the old one, the rollout is rolled back at once. Shortly before
+//! clearly more often or is slower than the old one, the rollout is rolled back at once. Shortly before
 //! the deadline, a version with enough good responses gets all traffic and the rollout is
 //! complete; any other rollout is rolled back. A host without a live connection to the store
 //! sends no requests to a new version unless its rollout is known to be complete.
 
 use std::collections::{BTreeMap, HashMap};
 
-use carawayseam_types::{BackendName, HostId, Millis, VersionId};
+use carawayseam_types::{BackendName, EngineId, HostId, Millis, VersionId};
+
+use crate::pace::{PaceBaseline, PaceCounts, PaceEvidence, PaceRating, PaceReport, ResponseTime};
 
 /// Share of requests that the new version gets until the outcome is decided.
 const CANARY_SHARE: f64 = 0.03;
@@ -130,6 +132,17 @@
     pub evidence: Evidence,
 }
 
+/// A host's counts of slow responses during a rollout, sent to its peers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PaceUpdate {
+    /// The backend.
+    pub backend: BackendName,
+    /// The order's revision.
+    pub revision: u64,
+    /// The sender's own counts.
+    pub report: PaceReport,
+}
+
 /// A state to write, provided that the stored state still has the expected revision.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Decision {
@@ -150,6 +163,10 @@
     started_at: Millis,
     local: Evidence,
     peers: HashMap<HostId, Evidence>,
+    local_pace: PaceReport,
+    /// The last report of each peer that `pace` contains.
+    peer_pace: HashMap<HostId, PaceReport>,
+    pace: PaceEvidence,
     state: Option<RolloutState>,
     /// The state that is due to be written, and the time from which this host's write delay counts.
     due_write: Option<(RolloutState, Millis)>,
@@ -176,19 +193,42 @@
     }
 
     fn is_healthy(&self) -> bool {
-        let evidence = self.evidence();
-        evidence.new.all >= MIN_RESPONSES && !evidence.shows_regression()
+        self.evidence().new.all >= MIN_RESPONSES && !self.shows_regression() && self.pace.allows_completion()
     }
 
-    /// Returns the state that should be written now, if any.
-    fn due_state(&self, now: Millis) -> Option<RolloutState> {
-        let is_decided = matches!(
+    /// Returns whether the new version fails more often or is slower than the old one.
+    fn shows_regression(&self) -> bool {
+        self.evidence().shows_regression() || self.pace.shows_regression()
+    }
+
+    const fn is_decided(&self) -> bool {
+        matches!(
             self.state,
             Some(RolloutState::Complete | RolloutState::RolledBack)
-        );
+        )
+    }
+
+    const fn is_complete(&self) -> bool {
+        matches!(self.state, Some(RolloutState::Complete))
+    }
+
+    /// Counts a response of a version on this host.
+    fn count_pace(&mut self, version: &VersionId, rating: PaceRating) {
+        let earlier = self.local_pace;
+        let counts: &mut PaceCounts = if self.order.to == *version {
+            &mut self.local_pace.new
+        } else {
+            &mut self.local_pace.old
+        };
+        counts.record(rating);
+        self.pace.add(self.local_pace, earlier);
+    }
+
+    /// Returns the state that should be written now, if any.
+    fn due_state(&self, now: Millis) -> Option<RolloutState> {
         match self.state {
-            _ if is_decided => None,
-            _ if self.evidence().shows_regression() => Some(RolloutState::RolledBack),
+            _ if self.is_decided() => None,
+            _ if self.shows_regression() => Some(RolloutState::RolledBack),
             _ if self.is_within_lead(now, DECISION_LEAD) && self.is_healthy() => Some(RolloutState::Complete),
             _ if self.is_within_lead(now, DECISION_LEAD) => Some(RolloutState::RolledBack),
             None => Some(RolloutState::Running),
@@ -201,7 +241,7 @@
         match self.state {
             Some(RolloutState::Complete) => VersionRule::Only(to),
             Some(RolloutState::RolledBack) => VersionRule::Not(to),
-            _ if !is_store_live || self.evidence().shows_regression() => VersionRule::Not(to),
+            _ if !is_store_live || self.shows_regression() => VersionRule::Not(to),
             // If no host could write an outcome by the deadline, the rollout counts as rolled back.
             _ if self.elapsed(now) >= self.order.within => VersionRule::Not(to),
             _ if self.is_within_lead(now, FULL_SHIFT_LEAD) && self.is_healthy() => VersionRule::Only(to),
@@ -215,16 +255,18 @@
 #[derive(Debug, Default)]
 pub struct Rollouts {
     /// The latest rollout of each backend.
-    rollouts: BTreeMap<BackendName, Rollout>,
+    by_backend: BTreeMap<BackendName, Rollout>,
     /// The revision of each backend's stored state, which remains after its order is replaced.
     written: BTreeMap<BackendName, u64>,
+    /// How long the responses of each backend take, other than those of a version that is rolled out.
+    pace_baselines: BTreeMap<BackendName, PaceBaseline>,
 }
 
 impl Rollouts {
     /// Starts the rollout of an order; a known or older order is ignored.
     pub fn apply_order(&mut self, now: Millis, backend: BackendName, order: Order) {
         let is_known = self
-            .rollouts
+            .by_backend
             .get(&backend)
             .is_some_and(|rollout| rollout.order.revision >= order.revision);
         if is_known {
@@ -235,10 +277,13 @@
             started_at: now,
             local: Evidence::default(),
             peers: HashMap::new(),
+            local_pace: PaceReport::default(),
+            peer_pace: HashMap::new(),
+            pace: PaceEvidence::default(),
             state: None,
             due_write: None,
         };
-        self.rollouts.insert(backend, new_rollout);
+        self.by_backend.insert(backend, new_rollout);
     }
 
     /// Applies the stored state of a rollout to a version.
@@ -250,7 +295,7 @@
         *written = revision;
         // A state that is older than the order belongs to an earlier order.
         let current = self
-            .rollouts
+            .by_backend
             .get_mut(backend)
             .filter(|rollout| rollout.order.to == *to && revision > rollout.order.revision);
         if let Some(rollout) = current {
@@ -267,7 +312,7 @@
         is_store_live: bool,
         draw: f64,
     ) -> VersionRule {
-        let rollout = self.rollouts.get(backend);
+        let rollout = self.by_backend.get(backend);
         rollout.map_or(VersionRule::Any, |rollout| {
             rollout.version_rule(now, is_store_live, draw)
         })
@@ -275,7 +320,7 @@
 
     /// Records a response of a version.
     pub fn record_response(&mut self, backend: &BackendName, version: &VersionId, is_bad: bool) {
-        let Some(rollout) = self.rollouts.get_mut(backend) else {
+        let Some(rollout) = self.by_backend.get_mut(backend) else {
             return;
         };
         let counts = if rollout.order.to == *version {
@@ -289,9 +334,79 @@
         });
     }
 
+    /// Records how long a complete response of a version took.
+    pub fn record_pace(
+        &mut self,
+        backend: &BackendName,
+        version: &VersionId,
+        engine: &EngineId,
+        time: ResponseTime,
+    ) {
+        let baseline = self.pace_baselines.entry(backend.clone()).or_default();
+        let rating = baseline.rate(time);
+        match self.by_backend.get_mut(backend) {
+            Some(rollout) if !rollout.is_complete() => {
+                if rollout.order.to != *version {
+                    baseline.record(engine, time);
+                }
+                rollout.count_pace(version, rating);
+            }
+            _ => baseline.record(engine, time),
+        }
+    }
+
+    /// Records how long a response of a version takes that is not complete, if it is very slow already.
+    ///
+    /// Returns whether it was counted.
+    pub fn record_unfinished_pace(
+        &mut self,
+        backend: &BackendName,
+        version: &VersionId,
+        time: ResponseTime,
+    ) -> bool {
+        let Some(rollout) = self.by_backend.get_mut(backend) else {
+            return false;
+        };
+        let baseline = self.pace_baselines.get(backend);
+        let rating = baseline.map_or(PaceRating::Normal, |baseline| baseline.rate(time));
+        let is_counted = rating == PaceRating::VerySlow;
+        if is_counted {
+            rollout.count_pace(version, rating);
+        }
+        is_counted
+    }
+
+    /// Records a peer's counts of slow responses.
+    pub fn record_peer_pace(&mut self, host: &HostId, update: &PaceUpdate) {
+        let rollout = self.by_backend.get_mut(&update.backend);
+        let Some(rollout) = rollout.filter(|rollout| rollout.order.revision == update.revision) else {
+            return;
+        };
+        let earlier = rollout.peer_pace.get(host).copied().unwrap_or_default();
+        if !update.report.is_earlier_than(earlier) {
+            rollout.peer_pace.insert(host.clone(), update.report);
+            rollout.pace.add(update.report, earlier);
+        }
+    }
+
+    /// Returns the counts of slow responses that this host sends to its peers: those of undecided rollouts.
+    #[must_use]
+    pub fn pace_updates(&self) -> Vec<PaceUpdate> {
+        let undecided = self
+            .by_backend
+            .iter()
+            .filter(|(_, rollout)| !rollout.is_decided());
+        let updates = undecided.map(|(backend, rollout)| PaceUpdate {
+            backend: backend.clone(),
+            revision: rollout.order.revision,
+            report: rollout.local_pace,
+        });
+        updates.collect()
+    }
+
     /// Records a peer's counts, and the time of the order if the peer knows an earlier one.
     pub fn record_peer_update(&mut self, now: Millis, host: &HostId, update: &RolloutUpdate) {
-        let rollout = self.rollouts.get_mut(&update.backend);
+        let rollout = self.by_backend.get_mut(&update.backend);
         if let Some(rollout) = rollout.filter(|rollout| rollout.order.revision == update.revision) {
             rollout.peers.insert(host.clone(), update.evidence);
             rollout.started_at = rollout.started_at.min(now - update.elapsed);
@@ -301,7 +416,7 @@
     /// Returns the updates that this host sends to its peers.
     #[must_use]
     pub fn gossip_updates(&self, now: Millis) -> Vec<RolloutUpdate> {
-        let rollouts = self.rollouts.iter().map(|(backend, rollout)| RolloutUpdate {
+        let rollouts = self.by_backend.iter().map(|(backend, rollout)| RolloutUpdate {
             backend: backend.clone(),
             revision: rollout.order.revision,
             elapsed: rollout.elapsed(now),
@@ -315,7 +430,7 @@
     /// `rank` is the host's position in the write order.
     pub fn due_decisions(&mut self, now: Millis, rank: u32) -> Vec<Decision> {
         let mut decisions = Vec::new();
-        for (backend, rollout) in &mut self.rollouts {
+        for (backend, rollout) in &mut self.by_backend {
             let Some(due_state) = rollout.due_state(now) else {
                 continue;
             };
--- a/crates/dispatch/tests/server_limits.rs
+++ b/crates/dispatch/tests/server_limits.rs
@@ -123,8 +123,8 @@
 fn a_refunded_permit_is_available_again() {
     let mut limits = ServerLimits::new(host());
     assert!(limits.take_permit(Millis(0), &id("a"), LIMIT).is_err());
-    assert!(limits.take_permit(Millis(500), &id("a"), LIMIT).is_ok());
+    assert_eq!(limits.take_permit(Millis(500), &id("a"), LIMIT), Ok(()));
     assert!(limits.take_permit(Millis(500), &id("a"), LIMIT).is_err());
     limits.refund_permit(&id("a"));
-    assert!(limits.take_permit(Millis(500), &id("a"), LIMIT).is_ok());
+    assert_eq!(limits.take_permit(Millis(500), &id("a"), LIMIT), Ok(()));
 }
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod ownership;
 mod peers;
 mod registration;
+mod rollout_pace;
 mod rollouts;
 mod server_limits;
 mod state;
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -10,10 +10,9 @@
 use tokio::sync::oneshot;
 use tokio::time::{MissedTickBehavior, interval};
 
-use super::ownership;
-use super::server_limits;
 use super::state::{ControlState, Event, GetAnnouncement};
 use super::updates::{self, ChunkRange};
+use super::{ownership, rollout_pace, server_limits};
 use crate::shared::Shared;
 
 /// The interval between heartbeats.
@@ -36,8 +35,8 @@
         };
         let heartbeat = PeerMessage::Heartbeat(announcement.heartbeat);
         send_to_all(&socket, &heartbeat, &announcement.addresses);
-        if let Some(limits) = announcement.server_limits {
-            send_to_all(&socket, &limits, &announcement.addresses);
+        for message in &announcement.details {
+            send_to_all(&socket, message, &announcement.addresses);
         }
     }
 }
@@ -97,6 +96,9 @@
                 Ok(PeerMessage::ServerLimits { host, limits }) => {
                     server_limits::apply_updates(&shared, &host, limits);
                 }
+                Ok(PeerMessage::RolloutPace { host, counts }) => {
+                    rollout_pace::apply_counts(&shared, &host, &counts);
+                }
                 Ok(PeerMessage::ChangesRequest {
                     host,
                     request_id,
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -19,7 +19,7 @@
 use kameo::message::{Context, Message};
 use tokio::sync::mpsc::UnboundedSender;
 
-use super::server_limits;
+use super::{rollout_pace, server_limits};
 use crate::platform::{RolloutOrder, RolloutStatus};
 use crate::settings::Settings;
 use crate::shared::{Shared, lock};
@@ -479,7 +479,13 @@
         let others = self.hosts.others(&self.shared.settings.host);
         Announcement {
             heartbeat: self.own_heartbeat(now, seq, has_new_peer),
-            server_limits: server_limits::announcement(&self.shared, now, has_new_peer),
+            details: [
+                server_limits::announcement(&self.shared, now, has_new_peer),
+                rollout_pace::announcement(&self.shared),
+            ]
+            .into_iter()
+            .flatten()
+            .collect(),
             addresses: others.map(|(_, address)| address).collect(),
         }
     }
@@ -587,8 +593,8 @@
 #[derive(Debug)]
 pub(crate) struct Announcement {
     pub(crate) heartbeat: Heartbeat,
-    /// The rate limits of backend servers that peers may not know.
-    pub(crate) server_limits: Option<PeerMessage>,
+    /// Messages that are sent besides the heartbeat, since they do not fit its datagram.
+    pub(crate) details: Vec<PeerMessage>,
     /// The addresses of the other hosts.
     pub(crate) addresses: Vec<SocketAddr>,
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -58,6 +58,10 @@
     /// The start time that the server reports, if known.
     pub(crate) started: Option<u64>,
     pub(crate) expected_first_event: Millis,
+    /// The expected time to the first event on a typical server of the backend.
+    pub(crate) typical_first_event_ms: f64,
+    /// The expected time between two events on a typical server of the backend.
+    pub(crate) typical_event_ms: f64,
 }
 
 /// The dispatcher's decision on a waiting request.
@@ -178,6 +182,8 @@
                     version,
                     started,
                     expected,
+                    typical_first_event_ms,
+                    typical_event_ms,
                 } => {
                     let assignment = Assignment {
                         engine,
@@ -185,6 +191,8 @@
                         version,
                         started,
                         expected_first_event: expected,
+                        typical_first_event_ms,
+                        typical_event_ms,
                     };
                     (ticket, Decision::Start(assignment))
                 }
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use carawayseam_dispatch::draining_servers::DrainingServer;
+use carawayseam_dispatch::pace::ResponseTime;
 use carawayseam_dispatch::{AttemptEnd, Ticket};
 use carawayseam_types::{BackendName, EngineId, Millis, VersionId};
 use http_body_util::Full;
@@ -30,14 +31,34 @@
 const SLOW_FACTOR: u64 = 4;
 const SLOW_MARGIN: Millis = Millis(150);
 
+/// The number of events after which it is checked whether a stream is very slow.
+const EVENTS_PER_PACE_CHECK: u32 = 4;
+
 /// The version that an attempt was assigned to, and the data to rate its response time.
 #[derive(Debug)]
 struct AssignedVersion {
     backend: BackendName,
     version: VersionId,
+    engine: EngineId,
     at: Millis,
     expected: Millis,
+    typical_first_event_ms: f64,
+    typical_event_ms: f64,
+    events: u32,
     is_slow: bool,
+    /// Whether the time of the response was counted before its end.
+    is_pace_recorded: bool,
+}
+
+impl AssignedVersion {
+    fn response_time(&self, now: Millis) -> ResponseTime {
+        ResponseTime {
+            elapsed: now.since(self.at),
+            first_event_ms: self.typical_first_event_ms,
+            event_ms: self.typical_event_ms,
+            events: self.events,
+        }
+    }
 }
 
 /// A request's slot at a backend server, released on drop.
@@ -72,9 +93,14 @@
         self.assigned = Some(AssignedVersion {
             backend: backend.clone(),
             version: assignment.version.clone(),
+            engine: assignment.engine.clone(),
             at: self.shared.now(),
             expected: assignment.expected_first_event,
+            typical_first_event_ms: assignment.typical_first_event_ms,
+            typical_event_ms: assignment.typical_event_ms,
+            events: 0,
             is_slow: false,
+            is_pace_recorded: false,
         });
     }
 
@@ -113,9 +139,25 @@
             .record_first_event(now, self.ticket);
     }
 
+    /// Records that a stream's events were received.
+    pub(crate) fn record_events(&mut self, count: u32) {
+        let Some(assigned) = &mut self.assigned else {
+            return;
+        };
+        let checks_before = assigned.events / EVENTS_PER_PACE_CHECK;
+        assigned.events += count;
+        if assigned.events / EVENTS_PER_PACE_CHECK > checks_before {
+            self.record_unfinished_pace();
+        }
+    }
+
     pub(crate) fn end(mut self, end: AttemptEnd) {
         self.ended = true;
         self.record_version_outcome(end);
+        match end {
+            AttemptEnd::Complete => self.record_pace(),
+            _ => self.record_unfinished_pace(),
+        }
         self.release();
         lock(&self.shared.dispatch).end_attempt(self.shared.now(), self.ticket, end);
     }
@@ -137,11 +179,34 @@
         };
         lock(&self.shared.rollouts).record_response(&assigned.backend, &assigned.version, is_bad);
     }
+
+    /// Records how long the complete response of the version took.
+    fn record_pace(&self) {
+        let assigned = self.assigned.as_ref();
+        if let Some(assigned) = assigned.filter(|assigned| !assigned.is_pace_recorded) {
+            let time = assigned.response_time(self.shared.now());
+            let mut rollouts = lock(&self.shared.rollouts);
+            rollouts.record_pace(&assigned.backend, &assigned.version, &assigned.engine, time);
+        }
+    }
+
+    /// Records how long the unfinished response of the version takes if it is very slow already; its caller
+    /// may not wait for its end.
+    fn record_unfinished_pace(&mut self) {
+        let assigned = self.assigned.as_mut();
+        if let Some(assigned) = assigned.filter(|assigned| !assigned.is_pace_recorded) {
+            let time = assigned.response_time(self.shared.now());
+            let mut rollouts = lock(&self.shared.rollouts);
+            assigned.is_pace_recorded =
+                rollouts.record_unfinished_pace(&assigned.backend, &assigned.version, time);
+        }
+    }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
         if !self.ended {
+            self.record_unfinished_pace();
             self.release();
             lock(&self.shared.dispatch).cancel(self.shared.now(), self.ticket);
         }
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -173,6 +173,7 @@
         let Some(engine_stream) = &mut self.engine_stream else {
             return;
         };
+        engine_stream.slot.record_events(count);
         if !engine_stream.had_event {
             engine_stream.had_event = true;
             engine_stream.sampled_at = now;
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -1,6 +1,6 @@
 //! Datagrams between gateway hosts.
 
-use carawayseam_types::{EngineId, EngineKey, HostId, Millis, OrganisationId, RequestRate};
+use carawayseam_types::{BackendName, EngineId, EngineKey, HostId, Millis, OrganisationId, RequestRate};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
@@ -89,6 +89,34 @@
         /// The server.
         engine: EngineId,
     },
+    /// Announces how many responses were slow during rollouts.
+    RolloutPace {
+        /// The announcing host.
+        host: HostId,
+        /// The counts of each rollout.
+        counts: Vec<PaceCounts>,
+    },
+}
+
+/// A host's counts of slow responses during one rollout.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PaceCounts {
+    /// The backend.
+    pub backend: BackendName,
+    /// The revision of the rollout order in the store.
+    pub revision: u64,
+    /// Responses of the new version.
+    pub new_all: u32,
+    /// Slow and very slow responses of the new version.
+    pub new_slow: u32,
+    /// Very slow responses of the new version.
+    pub new_very_slow: u32,
+    /// Responses of the old versions.
+    pub old_all: u32,
+    /// Slow and very slow responses of the old versions.
+    pub old_slow: u32,
+    /// Very slow responses of the old versions.
+    pub old_very_slow: u32,
 }
 
 /// A backend server's rate limit.
