--- a/crates/soak/src/broken.rs
+++ b/crates/soak/src/broken.rs
@@ -2,7 +2,8 @@
 
 use carawayseam_types::Millis;
 
-use crate::ledger::{ANSWER_LAG, RequestId};
+use crate::ledger::ANSWER_LAG;
+use crate::request::RequestId;
 
 /// The first promise that was broken.
 #[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
@@ -95,6 +96,20 @@
         /// How many came.
         arrivals: u32,
     },
+    /// A server got more requests than its rate limit allows.
+    #[display(
+        "request {request} is one of {arrivals} in one window at limited server {server}, of which {most} may come"
+    )]
+    OverLimit {
+        /// The request.
+        request: RequestId,
+        /// The server.
+        server: usize,
+        /// Requests that came.
+        arrivals: usize,
+        /// Requests that may come.
+        most: usize,
+    },
     /// A planned stop cut a request.
     #[display("request {request} was cut by a planned stop of gateway {gateway}")]
     CutByPlannedStop {
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -11,9 +11,9 @@
 use tokio::time::sleep;
 
 use crate::gateway::Gateway;
-use crate::ledger::{Answer, RequestId, Route};
 use crate::metered::{self, METERED_KEY};
 use crate::recorder::Recorder;
+use crate::request::{Answer, RequestId, Route};
 use crate::servers::EVENTS;
 
 /// The longest pause between two requests of a caller.
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -5,10 +5,12 @@
 use carawayseam_types::Millis;
 
 use crate::broken::Broken;
+use crate::disturbances::{Disturbances, Scope};
+use crate::exposure::Exposure;
+use crate::limited::{self, Limited, max_in_limited_window};
 use crate::metered::{METERED_KEY, Runs, most_in_window};
+use crate::request::{Answer, RequestId, Route};
 
-/// Faults are felt for this long after their end.
-const FAULT_FELT: Millis = Millis(3_000);
 /// A configuration binds this long after it was written.
 const CONFIGURATION_LAG: Millis = Millis(2_000);
 /// A key works for this long after it was taken away, at most.
@@ -25,64 +27,6 @@
 pub(crate) const ANSWER_LAG: Millis = Millis(500);
 /// Late answers that are allowed in a run.
 const LATE_ANSWERS: u32 = 5;
-/// Requests that a bad version may get besides its share.
-const CANARY_EXTRA: u32 = 50;
-/// The share of requests that a bad version may get.
-const CANARY_SHARE: f64 = 0.1;
-
-/// Numbers requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, derive_more::Display)]
-pub struct RequestId(pub u64);
-
-/// A route of the soak's configuration.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
-pub enum Route {
-    /// Requests that run once at most.
-    #[display("calls")]
-    Calls,
-    /// Requests that may run again.
-    #[display("reads")]
-    Reads,
-    /// Streams of events.
-    #[display("guides")]
-    Guides,
-    /// Goes to another backend with each configuration; may run again.
-    #[display("steps")]
-    Steps,
-}
-
-/// What a disturbance concerns.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Scope {
-    /// One gateway, or its links.
-    Gateway(usize),
-    /// A planned stop of a gateway.
-    PlannedStop(usize),
-    /// Backend servers, or the links to them.
-    Servers,
-    /// The store.
-    Store,
-}
-
-/// How a request ended for its caller.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Answer {
-    /// Its own whole answer.
-    Success,
-    /// A failure that promises nothing.
-    Failure(u16),
-    /// The word that it has not run and never will.
-    Refused {
-        /// The status.
-        status: u16,
-        /// Whether it says when to come back.
-        says_when: bool,
-    },
-    /// The connection ended early.
-    Cut,
-    /// What came is not the request's own whole answer, though it looks so.
-    Wrong(String),
-}
 
 #[derive(Debug)]
 struct Request {
@@ -95,6 +39,8 @@
     refused: Option<u16>,
     /// The server whose answer says that it leaves.
     told_leaving: Option<usize>,
+    /// The server whose answer reports a rate limit.
+    told_limit: Option<usize>,
 }
 
 /// A gateway process and a server.
@@ -108,24 +54,11 @@
     arrivals: u32,
 }
 
-#[derive(Debug)]
-struct Disturbance {
-    scope: Scope,
-    until: Millis,
-}
-
-/// A move to a bad version while it lasts.
-#[derive(Debug, Default)]
-struct Exposure {
-    bad: u32,
-    all: u32,
-}
-
 /// All that was seen in a run.
 #[derive(Debug, Default)]
 pub struct Ledger {
     requests: HashMap<RequestId, Request>,
-    disturbances: Vec<Disturbance>,
+    disturbances: Disturbances,
     /// When each configuration was written.
     configurations: Vec<Millis>,
     revoked: HashMap<usize, Millis>,
@@ -133,6 +66,7 @@
     /// When a gateway passed on an answer that says that its server leaves.
     passed_leaving: HashMap<Pair, Millis>,
     closed: HashMap<Pair, Closed>,
+    limited: HashMap<usize, Limited>,
     /// Configurations that servers saw in use, by gateway and incarnation, with the time.
     in_use: HashMap<(usize, u32), Vec<(Millis, usize)>>,
     late: u32,
@@ -145,27 +79,16 @@
 impl Ledger {
     /// Notes that something is disturbed from now on; gives its number.
     pub fn disturb(&mut self, scope: Scope) -> usize {
-        self.disturbances.push(Disturbance {
-            scope,
-            until: Millis::MAX,
-        });
-        self.disturbances.len() - 1
+        self.disturbances.begin(scope)
     }
 
     /// Notes that a disturbance ended.
     pub fn end_disturbance(&mut self, now: Millis, number: usize) {
-        if let Some(disturbance) = self.disturbances.get_mut(number) {
-            disturbance.until = now;
-        }
+        self.disturbances.end(now, number);
     }
 
-    /// Whether nothing of these scopes was disturbed from a time on, nor shortly before.
     fn was_calm(&self, from: Millis, scopes: &[Scope]) -> bool {
-        let since = from - FAULT_FELT;
-        !self
-            .disturbances
-            .iter()
-            .any(|disturbance| scopes.contains(&disturbance.scope) && disturbance.until >= since)
+        self.disturbances.were_absent(from, scopes)
     }
 
     fn in_touch(&self, gateway: usize, from: Millis) -> bool {
@@ -200,6 +123,7 @@
             runs: 0,
             refused: None,
             told_leaving: None,
+            told_limit: None,
         };
         self.requests.insert(request, request_sent);
     }
@@ -306,6 +230,46 @@
         }
     }
 
+    /// Notes that a server reports a rate limit from now on, or no longer does.
+    pub fn limit(&mut self, now: Millis, server: usize, is_limited: bool) {
+        if is_limited {
+            self.limited.insert(server, Limited::new(now));
+        } else {
+            self.limited.remove(&server);
+        }
+    }
+
+    /// Notes that a request came to a server, whose answer to it reports the server's rate limit.
+    ///
+    /// # Errors
+    ///
+    /// The promise that this breaks.
+    pub fn came_to_limited(&mut self, now: Millis, id: RequestId, server: usize) -> Result<(), Broken> {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return Ok(());
+        };
+        request.told_limit = Some(server);
+        let from = (request.gateway, request.incarnation);
+        let Some(limited) = self.limited.get_mut(&server) else {
+            return Ok(());
+        };
+        let is_calm = |gateway| {
+            let scopes = [Scope::Gateway(gateway), Scope::PlannedStop(gateway)];
+            self.disturbances.were_absent(now - limited::WINDOW, &scopes)
+        };
+        let arrivals = limited.count(now, from, is_calm);
+        let most = max_in_limited_window();
+        if arrivals > most {
+            return Err(Broken::OverLimit {
+                request: id,
+                server,
+                arrivals,
+                most,
+            });
+        }
+        Ok(())
+    }
+
     fn count_metered(&mut self, now: Millis, id: RequestId, sent: Millis) -> Result<(), Broken> {
         let (ran, most) = (self.metered.count(now, sent), most_in_window());
         if ran > most {
@@ -406,6 +370,12 @@
                     let pair = ((gateway, request.incarnation), server);
                     self.passed_leaving.entry(pair).or_insert(now);
                 }
+                let limited = request
+                    .told_limit
+                    .and_then(|server| self.limited.get_mut(&server));
+                if let Some(limited) = limited {
+                    limited.tell(now, (gateway, request.incarnation));
+                }
             }
             Answer::Failure(_) | Answer::Cut => {}
         }
@@ -470,14 +440,7 @@
         let Some(exposure) = &mut self.exposure else {
             return Ok(());
         };
-        exposure.all += 1;
-        exposure.bad += u32::from(is_new);
-        let allowed = (f64::from(exposure.all) * CANARY_SHARE) as u32 + CANARY_EXTRA;
-        let (bad, all) = (exposure.bad, exposure.all);
-        if bad > allowed {
-            return Err(Broken::Exposed { bad, all });
-        }
-        Ok(())
+        exposure.count(is_new)
     }
 
     /// A move ended, or its deadline passed.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,21 +10,28 @@
 
 mod broken;
 mod callers;
+mod disturbances;
+mod exposure;
 mod flags;
 mod gateway;
 mod ledger;
+mod limited;
 mod metered;
 mod operator;
 mod proxy;
 mod recorder;
+mod request;
 mod run;
 mod schedule;
 mod servers;
 mod world;
 
 pub use broken::Broken;
+pub use disturbances::Scope;
 pub use flags::{main, print};
-pub use ledger::{Answer, Ledger, RequestId, Route, Scope};
+pub use ledger::Ledger;
+pub use limited::max_in_limited_window;
 pub use metered::{METERED_KEY, most_in_window};
+pub use request::{Answer, RequestId, Route};
 pub use run::{Verdict, run};
 pub use schedule::{Entry, Fault, Misbehaviour, Quality, Schedule, Size};
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -6,8 +6,8 @@
 };
 
 use crate::callers::TIME_LIMIT;
-use crate::ledger::Route;
 use crate::metered;
+use crate::request::Route;
 
 /// The backend of all routes but the steps.
 pub(crate) const BACKEND: &str = "app";
--- a/crates/soak/src/recorder.rs
+++ b/crates/soak/src/recorder.rs
@@ -6,7 +6,8 @@
 use tokio::sync::Notify;
 
 use crate::broken::Broken;
-use crate::ledger::{Ledger, Scope};
+use crate::disturbances::Scope;
+use crate::ledger::Ledger;
 
 /// A ledger with its clock and the first broken promise.
 #[derive(Debug, Clone)]
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -16,6 +16,8 @@
 const FAULTS_PER_GATEWAY: f64 = 0.8;
 /// Faults of a round beside these, in which servers speak of themselves or without end.
 const SERVER_FAULTS: usize = 2;
+/// How long a server reports a rate limit: longer than the limit takes to bind, and one window.
+const LIMIT_LASTS: Millis = Millis(10_000);
 /// Planned stops begin this long after the faults, when their effects are over.
 const STOP_AFTER_FAULTS: Millis = Millis(3_300);
 const SHORTEST_FAULT: u64 = 200;
@@ -86,6 +88,8 @@
     Leave(usize),
     /// A server says only in its answers that it leaves, and is replaced.
     LeaveByWord(usize),
+    /// A server reports a rate limit.
+    Limit(usize),
     /// The operator writes the next configuration.
     Configure,
     /// The operator takes a key away.
@@ -135,6 +139,7 @@
             from += ROUND;
         }
         add_server_faults(seed, size, &mut entries);
+        add_limits(seed, size, &mut entries);
         entries.retain(|entry| entry.at < size.length);
         entries.sort_by_key(|entry| entry.at);
         Self { seed, entries }
@@ -164,6 +169,21 @@
     }
 }
 
+/// Adds rate limits of servers, from a generator of its own.
+fn add_limits(seed: u64, size: Size, entries: &mut Vec<Entry>) {
+    let mut rng = StdRng::seed_from_u64(!seed.rotate_left(1));
+    let faulty = (ROUND.0 as f64 * FAULTY_PART) as u64;
+    let mut from = Millis::ZERO;
+    while from < size.length {
+        entries.push(Entry {
+            at: from + Millis(rng.random_range(0..faulty)),
+            lasts: LIMIT_LASTS,
+            fault: Fault::Limit(rng.random_range(0..size.servers)),
+        });
+        from += ROUND;
+    }
+}
+
 fn round(rng: &mut StdRng, size: Size, from: Millis, entries: &mut Vec<Entry>) {
     let faulty = (ROUND.0 as f64 * FAULTY_PART) as u64;
     let count = (size.gateways as f64 * FAULTS_PER_GATEWAY).ceil() as usize + 2;
--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -5,15 +5,17 @@
 
 use carawayseam_platform_standins::documents::ServerEntry;
 use carawayseam_platform_standins::engine::{
-    chunk, draining, event, misdirected, rejected, rejected_with_retry_after, response_to, stream_head,
+    chunk, draining, event, misdirected, rate_limited, rejected, rejected_with_retry_after, response_to,
+    stream_head,
 };
 use carawayseam_platform_standins::{Engine, ReceivedRequest, Step};
 use carawayseam_testbed::{Relay, TestbedError};
 use carawayseam_types::Millis;
 use rand::RngExt;
 
-use crate::ledger::RequestId;
+use crate::limited;
 use crate::recorder::Recorder;
+use crate::request::RequestId;
 use crate::schedule::Misbehaviour;
 
 /// Events of a stream.
@@ -67,6 +69,8 @@
     trouble: Option<Misbehaviour>,
     /// Whether its answers say that it leaves.
     says_leaving: bool,
+    /// Whether its answers report a rate limit.
+    is_limited: bool,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -80,7 +84,12 @@
         let me = identity.clone();
         let engine = Engine::start(move |received, _| {
             let conduct = *lock(&behaves);
-            serve(&me, &recorder, received, conduct)
+            let mut steps = serve(&me, &recorder, received, conduct);
+            let is_for_me = received.expected_server().is_none_or(|id| id == me.id());
+            if conduct.is_limited && is_for_me {
+                report_limit(&mut steps);
+            }
+            steps
         });
         let engine = engine.await;
         let link = Relay::start(engine.address).await?;
@@ -101,6 +110,11 @@
         lock(&self.conduct).says_leaving = true;
     }
 
+    /// Reports a rate limit in all answers from now on, or no longer does.
+    pub(crate) fn limit(&self, is_limited: bool) {
+        lock(&self.conduct).is_limited = is_limited;
+    }
+
     /// Ends at once, with all its connections.
     pub(crate) fn stop(&self) {
         self.engine.stop();
@@ -126,6 +140,9 @@
     let mut rng = rand::rng();
     let id = RequestId(received.request_id().parse().unwrap_or_default());
     let trouble = conduct.trouble.filter(|_| rng.random_bool(HARMED_SHARE));
+    if conduct.is_limited && received.expected_server().is_none_or(|id| id == me.id()) {
+        recorder.judge(|now, ledger| ledger.came_to_limited(now, id, me.number));
+    }
     match trouble {
         _ if received.expected_server().is_some_and(|id| id != me.id()) => {
             return vec![Step::Write(misdirected(received))];
@@ -167,6 +184,17 @@
     steps
 }
 
+/// Adds the rate limit to the head of an answer.
+fn report_limit(steps: &mut [Step]) {
+    let head = steps.iter_mut().find_map(|step| match step {
+        Step::Write(head) => Some(head),
+        _ => None,
+    });
+    if let Some(head) = head {
+        *head = rate_limited(head, &limited::PER_SECOND.to_string());
+    }
+}
+
 /// A stream with an event that has no end, or an answer with a header that has none.
 fn endless(received: &ReceivedRequest) -> Vec<Step> {
     let head = if received.head.contains("/guides/") {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -14,8 +14,8 @@
 use tokio::sync::Mutex;
 use tokio::time::sleep;
 
+use crate::disturbances::Scope;
 use crate::gateway::Gateway;
-use crate::ledger::Scope;
 use crate::operator::{BACKEND, Operator, step_backend};
 use crate::recorder::Recorder;
 use crate::schedule::{Entry, Fault, Misbehaviour, Quality, Size};
@@ -147,6 +147,7 @@
             Fault::Lapse => self.store.expire_all_leases(),
             Fault::Crash(slot) => return self.crash(slot, lasts).await,
             Fault::Misbehave(slot, trouble) => self.misbehave(slot, trouble, lasts).await,
+            Fault::Limit(slot) => self.limit(slot, lasts).await,
             Fault::Leave(slot) => return self.leave(slot).await,
             Fault::LeaveByWord(slot) => return self.leave_by_word(slot).await,
             Fault::Configure => return self.configure().await,
@@ -258,6 +259,21 @@
         server.misbehave(None);
     }
 
+    async fn limit(&self, slot: usize, lasts: Duration) {
+        let _disturbed = self.recorder.disturb(Scope::Servers);
+        let server = self.slot(slot).await;
+        let number = server.identity.number;
+        let tell = |is_limited| {
+            self.recorder
+                .note(|now, ledger| ledger.limit(now, number, is_limited));
+        };
+        tell(true);
+        server.limit(true);
+        sleep(lasts).await;
+        server.limit(false);
+        tell(false);
+    }
+
     async fn leave(&self, slot: usize) -> eyre::Result<()> {
         let server = self.slot(slot).await;
         self.replace(slot, &server).await?;
--- a/crates/soak/tests/ledger.rs
+++ b/crates/soak/tests/ledger.rs
@@ -1,6 +1,8 @@
 //! Each promise is seen to be broken where it is, and kept where it is.
 
-use carawayseam_soak::{Answer, Broken, Ledger, METERED_KEY, RequestId, Route, Scope, most_in_window};
+use carawayseam_soak::{
+    Answer, Broken, Ledger, METERED_KEY, RequestId, Route, Scope, max_in_limited_window, most_in_window,
+};
 use carawayseam_types::Millis;
 
 const ID: RequestId = RequestId(7);
@@ -228,3 +230,39 @@
 promise!(a_server_that_has_just_said_that_it_leaves: Ok(()) => {
     sent_after_the_word(&mut sent(0, Route::Reads), 1_900)
 });
+
+/// A server with a rate limit gets requests of two gateways from a time on; the first one tells them of it.
+fn come_to_limited(ledger: &mut Ledger, count: usize, from: u64) -> Result<(), Broken> {
+    ledger.limit(Millis(0), 1, true);
+    for gateway in 0..2 {
+        let id = RequestId(100 + gateway as u64);
+        ledger.sent(Millis(10), id, (gateway, 1), Route::Reads, 0);
+        ledger.came_to_limited(Millis(20), id, 1)?;
+        ledger.answered(Millis(30), id, &Answer::Success, LIMIT)?;
+    }
+    (0..count).try_for_each(|ix| {
+        let (id, at) = (RequestId(1_000 + ix as u64), Millis(from + ix as u64));
+        ledger.sent(at, id, (ix % 2, 1), Route::Reads, 0);
+        ledger.came_to_limited(at, id, 1)
+    })
+}
+
+promise!(more_requests_than_a_limit_allows: Err(Broken::OverLimit { server: 1, .. }) => {
+    come_to_limited(&mut sent(0, Route::Reads), max_in_limited_window() + 1, 4_000)
+});
+
+promise!(as_many_requests_as_a_limit_allows: Ok(()) => {
+    come_to_limited(&mut sent(0, Route::Reads), max_in_limited_window(), 4_000)
+});
+
+promise!(requests_before_a_limit_binds: Ok(()) => {
+    come_to_limited(&mut sent(0, Route::Reads), max_in_limited_window() + 1, 1_000)
+});
+
+promise!(requests_of_a_gateway_that_was_frozen: Ok(()) => {
+    let mut ledger = sent(0, Route::Reads);
+    for gateway in 0..2 {
+        ledger.disturb(Scope::Gateway(gateway));
+    }
+    come_to_limited(&mut ledger, max_in_limited_window() + 1, 4_000)
+});
