Split the dispatcher, the control state and the attempt by job

change: the dispatcher's servers that take no work and its exchange with peers, the control state's announcements and group, and what an attempt holds and what a server reports of itself stand in files of their own.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,16 +1,17 @@
 //! Request queues of all backends, and the assignment of each request to a backend server.
 
-use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
+mod availability;
+mod peers;
 
-use carawayseam_types::{BackendName, EngineId, EngineKey, HostId, Millis, RequestRate, Tier, ZoneId};
+use std::collections::HashMap;
+
+use carawayseam_types::{BackendName, EngineId, Millis, Tier, ZoneId};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::draining_servers::{DrainingServer, DrainingServers};
-use crate::engine::{AttemptEnd, Engine, EngineEntry, PromptPart, ServerLoad};
+use crate::draining_servers::DrainingServers;
+use crate::engine::{AttemptEnd, Engine, EngineEntry, PromptPart};
 use crate::job::{Action, Job, Ticket};
-use crate::load::{EngineDump, HostLoad, WaitingCount};
 use crate::peer_loads::PeerLoads;
 use crate::pool::{Pool, SchedulingContext, Waiting};
 use crate::retries::{RetryBounds, RetryBudget};
@@ -23,8 +24,6 @@
 /// Upper bound of the random factor on retry delays, which keeps refused callers from retrying all at
 /// once.
 const MAX_RETRY_JITTER_FACTOR: f64 = 1.4;
-/// Minimum interval between two dispatch passes that are triggered by load updates from peers.
-const MIN_DISPATCH_INTERVAL: Millis = Millis(10);
 /// A new request is refused at once if its expected wait exceeds the time to its objective by more than
 /// this factor.
 const MAX_WAIT_RATIO: f64 = 1.3;
@@ -109,61 +108,6 @@
         self.dispatch_all_waiting()
     }
 
-    /// Records that a server is draining and returns whether this was unknown.
-    ///
-    /// `is_own` is true if the server itself reported it to this host, rather than a peer.
-    pub fn mark_draining(&mut self, now: Millis, draining: DrainingServer, is_own: bool) -> bool {
-        let mut engines = self.pools.values_mut().flat_map(|pool| &mut pool.engines);
-        let known = engines.find(|engine| engine.entry.id == draining.engine);
-        if let Some(known) = known.filter(|known| known.entry.started <= draining.started) {
-            known.entry.is_draining = true;
-        }
-        self.draining_servers.record(now, draining, is_own)
-    }
-
-    /// Returns the draining servers to announce to peers.
-    #[must_use]
-    pub fn draining_servers(&self, now: Millis, has_new_peer: bool) -> Vec<DrainingServer> {
-        self.draining_servers.gossip_updates(now, has_new_peer)
-    }
-
-    /// Sends a server no requests for `span`, as it asked for.
-    ///
-    /// If all servers of a backend are closed, requests that cannot wait for the first one to reopen are
-    /// refused.
-    pub fn close_server(&mut self, now: Millis, engine: &EngineId, span: Millis) {
-        self.now = self.now.max(now);
-        for pool in self.pools.values_mut() {
-            if let Some(engine) = pool.engine_mut(engine) {
-                engine.close(now + span);
-            }
-        }
-    }
-
-    /// Sends a server no requests for `wait`, because its rate limit has no room for a request.
-    ///
-    /// Requests go to other servers of the backend. If all are closed, those that cannot wait for their turn
-    /// are refused.
-    pub fn defer_server(&mut self, now: Millis, engine: &EngineId, limit: RequestRate, wait: Millis) {
-        self.now = self.now.max(now);
-        for pool in self.pools.values_mut() {
-            if let Some(engine) = pool.engine_mut(engine) {
-                engine.defer(now + wait, limit);
-            }
-        }
-    }
-
-    /// Reopens a server whose rate limit ended.
-    pub fn lift_limit(&mut self, now: Millis, engine: &EngineId) -> Vec<Action> {
-        self.now = self.now.max(now);
-        for pool in self.pools.values_mut() {
-            if let Some(engine) = pool.engine_mut(engine) {
-                engine.lift_limit();
-            }
-        }
-        self.dispatch_all_waiting()
-    }
-
     /// Enqueues a new request, or refuses it if it cannot meet its objective.
     pub fn submit(&mut self, now: Millis, job: Job) -> (Ticket, Vec<Action>) {
         self.budget(&job.backend).on_request();
@@ -294,28 +238,6 @@
         }
     }
 
-    /// Returns the unreachable servers that are due for another connection attempt.
-    pub fn due_probes(&mut self, now: Millis) -> Vec<(EngineId, SocketAddr)> {
-        let engines = self.pools.values_mut().flat_map(|pool| &mut pool.engines);
-        engines
-            .filter_map(|engine| {
-                let is_due = engine.take_probe(now);
-                is_due.then(|| (engine.entry.id.clone(), engine.entry.address))
-            })
-            .collect()
-    }
-
-    /// Marks a server as reachable again.
-    pub fn mark_reachable(&mut self, now: Millis, engine: &EngineId) -> Vec<Action> {
-        self.now = self.now.max(now);
-        for pool in self.pools.values_mut() {
-            if let Some(engine) = pool.engine_mut(engine) {
-                engine.mark_reachable();
-            }
-        }
-        self.dispatch_all_waiting()
-    }
-
     /// Advances the clock: drops expired loads of peers, starts requests and refuses overdue ones.
     pub fn tick(&mut self, now: Millis) -> Vec<Action> {
         self.now = self.now.max(now);
@@ -325,102 +247,6 @@
         actions
     }
 
-    /// Records the load that a peer announced.
-    pub fn record_peer_load(&mut self, now: Millis, host: &HostId, load: HostLoad) -> Vec<Action> {
-        self.now = self.now.max(now);
-        self.peers.record_load(now, host, load);
-        // With many peers, a dispatch pass after every announcement would cost more than it gains.
-        if self.now.since(self.last_dispatch_at) < MIN_DISPATCH_INTERVAL {
-            return Vec::new();
-        }
-        self.dispatch_all_waiting()
-    }
-
-    /// Grants a peer a slot of a server if one is free; returns `None` for an unknown server.
-    pub fn grant_slot(&mut self, now: Millis, host: &HostId, engine: EngineKey) -> Option<bool> {
-        let known = self.engine_by_key(engine)?;
-        let is_free = known.running + self.peers.load_on(engine).running < known.entry.slots;
-        if is_free {
-            self.peers.grant_slot(now, host, engine);
-        }
-        Some(is_free)
-    }
-
-    /// Releases the slot of a server that a peer used.
-    pub fn release_slot(&mut self, now: Millis, host: &HostId, engine: EngineKey) -> Vec<Action> {
-        self.now = self.now.max(now);
-        self.peers.release_slot(host, engine);
-        self.dispatch_all_waiting()
-    }
-
-    fn engine_by_key(&self, key: EngineKey) -> Option<&Engine> {
-        let mut engines = self.pools.values().flat_map(|pool| &pool.engines);
-        engines.find(|engine| engine.key == key)
-    }
-
-    /// Returns the load of this host, to be announced to peers.
-    #[must_use]
-    pub fn own_load(&self) -> HostLoad {
-        let engines = self.pools.values().flat_map(|pool| &pool.engines);
-        let busy = engines.filter(|engine| engine.running > 0);
-        let mut waiting: BTreeMap<(BackendName, Tier), u32> = BTreeMap::new();
-        for (backend, pool) in &self.pools {
-            for job in &pool.waiting {
-                *waiting.entry((backend.clone(), job.job.tier)).or_default() += 1;
-            }
-        }
-        HostLoad {
-            engines: busy
-                .map(|engine| {
-                    let load = ServerLoad {
-                        running: engine.running,
-                        prompt_ahead: engine.prompt_ahead as u32,
-                    };
-                    (engine.key, load)
-                })
-                .collect(),
-            waiting: waiting
-                .into_iter()
-                .map(|((backend, tier), count)| WaitingCount { backend, tier, count })
-                .collect(),
-        }
-    }
-
-    /// Returns the number of stored load entries, one per peer and server.
-    #[must_use]
-    pub fn peer_load_count(&self) -> usize {
-        self.peers.len()
-    }
-
-    /// Returns the numbers of waiting and of running requests.
-    #[must_use]
-    pub fn request_counts(&self) -> (usize, usize) {
-        (self.waiting_backends.len(), self.running.len())
-    }
-
-    /// Returns the known state of each server.
-    #[must_use]
-    pub fn dump(&self, now: Millis) -> Vec<EngineDump> {
-        let pools = self.pools.values();
-        let engines = pools.flat_map(|pool| pool.engines.iter().map(move |engine| (pool, engine)));
-        engines
-            .map(|(pool, engine)| {
-                let pace = engine.speed.pace(now, &pool.baseline);
-                EngineDump {
-                    engine: engine.entry.id.clone(),
-                    backend: engine.entry.backend.clone(),
-                    version: engine.entry.version.clone(),
-                    takes_work: engine.takes_work(now),
-                    running: engine.running,
-                    used: engine.running + self.peers.load_on(engine.key).running,
-                    failure_share: engine.failure_share(now),
-                    event_ms: pace.event,
-                    thousand_tokens_ms: pace.token * 1_000.0,
-                }
-            })
-            .collect()
-    }
-
     fn budget(&mut self, backend: &BackendName) -> &mut RetryBudget {
         let (bounds, host_count) = (self.bounds, self.host_count);
         self.budgets
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/availability.rs
@@ -0,0 +1,88 @@
+//! Servers that are draining, closed, limited or unreachable.
+
+use std::net::SocketAddr;
+
+use carawayseam_types::{EngineId, Millis, RequestRate};
+
+use super::Dispatcher;
+use crate::draining_servers::DrainingServer;
+use crate::job::Action;
+
+impl Dispatcher {
+    /// Records that a server is draining and returns whether this was unknown.
+    ///
+    /// `is_own` is true if the server itself reported it to this host, rather than a peer.
+    pub fn mark_draining(&mut self, now: Millis, draining: DrainingServer, is_own: bool) -> bool {
+        let mut engines = self.pools.values_mut().flat_map(|pool| &mut pool.engines);
+        let known = engines.find(|engine| engine.entry.id == draining.engine);
+        if let Some(known) = known.filter(|known| known.entry.started <= draining.started) {
+            known.entry.is_draining = true;
+        }
+        self.draining_servers.record(now, draining, is_own)
+    }
+
+    /// Returns the draining servers to announce to peers.
+    #[must_use]
+    pub fn draining_servers(&self, now: Millis, has_new_peer: bool) -> Vec<DrainingServer> {
+        self.draining_servers.gossip_updates(now, has_new_peer)
+    }
+
+    /// Sends a server no requests for `span`, as it asked for.
+    ///
+    /// If all servers of a backend are closed, requests that cannot wait for the first one to reopen are
+    /// refused.
+    pub fn close_server(&mut self, now: Millis, engine: &EngineId, span: Millis) {
+        self.now = self.now.max(now);
+        for pool in self.pools.values_mut() {
+            if let Some(engine) = pool.engine_mut(engine) {
+                engine.close(now + span);
+            }
+        }
+    }
+
+    /// Sends a server no requests for `wait`, because its rate limit has no room for a request.
+    ///
+    /// Requests go to other servers of the backend. If all are closed, those that cannot wait for their turn
+    /// are refused.
+    pub fn defer_server(&mut self, now: Millis, engine: &EngineId, limit: RequestRate, wait: Millis) {
+        self.now = self.now.max(now);
+        for pool in self.pools.values_mut() {
+            if let Some(engine) = pool.engine_mut(engine) {
+                engine.defer(now + wait, limit);
+            }
+        }
+    }
+
+    /// Reopens a server whose rate limit ended.
+    pub fn lift_limit(&mut self, now: Millis, engine: &EngineId) -> Vec<Action> {
+        self.now = self.now.max(now);
+        for pool in self.pools.values_mut() {
+            if let Some(engine) = pool.engine_mut(engine) {
+                engine.lift_limit();
+            }
+        }
+        self.dispatch_all_waiting()
+    }
+
+    /// Returns the unreachable servers that are due for another connection attempt.
+    pub fn due_probes(&mut self, now: Millis) -> Vec<(EngineId, SocketAddr)> {
+        let engines = self.pools.values_mut().flat_map(|pool| &mut pool.engines);
+        engines
+            .filter_map(|engine| {
+                let is_due = engine.take_probe(now);
+                is_due.then(|| (engine.entry.id.clone(), engine.entry.address))
+            })
+            .collect()
+    }
+
+    /// Marks a server as reachable again.
+    pub fn mark_reachable(&mut self, now: Millis, engine: &EngineId) -> Vec<Action> {
+        self.now = self.now.max(now);
+        for pool in self.pools.values_mut() {
+            if let Some(engine) = pool.engine_mut(engine) {
+                engine.mark_reachable();
+            }
+        }
+        self.dispatch_all_waiting()
+    }
+}
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -1,46 +1,35 @@
 //! The actor that owns the control state.
 
+mod announcements;
+mod group;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
-use carawayseam_dispatch::draining_servers::DrainingServer;
-use carawayseam_dispatch::engine::ServerLoad;
 use carawayseam_dispatch::group::Group;
 use carawayseam_dispatch::hosts::Hosts;
-use carawayseam_dispatch::load::{HostLoad, WaitingCount};
-use carawayseam_dispatch::rollouts::{Decision, Evidence, Order, ResponseCounts, RolloutUpdate};
+use carawayseam_dispatch::rollouts::{Decision, Order};
 use carawayseam_dispatch::{Catalog, EngineEntry};
 use carawayseam_node::LogRevision;
-use carawayseam_types::{Digest, EngineId, EngineKey, HostId, Incarnation, Millis, ZoneId};
-use carawayseam_wire::{EngineLoad, Heartbeat, PeerMessage, RolloutCounts, WaitingLoad};
+use carawayseam_types::{EngineId, HostId, Incarnation, Millis, ZoneId};
+use carawayseam_wire::Heartbeat;
 use kameo::Actor;
 use kameo::message::{Context, Message};
 use tokio::sync::mpsc::UnboundedSender;
 
-use super::{rollout_pace, server_limits};
 use crate::platform::{RolloutOrder, RolloutStatus};
-use crate::settings::Settings;
 use crate::shared::{Shared, lock};
 use crate::sockets;
+use announcements::Announcement;
 
 /// A peer is live if its last heartbeat is at most this old.
 const LIVE_TIMEOUT: Millis = Millis(1_000);
-/// Requests are sent only to peers whose last heartbeat is at most this old.
-const REACHABLE_TIMEOUT: Millis = Millis(400);
 /// Bounds the connection attempt to a backend server that was unreachable before.
 const PROBE_TIMEOUT: Millis = Millis(250);
 /// How often idle connections are checked for removal.
 const SWEEP_INTERVAL: Millis = Millis(500);
 
-/// How long heartbeats also repeat older reports of draining servers after a peer becomes live.
-const NEW_PEER_REPORT_TIME: Millis = Millis(2_000);
-/// The number of hosts per availability zone that watch the store; the other hosts poll these.
-const STORE_FOLLOWERS_PER_ZONE: usize = 2;
-/// The rendezvous hashing key by which the store followers are chosen.
-const STORE_FOLLOWERS_KEY: &str = "store";
-
 /// An event that changes the control state.
 #[derive(Debug)]
 pub(crate) enum Event {
@@ -288,117 +277,6 @@
         dispatch.apply(now, actions);
     }
 
-    fn apply_heartbeat(&mut self, now: Millis, heartbeat: Heartbeat) {
-        if heartbeat.host == self.shared.settings.host {
-            return;
-        }
-        let peer = self.peer_states.entry(heartbeat.host.clone()).or_default();
-        if (heartbeat.incarnation, heartbeat.seq) <= (peer.incarnation, peer.seq) {
-            return;
-        }
-        let was_unresponsive = !peer.is_live(now);
-        *peer = PeerState {
-            incarnation: heartbeat.incarnation,
-            seq: heartbeat.seq,
-            seen_at: now,
-            serves_keys: heartbeat.serves_keys,
-        };
-        if was_unresponsive {
-            log::info!(peer:% = heartbeat.host; "peer is live");
-            self.new_peer_until = now + NEW_PEER_REPORT_TIME;
-            self.update_group(now);
-        }
-        for (content, crashes) in &heartbeat.crashes {
-            lock(&self.shared.poison).record_peer_crashes(now, &heartbeat.host, Digest(*content), *crashes);
-        }
-        for counts in &heartbeat.rollouts {
-            lock(&self.shared.rollouts).record_peer_update(
-                now,
-                &heartbeat.host,
-                &decode_rollout_counts(counts),
-            );
-        }
-        let load = HostLoad {
-            engines: heartbeat.engines.iter().map(decode_engine_load).collect(),
-            waiting: heartbeat
-                .waiting
-                .into_iter()
-                .map(|waiting| WaitingCount {
-                    backend: waiting.backend,
-                    tier: waiting.tier,
-                    count: waiting.count,
-                })
-                .collect(),
-        };
-        let mut dispatch = lock(&self.shared.dispatch);
-        for (engine, started) in heartbeat.draining_servers {
-            let server = DrainingServer { engine, started };
-            if dispatch.dispatcher.mark_draining(now, server.clone(), false) {
-                log::info!(engine:% = server.engine, peer:% = heartbeat.host; "a peer reported that a backend server drains");
-            }
-        }
-        let actions = dispatch.dispatcher.record_peer_load(now, &heartbeat.host, load);
-        dispatch.apply(now, actions);
-    }
-
-    /// Recomputes the group of hosts that share quotas and the retry budget, and applies it if it changed.
-    fn update_group(&mut self, now: Millis) {
-        let own_host = &self.shared.settings.host;
-        let known = self.hosts.other_known_count(own_host);
-        let live_peers = self.peer_states.values().filter(|peer| peer.is_live(now));
-        let live = live_peers.clone().count() as u32;
-        let others_serve = live_peers.clone().any(|peer| peer.serves_keys);
-        let mut reach = lock(&self.shared.reachability);
-        reach.has_serving_peers = others_serve;
-        reach.has_unresponsive_peers = live < self.hosts.other_listed_count(own_host);
-        drop(reach);
-        let group = Group {
-            known: known.max(live) + 1,
-            live: live + 1,
-            reachable: self.reachable_hosts(now),
-        };
-        if group == self.group {
-            return;
-        }
-        log::info!(known = group.known, heard = group.live, reachable = group.reachable.len(); "peers counted");
-        let mut dispatch = lock(&self.shared.dispatch);
-        dispatch.quotas.set_group(now, group.clone());
-        dispatch.server_limits.set_group(now, group.clone());
-        dispatch.dispatcher.set_host_count(group.known);
-        drop(dispatch);
-        self.shared.peers.set_group(group.clone());
-        self.group = group;
-        self.choose_store_sources();
-    }
-
-    /// Chooses the hosts that this host polls for changes of the store, if it does not watch the store
-    /// itself, and counts the store followers of all availability zones.
-    fn choose_store_sources(&self) {
-        let Settings {
-            host: own_host, zone, ..
-        } = &self.shared.settings;
-        let is_in_zone = |host: &HostId| host == own_host || self.zones.get(host) == Some(zone);
-        let mut sources = self
-            .group
-            .select_hosts(STORE_FOLLOWERS_KEY, STORE_FOLLOWERS_PER_ZONE, is_in_zone);
-        if sources.contains(own_host) {
-            sources.clear();
-        }
-        self.shared.peers.set_store_sources(sources);
-        let mut hosts_per_zone: BTreeMap<&ZoneId, usize> = BTreeMap::from([(zone, 1)]);
-        let others = self.hosts.others(own_host);
-        for zone in others.filter_map(|(host, _)| self.zones.get(host)) {
-            *hosts_per_zone.entry(zone).or_default() += 1;
-        }
-        let followers: usize = hosts_per_zone
-            .values()
-            .map(|hosts| (*hosts).min(STORE_FOLLOWERS_PER_ZONE))
-            .sum();
-        self.shared
-            .store_followers
-            .store(followers as u32, Ordering::Relaxed);
-    }
-
     fn replace_hosts(&mut self, now: Millis, entries: Vec<HostEntry>) {
         let mut hosts = Vec::new();
         for HostEntry { host, address, zone } in entries {
@@ -409,18 +287,6 @@
         self.update_addresses(now);
     }
 
-    /// Returns the listed hosts that can receive requests now, including this one.
-    fn reachable_hosts(&self, now: Millis) -> Vec<HostId> {
-        let reachable = self
-            .peer_states
-            .iter()
-            .filter(|(host, peer)| now.since(peer.seen_at) <= REACHABLE_TIMEOUT && self.hosts.contains(host));
-        let mut hosts: Vec<HostId> = reachable.map(|(host, _)| host.clone()).collect();
-        hosts.push(self.shared.settings.host.clone());
-        hosts.sort_unstable();
-        hosts
-    }
-
     /// Updates the addresses of the other hosts, and the group.
     fn update_addresses(&mut self, now: Millis) {
         let others = self.hosts.others(&self.shared.settings.host);
@@ -472,68 +338,6 @@
             tokio::spawn(probe_engine(Arc::clone(&self.shared), engine, address));
         }
     }
-
-    /// Returns what this host announces to the others.
-    fn own_announcement(&self, now: Millis, seq: u64) -> Announcement {
-        let has_new_peer = now < self.new_peer_until;
-        let others = self.hosts.others(&self.shared.settings.host);
-        Announcement {
-            heartbeat: self.own_heartbeat(now, seq, has_new_peer),
-            details: [
-                server_limits::announcement(&self.shared, now, has_new_peer),
-                rollout_pace::announcement(&self.shared),
-            ]
-            .into_iter()
-            .flatten()
-            .collect(),
-            addresses: others.map(|(_, address)| address).collect(),
-        }
-    }
-
-    fn own_heartbeat(&self, now: Millis, seq: u64, has_new_peer: bool) -> Heartbeat {
-        let dispatch = lock(&self.shared.dispatch);
-        let load = dispatch.dispatcher.own_load();
-        let draining = dispatch.dispatcher.draining_servers(now, has_new_peer);
-        drop(dispatch);
-        Heartbeat {
-            host: self.shared.settings.host.clone(),
-            incarnation: self.incarnation,
-            seq,
-            serves_keys: self.shared.may_use_keys(),
-            engines: load
-                .engines
-                .into_iter()
-                .map(|(engine, load)| EngineLoad {
-                    engine,
-                    running: load.running,
-                    pending_prompt_tokens: load.prompt_ahead,
-                })
-                .collect(),
-            waiting: load
-                .waiting
-                .into_iter()
-                .map(|waiting| WaitingLoad {
-                    backend: waiting.backend,
-                    tier: waiting.tier,
-                    count: waiting.count,
-                })
-                .collect(),
-            crashes: lock(&self.shared.poison)
-                .gossip_updates(now)
-                .into_iter()
-                .map(|(content, crashes)| (content.0, crashes))
-                .collect(),
-            rollouts: lock(&self.shared.rollouts)
-                .gossip_updates(now)
-                .into_iter()
-                .map(encode_rollout_counts)
-                .collect(),
-            draining_servers: draining
-                .into_iter()
-                .map(|server| (server.engine, server.started))
-                .collect(),
-        }
-    }
 }
 
 async fn probe_engine(shared: Arc<Shared>, engine: EngineId, address: SocketAddr) {
@@ -547,40 +351,6 @@
     }
 }
 
-fn decode_rollout_counts(counts: &RolloutCounts) -> RolloutUpdate {
-    let response_counts = |all, bad| ResponseCounts { all, bad };
-    RolloutUpdate {
-        backend: counts.backend.clone(),
-        revision: counts.revision,
-        elapsed: counts.elapsed,
-        evidence: Evidence {
-            new: response_counts(counts.new_all, counts.new_bad),
-            old: response_counts(counts.old_all, counts.old_bad),
-        },
-    }
-}
-
-fn encode_rollout_counts(update: RolloutUpdate) -> RolloutCounts {
-    let Evidence { new, old } = update.evidence;
-    RolloutCounts {
-        backend: update.backend,
-        revision: update.revision,
-        elapsed: update.elapsed,
-        new_all: new.all,
-        new_bad: new.bad,
-        old_all: old.all,
-        old_bad: old.bad,
-    }
-}
-
-fn decode_engine_load(load: &EngineLoad) -> (EngineKey, ServerLoad) {
-    let server_load = ServerLoad {
-        running: load.running,
-        prompt_ahead: load.pending_prompt_tokens,
-    };
-    (load.engine, server_load)
-}
-
 impl Message<Event> for ControlState {
     type Reply = ();
 
@@ -589,16 +359,6 @@
     }
 }
 
-/// What a host announces to the others at each heartbeat.
-#[derive(Debug)]
-pub(crate) struct Announcement {
-    pub(crate) heartbeat: Heartbeat,
-    /// Messages that are sent besides the heartbeat, since they do not fit its datagram.
-    pub(crate) details: Vec<PeerMessage>,
-    /// The addresses of the other hosts.
-    pub(crate) addresses: Vec<SocketAddr>,
-}
-
 /// Requests this host's announcement.
 #[derive(Debug)]
 pub(crate) struct GetAnnouncement {
--- /dev/null
+++ b/crates/gateway/src/control/state/announcements.rs
@@ -0,0 +1,178 @@
+//! Heartbeats and other announcements between hosts.
+
+use std::net::SocketAddr;
+
+use carawayseam_dispatch::draining_servers::DrainingServer;
+use carawayseam_dispatch::engine::ServerLoad;
+use carawayseam_dispatch::load::{HostLoad, WaitingCount};
+use carawayseam_dispatch::rollouts::{Evidence, ResponseCounts, RolloutUpdate};
+use carawayseam_types::{Digest, EngineKey, Millis};
+use carawayseam_wire::{EngineLoad, Heartbeat, PeerMessage, RolloutCounts, WaitingLoad};
+
+use super::{ControlState, PeerState};
+use crate::control::{rollout_pace, server_limits};
+use crate::shared::lock;
+
+/// How long heartbeats also repeat older reports of draining servers after a peer becomes live.
+const NEW_PEER_REPORT_TIME: Millis = Millis(2_000);
+
+/// What a host announces to the others at each heartbeat.
+#[derive(Debug)]
+pub(crate) struct Announcement {
+    pub(crate) heartbeat: Heartbeat,
+    /// Messages that are sent besides the heartbeat, since they do not fit its datagram.
+    pub(crate) details: Vec<PeerMessage>,
+    /// The addresses of the other hosts.
+    pub(crate) addresses: Vec<SocketAddr>,
+}
+
+impl ControlState {
+    pub(super) fn apply_heartbeat(&mut self, now: Millis, heartbeat: Heartbeat) {
+        if heartbeat.host == self.shared.settings.host {
+            return;
+        }
+        let peer = self.peer_states.entry(heartbeat.host.clone()).or_default();
+        if (heartbeat.incarnation, heartbeat.seq) <= (peer.incarnation, peer.seq) {
+            return;
+        }
+        let was_unresponsive = !peer.is_live(now);
+        *peer = PeerState {
+            incarnation: heartbeat.incarnation,
+            seq: heartbeat.seq,
+            seen_at: now,
+            serves_keys: heartbeat.serves_keys,
+        };
+        if was_unresponsive {
+            log::info!(peer:% = heartbeat.host; "peer is live");
+            self.new_peer_until = now + NEW_PEER_REPORT_TIME;
+            self.update_group(now);
+        }
+        for (content, crashes) in &heartbeat.crashes {
+            lock(&self.shared.poison).record_peer_crashes(now, &heartbeat.host, Digest(*content), *crashes);
+        }
+        for counts in &heartbeat.rollouts {
+            lock(&self.shared.rollouts).record_peer_update(
+                now,
+                &heartbeat.host,
+                &decode_rollout_counts(counts),
+            );
+        }
+        let load = HostLoad {
+            engines: heartbeat.engines.iter().map(decode_engine_load).collect(),
+            waiting: heartbeat
+                .waiting
+                .into_iter()
+                .map(|waiting| WaitingCount {
+                    backend: waiting.backend,
+                    tier: waiting.tier,
+                    count: waiting.count,
+                })
+                .collect(),
+        };
+        let mut dispatch = lock(&self.shared.dispatch);
+        for (engine, started) in heartbeat.draining_servers {
+            let server = DrainingServer { engine, started };
+            if dispatch.dispatcher.mark_draining(now, server.clone(), false) {
+                log::info!(engine:% = server.engine, peer:% = heartbeat.host; "a peer reported that a backend server drains");
+            }
+        }
+        let actions = dispatch.dispatcher.record_peer_load(now, &heartbeat.host, load);
+        dispatch.apply(now, actions);
+    }
+
+    /// Returns what this host announces to the others.
+    pub(super) fn own_announcement(&self, now: Millis, seq: u64) -> Announcement {
+        let has_new_peer = now < self.new_peer_until;
+        let others = self.hosts.others(&self.shared.settings.host);
+        Announcement {
+            heartbeat: self.own_heartbeat(now, seq, has_new_peer),
+            details: [
+                server_limits::announcement(&self.shared, now, has_new_peer),
+                rollout_pace::announcement(&self.shared),
+            ]
+            .into_iter()
+            .flatten()
+            .collect(),
+            addresses: others.map(|(_, address)| address).collect(),
+        }
+    }
+
+    fn own_heartbeat(&self, now: Millis, seq: u64, has_new_peer: bool) -> Heartbeat {
+        let dispatch = lock(&self.shared.dispatch);
+        let load = dispatch.dispatcher.own_load();
+        let draining = dispatch.dispatcher.draining_servers(now, has_new_peer);
+        drop(dispatch);
+        Heartbeat {
+            host: self.shared.settings.host.clone(),
+            incarnation: self.incarnation,
+            seq,
+            serves_keys: self.shared.may_use_keys(),
+            engines: load
+                .engines
+                .into_iter()
+                .map(|(engine, load)| EngineLoad {
+                    engine,
+                    running: load.running,
+                    pending_prompt_tokens: load.prompt_ahead,
+                })
+                .collect(),
+            waiting: load
+                .waiting
+                .into_iter()
+                .map(|waiting| WaitingLoad {
+                    backend: waiting.backend,
+                    tier: waiting.tier,
+                    count: waiting.count,
+                })
+                .collect(),
+            crashes: lock(&self.shared.poison)
+                .gossip_updates(now)
+                .into_iter()
+                .map(|(content, crashes)| (content.0, crashes))
+                .collect(),
+            rollouts: lock(&self.shared.rollouts)
+                .gossip_updates(now)
+                .into_iter()
+                .map(encode_rollout_counts)
+                .collect(),
+            draining_servers: draining
+                .into_iter()
+                .map(|server| (server.engine, server.started))
+                .collect(),
+        }
+    }
+}
+
+fn decode_rollout_counts(counts: &RolloutCounts) -> RolloutUpdate {
+    let response_counts = |all, bad| ResponseCounts { all, bad };
+    RolloutUpdate {
+        backend: counts.backend.clone(),
+        revision: counts.revision,
+        elapsed: counts.elapsed,
+        evidence: Evidence {
+            new: response_counts(counts.new_all, counts.new_bad),
+            old: response_counts(counts.old_all, counts.old_bad),
+        },
+    }
+}
+
+fn encode_rollout_counts(update: RolloutUpdate) -> RolloutCounts {
+    let Evidence { new, old } = update.evidence;
+    RolloutCounts {
+        backend: update.backend,
+        revision: update.revision,
+        elapsed: update.elapsed,
+        new_all: new.all,
+        new_bad: new.bad,
+        old_all: old.all,
+        old_bad: old.bad,
+    }
+}
+
+fn decode_engine_load(load: &EngineLoad) -> (EngineKey, ServerLoad) {
+    let server_load = ServerLoad {
+        running: load.running,
+        prompt_ahead: load.pending_prompt_tokens,
+    };
+    (load.engine, server_load)
+}
--- /dev/null
+++ b/crates/gateway/src/control/state/group.rs
@@ -0,0 +1,90 @@
+//! The hosts that share quotas, rate limits and the retry budget, and those that follow the store.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
+
+use carawayseam_dispatch::group::Group;
+use carawayseam_types::{HostId, Millis, ZoneId};
+
+use super::ControlState;
+use crate::settings::Settings;
+use crate::shared::lock;
+
+/// Requests are sent only to peers whose last heartbeat is at most this old.
+const REACHABLE_TIMEOUT: Millis = Millis(400);
+/// The number of hosts per availability zone that watch the store; the other hosts poll these.
+const STORE_FOLLOWERS_PER_ZONE: usize = 2;
+/// The rendezvous hashing key by which the store followers are chosen.
+const STORE_FOLLOWERS_KEY: &str = "store";
+
+impl ControlState {
+    /// Recomputes the group of hosts that share quotas, rate limits and the retry budget, and applies it if it changed.
+    pub(super) fn update_group(&mut self, now: Millis) {
+        let own_host = &self.shared.settings.host;
+        let known = self.hosts.other_known_count(own_host);
+        let live_peers = self.peer_states.values().filter(|peer| peer.is_live(now));
+        let live = live_peers.clone().count() as u32;
+        let others_serve = live_peers.clone().any(|peer| peer.serves_keys);
+        let mut reach = lock(&self.shared.reachability);
+        reach.has_serving_peers = others_serve;
+        reach.has_unresponsive_peers = live < self.hosts.other_listed_count(own_host);
+        drop(reach);
+        let group = Group {
+            known: known.max(live) + 1,
+            live: live + 1,
+            reachable: self.reachable_hosts(now),
+        };
+        if group == self.group {
+            return;
+        }
+        log::info!(known = group.known, heard = group.live, reachable = group.reachable.len(); "peers counted");
+        let mut dispatch = lock(&self.shared.dispatch);
+        dispatch.quotas.set_group(now, group.clone());
+        dispatch.server_limits.set_group(now, group.clone());
+        dispatch.dispatcher.set_host_count(group.known);
+        drop(dispatch);
+        self.shared.peers.set_group(group.clone());
+        self.group = group;
+        self.choose_store_sources();
+    }
+
+    /// Chooses the hosts that this host polls for changes of the store, if it does not watch the store
+    /// itself, and counts the store followers of all availability zones.
+    fn choose_store_sources(&self) {
+        let Settings {
+            host: own_host, zone, ..
+        } = &self.shared.settings;
+        let is_in_zone = |host: &HostId| host == own_host || self.zones.get(host) == Some(zone);
+        let mut sources = self
+            .group
+            .select_hosts(STORE_FOLLOWERS_KEY, STORE_FOLLOWERS_PER_ZONE, is_in_zone);
+        if sources.contains(own_host) {
+            sources.clear();
+        }
+        self.shared.peers.set_store_sources(sources);
+        let mut hosts_per_zone: BTreeMap<&ZoneId, usize> = BTreeMap::from([(zone, 1)]);
+        let others = self.hosts.others(own_host);
+        for zone in others.filter_map(|(host, _)| self.zones.get(host)) {
+            *hosts_per_zone.entry(zone).or_default() += 1;
+        }
+        let followers: usize = hosts_per_zone
+            .values()
+            .map(|hosts| (*hosts).min(STORE_FOLLOWERS_PER_ZONE))
+            .sum();
+        self.shared
+            .store_followers
+            .store(followers as u32, Ordering::Relaxed);
+    }
+
+    /// Returns the listed hosts that can receive requests now, including this one.
+    fn reachable_hosts(&self, now: Millis) -> Vec<HostId> {
+        let reachable = self
+            .peer_states
+            .iter()
+            .filter(|(host, peer)| now.since(peer.seen_at) <= REACHABLE_TIMEOUT && self.hosts.contains(host));
+        let mut hosts: Vec<HostId> = reachable.map(|(host, _)| host.clone()).collect();
+        hosts.push(self.shared.settings.host.clone());
+        hosts.sort_unstable();
+        hosts
+    }
+}
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -1,12 +1,8 @@
 //! One attempt to send a request to one backend server.
 
-use std::sync::Arc;
-
 use bytes::Bytes;
-use carawayseam_dispatch::draining_servers::DrainingServer;
-use carawayseam_dispatch::pace::ResponseTime;
-use carawayseam_dispatch::{AttemptEnd, Ticket};
-use carawayseam_types::{BackendName, EngineId, Millis, VersionId};
+use carawayseam_dispatch::AttemptEnd;
+use carawayseam_types::Millis;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderMap, HeaderName};
@@ -14,11 +10,11 @@
 use tokio::time::timeout;
 
 use super::exchange::Exchange;
-use super::rate_limits::Permit;
-use super::slots::RemoteSlot;
+use super::reservation::Slot;
+use super::server_state::record_server_state;
 use crate::http_client::{Connection, SendError};
-use crate::platform::{OutgoingHead, ReportedRateLimit, ResponseHead};
-use crate::shared::{Assignment, Shared, lock};
+use crate::platform::OutgoingHead;
+use crate::shared::Assignment;
 
 /// The maximum time to connect to a server.
 const CONNECT_TIMEOUT: Millis = Millis(250);
@@ -27,192 +23,6 @@
 /// Tolerance for the inaccuracy of timers when times are compared.
 const TIMER_SLACK: Millis = Millis(2);
 
-/// A first event or plain response counts as slow after this multiple of the expected time plus the margin.
-const SLOW_FACTOR: u64 = 4;
-const SLOW_MARGIN: Millis = Millis(150);
-
-/// The number of events after which it is checked whether a stream is very slow.
-const EVENTS_PER_PACE_CHECK: u32 = 4;
-
-/// The version that an attempt was assigned to, and the data to rate its response time.
-#[derive(Debug)]
-struct AssignedVersion {
-    backend: BackendName,
-    version: VersionId,
-    engine: EngineId,
-    at: Millis,
-    expected: Millis,
-    typical_first_event_ms: f64,
-    typical_event_ms: f64,
-    events: u32,
-    is_slow: bool,
-    /// Whether the time of the response was counted before its end.
-    is_pace_recorded: bool,
-}
-
-impl AssignedVersion {
-    fn response_time(&self, now: Millis) -> ResponseTime {
-        ResponseTime {
-            elapsed: now.since(self.at),
-            first_event_ms: self.typical_first_event_ms,
-            event_ms: self.typical_event_ms,
-            events: self.events,
-        }
-    }
-}
-
-/// A request's slot at a backend server, released on drop.
-#[derive(Debug)]
-pub(crate) struct Slot {
-    shared: Arc<Shared>,
-    ticket: Ticket,
-    assigned: Option<AssignedVersion>,
-    remote: Option<RemoteSlot>,
-    permit: Option<Permit>,
-    ended: bool,
-}
-
-impl Slot {
-    pub(crate) const fn new(shared: Arc<Shared>, ticket: Ticket) -> Self {
-        Self {
-            shared,
-            ticket,
-            assigned: None,
-            remote: None,
-            permit: None,
-            ended: false,
-        }
-    }
-
-    pub(crate) const fn ticket(&self) -> Ticket {
-        self.ticket
-    }
-
-    /// Records the server to which the request is sent.
-    pub(crate) fn assign(&mut self, backend: &BackendName, assignment: &Assignment) {
-        self.assigned = Some(AssignedVersion {
-            backend: backend.clone(),
-            version: assignment.version.clone(),
-            engine: assignment.engine.clone(),
-            at: self.shared.now(),
-            expected: assignment.expected_first_event,
-            typical_first_event_ms: assignment.typical_first_event_ms,
-            typical_event_ms: assignment.typical_event_ms,
-            events: 0,
-            is_slow: false,
-            is_pace_recorded: false,
-        });
-    }
-
-    /// Stores the slot held at the host that owns the server's slots, if that is another host.
-    pub(super) fn set_remote_slot(&mut self, remote_slot: Option<RemoteSlot>) {
-        self.remote = remote_slot;
-    }
-
-    /// Stores the permit to send the request, if the server has a rate limit.
-    pub(super) fn set_permit(&mut self, permit: Option<Permit>) {
-        self.permit = permit;
-    }
-
-    /// Returns the permit, because the request is not sent.
-    pub(super) fn refund_permit(&mut self) {
-        if let Some(permit) = self.permit.take() {
-            permit.refund(&self.shared);
-        }
-    }
-
-    fn release(&mut self) {
-        if let Some(remote_slot) = self.remote.take() {
-            remote_slot.release(&self.shared);
-        }
-    }
-
-    /// Records that the first event or a plain response was received.
-    pub(crate) fn record_first_event(&mut self) {
-        let now = self.shared.now();
-        if let Some(assigned) = &mut self.assigned {
-            let slow_after = assigned.expected.times(SLOW_FACTOR) + SLOW_MARGIN;
-            assigned.is_slow = now.since(assigned.at) > slow_after;
-        }
-        lock(&self.shared.dispatch)
-            .dispatcher
-            .record_first_event(now, self.ticket);
-    }
-
-    /// Records that a stream's events were received.
-    pub(crate) fn record_events(&mut self, count: u32) {
-        let Some(assigned) = &mut self.assigned else {
-            return;
-        };
-        let checks_before = assigned.events / EVENTS_PER_PACE_CHECK;
-        assigned.events += count;
-        if assigned.events / EVENTS_PER_PACE_CHECK > checks_before {
-            self.record_unfinished_pace();
-        }
-    }
-
-    pub(crate) fn end(mut self, end: AttemptEnd) {
-        self.ended = true;
-        self.record_version_outcome(end);
-        match end {
-            AttemptEnd::Complete => self.record_pace(),
-            _ => self.record_unfinished_pace(),
-        }
-        self.release();
-        lock(&self.shared.dispatch).end_attempt(self.shared.now(), self.ticket, end);
-    }
-
-    /// Records the attempt as a success or failure of its version, if its end depends on the version.
-    fn record_version_outcome(&self, end: AttemptEnd) {
-        let Some(assigned) = &self.assigned else {
-            return;
-        };
-        let is_bad = match end {
-            AttemptEnd::Complete => assigned.is_slow,
-            AttemptEnd::Failed | AttemptEnd::ConnectionLost | AttemptEnd::Unresponsive => true,
-            AttemptEnd::Unreachable
-            | AttemptEnd::Rejected
-            | AttemptEnd::NoSlot
-            | AttemptEnd::RateLimited
-            | AttemptEnd::Misdirected
-            | AttemptEnd::Cancelled => return,
-        };
-        lock(&self.shared.rollouts).record_response(&assigned.backend, &assigned.version, is_bad);
-    }
-
-    /// Records how long the complete response of the version took.
-    fn record_pace(&self) {
-        let assigned = self.assigned.as_ref();
-        if let Some(assigned) = assigned.filter(|assigned| !assigned.is_pace_recorded) {
-            let time = assigned.response_time(self.shared.now());
-            let mut rollouts = lock(&self.shared.rollouts);
-            rollouts.record_pace(&assigned.backend, &assigned.version, &assigned.engine, time);
-        }
-    }
-
-    /// Records how long the unfinished response of the version takes if it is very slow already; its caller
-    /// may not wait for its end.
-    fn record_unfinished_pace(&mut self) {
-        let assigned = self.assigned.as_mut();
-        if let Some(assigned) = assigned.filter(|assigned| !assigned.is_pace_recorded) {
-            let time = assigned.response_time(self.shared.now());
-            let mut rollouts = lock(&self.shared.rollouts);
-            assigned.is_pace_recorded =
-                rollouts.record_unfinished_pace(&assigned.backend, &assigned.version, time);
-        }
-    }
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.record_unfinished_pace();
-            self.release();
-            lock(&self.shared.dispatch).cancel(self.shared.now(), self.ticket);
-        }
-    }
-}
-
 /// A server's response whose head has been received.
 #[derive(Debug)]
 pub(crate) struct ServerResponse {
@@ -406,65 +216,6 @@
     }
 }
 
-/// Applies the server state that a response reports in its headers.
-fn record_server_state(
-    exchange: &Exchange,
-    assignment: &Assignment,
-    status: StatusCode,
-    head: &ResponseHead,
-) {
-    let shared = &exchange.shared;
-    let now = shared.now();
-    let engine = &assignment.engine;
-    if head.is_draining {
-        let server = DrainingServer {
-            engine: engine.clone(),
-            started: assignment.started,
-        };
-        if lock(&shared.dispatch).dispatcher.mark_draining(now, server, true) {
-            log::info!(engine:% = engine; "backend server reports that it is draining");
-        }
-    }
-    let retry_after = head
-        .retry_after
-        .filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
-    if let Some(span) = retry_after {
-        log::info!(engine:% = engine, span_ms = span.0; "backend server rejects requests for the given time");
-        shared.metrics.count("engine_closed", "retry-after");
-        lock(&shared.dispatch).dispatcher.close_server(now, engine, span);
-    }
-    record_rate_limit(exchange, engine, head.rate_limit);
-}
-
-/// Records the rate limit that a response reports, or that it reports none.
-fn record_rate_limit(exchange: &Exchange, engine: &EngineId, reported: ReportedRateLimit) {
-    let shared = &exchange.shared;
-    let limit = match reported {
-        ReportedRateLimit::Unlimited => None,
-        ReportedRateLimit::Limited(limit) => Some(limit),
-        ReportedRateLimit::Unreadable => {
-            shared.metrics.count("engine_limits", "unreadable");
-            log::warn!(engine:% = engine; "the rate limit of a backend server cannot be read; ignored");
-            return;
-        }
-    };
-    let now = shared.now();
-    let mut dispatch = lock(&shared.dispatch);
-    let is_change = dispatch.record_rate_limit(now, engine, exchange.assigned_at, limit);
-    drop(dispatch);
-    match limit {
-        _ if !is_change => {}
-        Some(limit) => {
-            shared.metrics.count("engine_limits", "reported");
-            log::info!(engine:% = engine, limit_per_s = limit.per_second(); "backend server limits its request rate");
-        }
-        None => {
-            shared.metrics.count("engine_limits", "ended");
-            log::info!(engine:% = engine; "backend server no longer limits its request rate");
-        }
-    }
-}
-
 /// The hop-by-hop headers.
 const HOP_HEADERS: [&str; 8] = [
     "connection",
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -15,10 +15,11 @@
 use tokio::time::timeout;
 
 use super::arrival::{self, OpenRequest, refuse_stale};
-use super::attempt::{self, Failure, ServerResponse, Slot};
+use super::attempt::{self, Failure, ServerResponse};
 use super::plain::PlainResponse;
 use super::quota::ReservedTokens;
 use super::rate_limits::{self, RateLimited};
+use super::reservation::Slot;
 use super::response::{Reason, Refusal, ResponseBody};
 use super::slots;
 use super::stream;
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -10,7 +10,9 @@
 mod plain;
 mod quota;
 mod rate_limits;
+mod reservation;
 mod response;
+mod server_state;
 mod slots;
 mod stream;
 
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -10,9 +10,10 @@
 use hyper::header::CONTENT_LENGTH;
 use tokio::time::timeout;
 
-use super::attempt::{Failure, ServerResponse, Slot, keep_alive_timeout, remove_hop_headers};
+use super::attempt::{Failure, ServerResponse, keep_alive_timeout, remove_hop_headers};
 use super::events::{CompleteEvents, EventSplitter, MAX_EVENT_BYTES};
 use super::exchange::Exchange;
+use super::reservation::Slot;
 use super::response::{BodyError, ResponseBody};
 use crate::http_client::Connection;
 use crate::request_log::{self, StreamSummary};
