Let the hosts of a rejected store follower ask the store themselves

callers saw: with an unknown key 503 in place of 401 for a part of each 2 s, while the store rejects the hosts that follow it for their zone. cause: a rejected follower gets the store's state from other hosts, and these get it from the follower. They confirmed each other's state until its proof was 2 s old, the bound for passing it on, and only then asked the store; a key is denied only on a proof of at most 1.8 s. Trace: the refusals of the failing test have configuration_age_ms 2064 and 2109 (2167 in its entry), and 'dependency lost' stands only in the followers' logs. ruled out: load alone.

--- a/crates/gateway/src/control/updates.rs
+++ b/crates/gateway/src/control/updates.rs
@@ -110,8 +110,11 @@
 }
 
 /// Returns the changes after a revision, or `None` if this host's state is not confirmed recently
-/// enough or its history does not reach back to that revision.
+/// enough, if it should come from the store but does not, or if its history does not reach back to that revision.
 fn changes_after(shared: &Shared, after: u64) -> Option<StoreChanges> {
+    if is_rejected_follower(shared) {
+        return None;
+    }
     // The age is read before the history: the history can only gain changes in between, so it is
     // complete up to the time of the confirmation.
     let age = shared
@@ -133,6 +136,14 @@
     })
 }
 
+/// Returns whether this host should follow the store for others, but cannot reach it.
+///
+/// Such a host knows only what others tell it. If it answered, the hosts that rely on it would
+/// confirm each other's state until it is old, rather than ask the store themselves.
+fn is_rejected_follower(shared: &Shared) -> bool {
+    shared.peers.store_sources().is_empty() && lock(&shared.reachability).is_store_unavailable
+}
+
 fn encoded_size(change: &Change) -> usize {
     CHANGE_OVERHEAD_BYTES
         + match change {
