--- a/crates/gateway/src/traffic/reservation.rs
+++ b/crates/gateway/src/traffic/reservation.rs
@@ -139,7 +139,9 @@
         self.record_version_outcome(end);
         match end {
             AttemptEnd::Complete => self.record_pace(),
-            _ => self.record_unfinished_pace(),
+            AttemptEnd::Cancelled => self.record_unfinished_pace(),
+            // Other ends are failures, or say nothing about the version's pace.
+            _ => {}
         }
         self.release();
         lock(&self.shared.dispatch).end_attempt(self.shared.now(), self.ticket, end);
--- a/crates/gateway/src/traffic/server_state.rs
+++ b/crates/gateway/src/traffic/server_state.rs
@@ -52,10 +52,15 @@
     };
     let now = shared.now();
     let mut dispatch = lock(&shared.dispatch);
+    let was_limited = dispatch.server_limits.get(engine).is_some();
     let is_change = dispatch.record_rate_limit(now, engine, exchange.assigned_at, limit);
     drop(dispatch);
     match limit {
         _ if !is_change => {}
+        // A server may adjust its limit with every response.
+        Some(limit) if was_limited => {
+            log::debug!(engine:% = engine, limit_per_s = limit.per_second(); "backend server changed its rate limit");
+        }
         Some(limit) => {
             shared.metrics.count("engine_limits", "reported");
             log::info!(engine:% = engine, limit_per_s = limit.per_second(); "backend server limits its request rate");
