--- a/crates/soak/src/gateway.rs
+++ b/crates/soak/src/gateway.rs
@@ -6,7 +6,8 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use carawayseam_platform_standins::harness::{Addresses, free_port, is_ready};
+use carawayseam_platform_standins::harness::{Addresses, is_ready};
+use carawayseam_platform_standins::ports::free_port;
 use carawayseam_testbed::Relay;
 use eyre::{WrapErr, eyre};
 use rustix::process::{Pid, Signal, kill_process};
