Log the prompt's parts and events of a request at a crash

Change: the line has the ids of the prompt's parts and the number of events that the server had sent; a loss after which the server still accepts connections is logged and counted too (engine_crash_checks).

--- a/crates/gateway/src/traffic/crashes.rs
+++ b/crates/gateway/src/traffic/crashes.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use carawayseam_types::{Digest, Millis};
+use compact_str::{CompactString, format_compact};
 
 use super::exchange::Exchange;
 use super::response::{Reason, Refusal};
@@ -50,21 +51,38 @@
 
     /// Checks whether the server that lost the response still accepts connections; if not, records a crash
     /// caused by this request.
-    pub(super) fn check_for_crash(&self, assignment: &Assignment) {
+    ///
+    /// `events` is the number of events that the server sent before.
+    pub(super) fn check_for_crash(&self, assignment: &Assignment, events: u32) {
         let shared = Arc::clone(&self.shared);
         let (engine, address) = (assignment.engine.clone(), assignment.address);
         let content = self.content();
+        let parts = self.part_list();
         let id = self.head.id.clone();
         tokio::spawn(async move {
             if sockets::connect(address, CRASH_CHECK_TIMEOUT, CRASH_CHECK_TIMEOUT)
                 .await
                 .is_ok()
             {
+                shared.metrics.count("engine_crash_checks", "server-alive");
+                log::info!(request = id.as_deref(), engine:% = engine; "backend server lost a response and still accepts connections");
                 return;
             }
+            shared.metrics.count("engine_crash_checks", "crashed");
             let now = shared.now();
             let crashes = lock(&shared.poison).record_crash(now, content, &engine);
-            log::info!(request = id.as_deref(), engine:% = engine, content:% = content, crashes = crashes; "backend server crashed while it ran a request");
+            log::info!(
+                request = id.as_deref(), engine:% = engine, content:% = content, crashes = crashes,
+                parts = parts.as_str(), events = events;
+                "backend server crashed while it ran a request"
+            );
         });
     }
+
+    /// Returns the ids of the prompt's parts in order, for logs.
+    fn part_list(&self) -> CompactString {
+        let parts = self.head.prompt.iter().flat_map(|prompt| &prompt.parts);
+        let ids: Vec<CompactString> = parts.map(|part| format_compact!("{:x}", part.id)).collect();
+        ids.join(",").into()
+    }
 }
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -246,7 +246,7 @@
             request_log::record_attempt_failure(self, &engine, *failure);
         }
         if matches!(sent, Err(Failure::MaybeRun(AttemptEnd::ConnectionLost))) {
-            self.check_for_crash(&target);
+            self.check_for_crash(&target, 0);
         }
         self.may_have_run |= matches!(
             &sent,
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -44,6 +44,8 @@
     assignment: Assignment,
     keep_alive_timeout: Option<Millis>,
     had_event: bool,
+    /// The number of all events from this server.
+    received_events: u32,
     /// The number of events since the last sample, taken at `sampled_at`.
     events: u32,
     sampled_at: Millis,
@@ -58,6 +60,7 @@
             assignment: server_response.assignment,
             keep_alive_timeout,
             had_event: false,
+            received_events: 0,
             events: 0,
             sampled_at: now,
         }
@@ -136,7 +139,8 @@
                             failure,
                         );
                         if end == AttemptEnd::ConnectionLost {
-                            self.exchange.check_for_crash(&engine_stream.assignment);
+                            let events = engine_stream.received_events;
+                            self.exchange.check_for_crash(&engine_stream.assignment, events);
                         }
                         engine_stream.slot.end(end);
                     }
@@ -174,6 +178,7 @@
         let Some(engine_stream) = &mut self.engine_stream else {
             return;
         };
+        engine_stream.received_events += count;
         engine_stream.slot.record_events(count);
         if !engine_stream.had_event {
             engine_stream.had_event = true;
