Block parts of prompts that crash backend servers

Cause: a crash was counted for a whole request, by the digest of its path, organisation, parts and body. Requests with the part that causes it are all different, so each began from zero. The class: evidence kept under a key that is finer than the cause.

Evidence: with the parts in the line of a crash, one second part is in 31 of 31 and 37 of 38 crashes, never with an event; other parts in at most 4.

Change: dispatch::poison_parts counts crashes by the parts that other requests may share. A request whose answer had begun is no suspect, an answer that begins clears its parts, a crash weighs less while many requests are lost, crashes at one moment count once, and a crash that a blocked part explains speaks against no other. Hosts send each other crashes and answers as facts; new peers get those of blocked and cleared parts from everyone. A block is tried by one request at the part's owner after 20 s, then half as often each time; crashes of one organisation block the part for it only. Queued requests are refused at once, nothing is sent again while a part is suspected.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`pace`] | evidence that a new version is slow |
 //! | [`outage`] | how long missing entries are kept after an outage of the store |
 //! | [`poison`] | requests that crash the servers that run them |
+//! | [`poison_parts`] | parts of prompts that crash the servers that begin to answer them |
 //! | [`quota`] | an organisation's quota in tokens per second, shared by all hosts |
 //! | [`retries`] | the retry budget |
 //! | [`engine`] | this host's state of one backend server |
@@ -51,6 +52,7 @@
 pub mod pace;
 mod peer_loads;
 pub mod poison;
+pub mod poison_parts;
 mod pool;
 pub mod quota;
 pub mod retries;
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 mod ownership;
 mod peers;
+mod poison_parts;
 mod registration;
 mod rollout_pace;
 mod rollouts;
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -12,7 +12,7 @@
 
 use super::state::{ControlState, Event, GetAnnouncement};
 use super::updates::{self, ChunkRange};
-use super::{ownership, rollout_pace, server_limits};
+use super::{ownership, poison_parts, rollout_pace, server_limits};
 use crate::shared::Shared;
 
 /// The interval between heartbeats.
@@ -99,6 +99,9 @@
                 Ok(PeerMessage::RolloutPace { host, counts }) => {
                     rollout_pace::apply_counts(&shared, &host, &counts);
                 }
+                Ok(PeerMessage::PromptParts { crashes, answers }) => {
+                    poison_parts::apply_update(&shared, &crashes, &answers);
+                }
                 Ok(PeerMessage::ChangesRequest {
                     host,
                     request_id,
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -18,6 +18,7 @@
 use kameo::message::{Context, Message};
 use tokio::sync::mpsc::UnboundedSender;
 
+use super::poison_parts;
 use crate::platform::{RolloutOrder, RolloutStatus};
 use crate::shared::{Shared, lock};
 use crate::sockets;
@@ -318,6 +319,7 @@
         }
         self.probe_engines(now);
         self.decide_rollouts(now);
+        poison_parts::decide(&self.shared, now);
         if now.since(self.last_sweep_at) >= SWEEP_INTERVAL {
             self.last_sweep_at = now;
             let engines = &self.engines;
--- a/crates/gateway/src/control/state/announcements.rs
+++ b/crates/gateway/src/control/state/announcements.rs
@@ -10,7 +10,7 @@
 use carawayseam_wire::{EngineLoad, Heartbeat, PeerMessage, RolloutCounts, WaitingLoad};
 
 use super::{ControlState, PeerState};
-use crate::control::{rollout_pace, server_limits};
+use crate::control::{poison_parts, rollout_pace, server_limits};
 use crate::shared::lock;
 
 /// How long heartbeats also repeat older reports of draining servers after a peer becomes live.
@@ -89,6 +89,7 @@
             details: [
                 server_limits::announcement(&self.shared, now, has_new_peer),
                 rollout_pace::announcement(&self.shared),
+                poison_parts::announcement(&self.shared, now, has_new_peer),
             ]
             .into_iter()
             .flatten()
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -8,6 +8,7 @@
 use carawayseam_dispatch::Dispatcher;
 use carawayseam_dispatch::freshness::{Freshness, Reachability};
 use carawayseam_dispatch::poison::PoisonTracker;
+use carawayseam_dispatch::poison_parts::PoisonParts;
 use carawayseam_dispatch::quota::Quotas;
 use carawayseam_dispatch::retries::RetryBounds;
 use carawayseam_dispatch::rollouts::Rollouts;
@@ -142,6 +143,8 @@
         dispatch: Mutex::new(DispatchState::new(dispatcher, quotas, server_limits)),
         rollouts: Mutex::new(Rollouts::default()),
         poison: Mutex::new(PoisonTracker::default()),
+        poison_parts: Mutex::new(PoisonParts::default()),
+        part_blocks: watch::Sender::new(0),
         connections: IdleConnections::default(),
         phase: watch::Sender::new(Phase::Serving),
         metrics: Metrics::default(),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -8,6 +8,7 @@
 use carawayseam_dispatch::freshness::{Freshness, Reachability};
 use carawayseam_dispatch::history::History;
 use carawayseam_dispatch::poison::PoisonTracker;
+use carawayseam_dispatch::poison_parts::PoisonParts;
 use carawayseam_dispatch::quota::Quotas;
 use carawayseam_dispatch::rollouts::Rollouts;
 use carawayseam_dispatch::server_limits::{ServerLimit, ServerLimits};
@@ -236,6 +237,9 @@
     pub(crate) dispatch: Mutex<DispatchState>,
     pub(crate) rollouts: Mutex<Rollouts>,
     pub(crate) poison: Mutex<PoisonTracker>,
+    pub(crate) poison_parts: Mutex<PoisonParts>,
+    /// The number of parts of prompts that this host has blocked so far.
+    pub(crate) part_blocks: watch::Sender<u64>,
     pub(crate) connections: IdleConnections,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) metrics: Metrics,
--- a/crates/gateway/src/traffic/arrival.rs
+++ b/crates/gateway/src/traffic/arrival.rs
@@ -96,6 +96,7 @@
         unsent_attempts: 0,
         assigned_at: arrived,
         may_have_run: false,
+        is_part_trial: false,
         tried_engines: Vec::new(),
         is_logged: AtomicBool::new(false),
         reserved_tokens: None,
--- a/crates/gateway/src/traffic/crashes.rs
+++ b/crates/gateway/src/traffic/crashes.rs
@@ -1,12 +1,15 @@
-//! Detects and rejects requests that crash the servers that run them.
+//! Detects and rejects requests, and parts of prompts, that crash the servers that run them.
 
 use std::sync::Arc;
 
+use carawayseam_dispatch::engine::PromptPart;
+use carawayseam_dispatch::poison_parts::{Admission, BlockedPart, CrashId, OrganisationKey, PartId};
 use carawayseam_types::{Digest, Millis};
-use compact_str::{CompactString, format_compact};
+use compact_str::{CompactString, ToCompactString, format_compact};
 
 use super::exchange::Exchange;
 use super::response::{Reason, Refusal};
+use super::stream::EVENTS_OF_BEGUN_ANSWER;
 use crate::shared::{Assignment, lock};
 use crate::sockets;
 
@@ -41,7 +44,7 @@
     }
 
     /// Clears suspected crashes of the request after a complete response.
-    pub(super) fn clear_suspicion(&self) {
+    fn clear_suspicion(&self) {
         if lock(&self.shared.poison).is_empty() {
             return;
         }
@@ -56,8 +59,10 @@
     pub(super) fn check_for_crash(&self, assignment: &Assignment, events: u32) {
         let shared = Arc::clone(&self.shared);
         let (engine, address) = (assignment.engine.clone(), assignment.address);
+        let crash = CrashId::new(&assignment.engine, assignment.started);
         let content = self.content();
-        let parts = self.part_list();
+        let parts = self.prompt_parts().to_vec();
+        let organisation = self.organisation_key();
         let id = self.head.id.clone();
         tokio::spawn(async move {
             if sockets::connect(address, CRASH_CHECK_TIMEOUT, CRASH_CHECK_TIMEOUT)
@@ -71,18 +76,109 @@
             shared.metrics.count("engine_crash_checks", "crashed");
             let now = shared.now();
             let crashes = lock(&shared.poison).record_crash(now, content, &engine);
+            if events < EVENTS_OF_BEGUN_ANSWER {
+                lock(&shared.poison_parts).record_crash(now, crash, organisation, &parts);
+            }
             log::info!(
-                request = id.as_deref(), engine:% = engine, content:% = content, crashes = crashes,
-                parts = parts.as_str(), events = events;
+                request = id.as_deref(), engine:% = engine, crash:% = crash, content:% = content, crashes = crashes,
+                parts = format_parts(&parts).as_str(), events = events;
                 "backend server crashed while it ran a request"
             );
         });
     }
 
-    /// Returns the ids of the prompt's parts in order, for logs.
-    fn part_list(&self) -> CompactString {
-        let parts = self.head.prompt.iter().flat_map(|prompt| &prompt.parts);
-        let ids: Vec<CompactString> = parts.map(|part| format_compact!("{:x}", part.id)).collect();
-        ids.join(",").into()
+    fn prompt_parts(&self) -> &[PromptPart] {
+        self.head.prompt.as_ref().map_or(&[], |prompt| &prompt.parts)
+    }
+
+    fn organisation_key(&self) -> Option<OrganisationKey> {
+        self.organisation_name().map(OrganisationKey::from)
+    }
+
+    /// Refuses the request if a part of its prompt is blocked, unless this is the part's trial.
+    pub(super) fn admit_parts(&mut self) -> Result<(), Refusal> {
+        let shared = Arc::clone(&self.shared);
+        let owns = |part: PartId| shared.peers.owner(&part.to_compact_string()).is_none();
+        let admission = lock(&shared.poison_parts).admit(
+            shared.now(),
+            self.organisation_key(),
+            self.prompt_parts(),
+            owns,
+        );
+        match admission {
+            Admission::Allowed => Ok(()),
+            Admission::Trial(part) => {
+                self.is_part_trial = true;
+                shared.metrics.count("prompt_parts", "trial");
+                log::info!(request = self.head.id.as_deref(), part:% = part; "a request tries a blocked part of prompts");
+                Ok(())
+            }
+            Admission::Blocked(blocked) => Err(self.refuse_part(blocked)),
+        }
+    }
+
+    /// Refuses the request if a part of its prompt was blocked after the request was admitted.
+    pub(super) fn check_parts(&self) -> Result<(), Refusal> {
+        if self.is_part_trial {
+            return Ok(());
+        }
+        let parts = lock(&self.shared.poison_parts);
+        match parts.blocked_part(self.shared.now(), self.organisation_key(), self.prompt_parts()) {
+            Some(blocked) => Err(self.refuse_part(blocked)),
+            None => Ok(()),
+        }
+    }
+
+    fn refuse_part(&self, blocked: BlockedPart) -> Refusal {
+        self.shared.metrics.count("prompt_parts", "refused");
+        log::info!(request = self.head.id.as_deref(), part:% = blocked.part; "request refused for a blocked part of its prompt");
+        if self.may_have_run {
+            return Refusal::new(Reason::ResponseLost);
+        }
+        Refusal::with_retry_after(Reason::PoisonPart, blocked.retry_after)
     }
+
+    /// Waits until a part of the request's prompt is blocked.
+    pub(super) async fn part_blocked(&self) -> Refusal {
+        let mut blocks = self.shared.part_blocks.subscribe();
+        loop {
+            if let Err(refusal) = self.check_parts() {
+                return refusal;
+            }
+            if blocks.changed().await.is_err() {
+                // The sender lives as long as the process.
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
+    /// Returns whether another attempt might crash another server.
+    pub(super) fn has_suspected_part(&self) -> bool {
+        lock(&self.shared.poison_parts).is_suspected(self.prompt_parts())
+    }
+
+    /// Records that a server began to answer the request.
+    pub(super) fn record_begun(&self) {
+        if !self.prompt_parts().is_empty() {
+            lock(&self.shared.poison_parts).record_begun(self.shared.now(), self.prompt_parts());
+        }
+    }
+
+    /// Records that a server completed an answer that it had begun at `begun_at`.
+    pub(super) fn record_complete(&self, begun_at: Millis) {
+        if !self.prompt_parts().is_empty() {
+            let now = self.shared.now();
+            lock(&self.shared.poison_parts).record_complete(now, begun_at, self.prompt_parts());
+        }
+        self.clear_suspicion();
+    }
+}
+
+/// Returns the ids of a prompt's parts in order, for logs.
+fn format_parts(parts: &[PromptPart]) -> CompactString {
+    let ids: Vec<CompactString> = parts
+        .iter()
+        .map(|part| format_compact!("{:x}", part.id))
+        .collect();
+    ids.join(",").into()
 }
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -67,6 +67,8 @@
     pub(crate) assigned_at: Millis,
     /// Whether an attempt may have run the request.
     pub(crate) may_have_run: bool,
+    /// Whether the request tries a blocked part of its prompt.
+    pub(super) is_part_trial: bool,
     pub(crate) tried_engines: Vec<EngineId>,
     /// Whether the outcome of the request has been logged.
     pub(crate) is_logged: AtomicBool,
@@ -162,6 +164,7 @@
 
     async fn try_serve(&mut self) -> Result<Outcome, Refusal> {
         self.reject_poison()?;
+        self.admit_parts()?;
         self.reserve_quota().await?;
         let job = self.job(self.max_wait_deadline());
         let mut queued = lock(&self.shared.dispatch).submit(self.shared.now(), job);
@@ -261,7 +264,12 @@
         loop {
             let (ticket, rx) = queued;
             let mut slot = Slot::new(Arc::clone(&self.shared), ticket);
-            let assignment = match timeout(self.time_left().to_duration(), rx).await {
+            let decision = tokio::select! {
+                biased;
+                refusal = self.part_blocked() => return Err(refusal),
+                decision = timeout(self.time_left().to_duration(), rx) => decision,
+            };
+            let assignment = match decision {
                 Ok(Ok(Decision::Start(assignment))) => assignment,
                 Ok(Ok(Decision::Refuse { retry_after })) => {
                     return Err(self.queue_refusal(retry_after));
@@ -269,7 +277,13 @@
                 Ok(Err(_)) | Err(_) => return Err(self.queue_refusal(RETRY_AFTER_REJECTED)),
             };
             match self.reserve(&mut slot, &assignment).await {
-                Ok(()) => return Ok((slot, assignment)),
+                Ok(()) => {
+                    if let Err(refusal) = self.check_parts() {
+                        slot.refund_permit();
+                        return Err(refusal);
+                    }
+                    return Ok((slot, assignment));
+                }
                 Err(end) => slot.end(end),
             }
             let job = self.job(self.queue_deadline());
@@ -355,6 +369,7 @@
                 Ok(lock(&self.shared.dispatch).submit_unsent(now, job))
             }
             Failure::MaybeRun(_) if !self.route_match.route.kind.is_retryable() => Err(refusal),
+            Failure::MaybeRun(AttemptEnd::ConnectionLost) if self.has_suspected_part() => Err(refusal),
             _ => self.queue_retry().ok_or(refusal),
         }
     }
--- a/crates/gateway/src/traffic/plain.rs
+++ b/crates/gateway/src/traffic/plain.rs
@@ -52,7 +52,8 @@
         } else {
             slot.record_first_event();
             slot.end(AttemptEnd::Complete);
-            self.clear_suspicion();
+            self.record_begun();
+            self.record_complete(self.shared.now());
         }
         self.return_connection(&assignment, connection, keep_alive);
         let retry = (is_failure && self.route_match.route.kind.is_retryable()).then(|| self.queue_retry());
--- a/crates/gateway/src/traffic/response.rs
+++ b/crates/gateway/src/traffic/response.rs
@@ -35,6 +35,8 @@
     Busy,
     #[display("the request crashed backend servers")]
     Poison,
+    #[display("a part of the prompt crashed backend servers")]
+    PoisonPart,
     #[display("no backend server could be reached")]
     Unreachable,
     #[display("the backend server rejected the request")]
@@ -59,6 +61,7 @@
             | Self::Stopping
             | Self::Busy
             | Self::Poison
+            | Self::PoisonPart
             | Self::Unreachable
             | Self::Rejected => StatusCode::SERVICE_UNAVAILABLE,
             Self::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
@@ -79,6 +82,7 @@
             Self::Stopping => "stopping",
             Self::Busy => "busy",
             Self::Poison => "poison",
+            Self::PoisonPart => "poison-part",
             Self::Unreachable => "unreachable",
             Self::Rejected => "rejected",
             Self::DeadlineExceeded => "time-over",
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -27,6 +27,10 @@
 const FIRST_EVENT_TIMEOUT_FACTOR: u64 = 3;
 const FIRST_EVENT_TIMEOUT_MARGIN: Millis = Millis(800);
 
+/// The number of events from which an answer has begun: a server that crashes at the first event may still send
+/// it.
+pub(super) const EVENTS_OF_BEGUN_ANSWER: u32 = 2;
+
 /// The reason why a stream is interrupted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 enum Interrupted {
@@ -46,6 +50,8 @@
     had_event: bool,
     /// The number of all events from this server.
     received_events: u32,
+    /// When so many events had been received that the server has begun to answer.
+    begun_at: Option<Millis>,
     /// The number of events since the last sample, taken at `sampled_at`.
     events: u32,
     sampled_at: Millis,
@@ -61,6 +67,7 @@
             keep_alive_timeout,
             had_event: false,
             received_events: 0,
+            begun_at: None,
             events: 0,
             sampled_at: now,
         }
@@ -179,6 +186,10 @@
             return;
         };
         engine_stream.received_events += count;
+        if engine_stream.begun_at.is_none() && engine_stream.received_events >= EVENTS_OF_BEGUN_ANSWER {
+            engine_stream.begun_at = Some(now);
+            self.exchange.record_begun();
+        }
         engine_stream.slot.record_events(count);
         if !engine_stream.had_event {
             engine_stream.had_event = true;
@@ -206,8 +217,12 @@
             Some(&engine_stream.assignment),
             &self.summary("complete"),
         );
+        if engine_stream.begun_at.is_none() {
+            self.exchange.record_begun();
+        }
+        self.exchange
+            .record_complete(engine_stream.begun_at.unwrap_or(now));
         engine_stream.slot.end(AttemptEnd::Complete);
-        self.exchange.clear_suspicion();
         self.exchange.return_connection(
             &engine_stream.assignment,
             engine_stream.connection,
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -96,6 +96,41 @@
         /// The counts of each rollout.
         counts: Vec<PaceCounts>,
     },
+    /// Announces parts of prompts that were in crashes of backend servers, and answers on them.
+    PromptParts {
+        /// The crashes.
+        crashes: Vec<PartCrash>,
+        /// The answers.
+        answers: Vec<PartAnswer>,
+    },
+}
+
+/// A crash of a backend server under a request with a part of a prompt, before its answer had begun.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartCrash {
+    /// The id of the part.
+    pub part: u64,
+    /// The part's position in the prompt.
+    pub depth: u8,
+    /// The id of the crash.
+    pub crash: u32,
+    /// The time since the crash.
+    pub age: Millis,
+    /// The digest of the organisation's name, if the request had an organisation.
+    pub organisation: Option<u32>,
+    /// The weight of the crash as evidence, in hundredths.
+    pub weight: u16,
+}
+
+/// An answer on a part of a prompt that was in a crash before.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartAnswer {
+    /// The id of the part.
+    pub part: u64,
+    /// The time since the last answer began.
+    pub begun: Millis,
+    /// The time since the last complete answer began; `None` if none was complete.
+    pub complete: Option<Millis>,
 }
 
 /// A host's counts of slow responses during one rollout.
