Tell a host that restarts within a second what it may have forgotten

Cause: hosts repeat older reports for two seconds after a peer becomes live, and a peer counted as live for a second after its last heartbeat, whatever process had sent it. A process that started anew within that second was never new. The class: memory of a process is taken for memory of a host. It holds for draining servers and rate limits as well, which use the same mechanism.

Change: the heartbeats of peers are in dispatch::peers; a heartbeat of another incarnation is that of a new peer.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`retries`] | the retry budget |
 //! | [`engine`] | this host's state of one backend server |
 //! | [`group`] | the reachable hosts, and which of them own shared tasks |
+//! | [`peers`] | the other hosts' heartbeats, and which of them are live |
 //! | [`hosts`] | the known hosts and their addresses |
 //! | [`history`] | the store's latest changes, for peers that follow the store through this host |
 //! | [`draining_servers`] | backend servers that reported that they are draining |
@@ -51,6 +52,7 @@
 pub mod outage;
 pub mod pace;
 mod peer_loads;
+pub mod peers;
 pub mod poison;
 pub mod poison_parts;
 mod pool;
--- /dev/null
+++ b/crates/dispatch/src/peers.rs
@@ -0,0 +1,88 @@
+//! The heartbeats of the other hosts: who is live, and who has just become so.
+
+use std::collections::BTreeMap;
+
+use carawayseam_types::{HostId, Incarnation, Millis};
+
+/// A peer is live if its last heartbeat is at most this old.
+const LIVE_TIMEOUT: Millis = Millis(1_000);
+
+/// The last heartbeat of a peer.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct PeerState {
+    incarnation: Incarnation,
+    seq: u64,
+    seen_at: Millis,
+    /// Whether the peer reported that it serves requests with keys.
+    pub serves_keys: bool,
+}
+
+impl PeerState {
+    /// Returns whether the peer is live.
+    #[must_use]
+    pub fn is_live(&self, now: Millis) -> bool {
+        self.is_seen_within(now, LIVE_TIMEOUT)
+    }
+
+    /// Returns whether the last heartbeat is at most `age` old.
+    #[must_use]
+    pub fn is_seen_within(&self, now: Millis, age: Millis) -> bool {
+        now.since(self.seen_at) <= age
+    }
+}
+
+/// What a heartbeat says about the state of its sender.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Heard {
+    /// The heartbeat is older than the last one.
+    Outdated,
+    /// The peer was live before, in the same process.
+    Known,
+    /// The peer was not live before, or its process started anew; it may have missed what others know.
+    New,
+}
+
+/// The peers from which heartbeats were received.
+#[derive(Debug, Default)]
+pub struct Peers(BTreeMap<HostId, PeerState>);
+
+impl Peers {
+    /// Records a heartbeat.
+    pub fn record_heartbeat(
+        &mut self,
+        now: Millis,
+        host: &HostId,
+        incarnation: Incarnation,
+        seq: u64,
+        serves_keys: bool,
+    ) -> Heard {
+        let peer = self.0.entry(host.clone()).or_default();
+        if (incarnation, seq) <= (peer.incarnation, peer.seq) {
+            return Heard::Outdated;
+        }
+        let is_known = incarnation == peer.incarnation && peer.is_live(now);
+        *peer = PeerState {
+            incarnation,
+            seq,
+            seen_at: now,
+            serves_keys,
+        };
+        if is_known { Heard::Known } else { Heard::New }
+    }
+
+    /// Returns whether a host is live.
+    #[must_use]
+    pub fn is_live(&self, now: Millis, host: &HostId) -> bool {
+        self.0.get(host).is_some_and(|peer| peer.is_live(now))
+    }
+
+    /// Iterates over all peers from which a heartbeat was ever received.
+    pub fn iter(&self) -> impl Iterator<Item = (&HostId, &PeerState)> {
+        self.0.iter()
+    }
+
+    /// Iterates over the live peers.
+    pub fn live(&self, now: Millis) -> impl Iterator<Item = (&HostId, &PeerState)> + Clone {
+        self.0.iter().filter(move |(_, peer)| peer.is_live(now))
+    }
+}
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -9,6 +9,7 @@
 
 use carawayseam_dispatch::group::Group;
 use carawayseam_dispatch::hosts::Hosts;
+use carawayseam_dispatch::peers::Peers;
 use carawayseam_dispatch::rollouts::{Decision, Order};
 use carawayseam_dispatch::{Catalog, EngineEntry};
 use carawayseam_node::LogRevision;
@@ -24,8 +25,6 @@
 use crate::sockets;
 use announcements::Announcement;
 
-/// A peer is live if its last heartbeat is at most this old.
-const LIVE_TIMEOUT: Millis = Millis(1_000);
 /// Bounds the connection attempt to a backend server that was unreachable before.
 const PROBE_TIMEOUT: Millis = Millis(250);
 /// How often idle connections are checked for removal.
@@ -88,22 +87,6 @@
     missing_until: Option<Millis>,
 }
 
-/// The last heartbeat of a peer.
-#[derive(Debug, Default)]
-struct PeerState {
-    incarnation: Incarnation,
-    seq: u64,
-    seen_at: Millis,
-    serves_keys: bool,
-}
-
-impl PeerState {
-    /// Returns whether the last heartbeat is at most [`LIVE_TIMEOUT`] old.
-    fn is_live(&self, now: Millis) -> bool {
-        now.since(self.seen_at) <= LIVE_TIMEOUT
-    }
-}
-
 /// The control state of the process.
 #[derive(Debug, Actor)]
 pub(crate) struct ControlState {
@@ -115,7 +98,7 @@
     hosts: Hosts,
     /// The availability zone of each host that was ever listed.
     zones: BTreeMap<HostId, ZoneId>,
-    peer_states: BTreeMap<HostId, PeerState>,
+    peers: Peers,
     group: Group,
     /// The time until which heartbeats also repeat older reports of draining servers, for a peer that
     /// has become live.
@@ -137,7 +120,7 @@
             engines: BTreeMap::new(),
             hosts: Hosts::default(),
             zones: BTreeMap::new(),
-            peer_states: BTreeMap::new(),
+            peers: Peers::default(),
             group: Group::alone(shared.settings.host.clone()),
             shared,
             new_peer_until: Millis::ZERO,
@@ -212,8 +195,7 @@
             return;
         }
         let own_host = &self.shared.settings.host;
-        let peers = self.peer_states.iter();
-        let preceding = peers.filter(|(host, peer)| *host < own_host && peer.is_live(now));
+        let preceding = self.peers.live(now).filter(|(host, _)| *host < own_host);
         let rank = preceding.count() as u32;
         for decision in lock(&self.shared.rollouts).due_decisions(now, rank) {
             if let Err(e) = self.decisions.send(decision) {
@@ -308,11 +290,10 @@
             self.engines.retain(|id, _| !expired.contains(id));
             self.update_engines(now);
         }
-        let is_live_peer = |host: &HostId| {
-            let peer = self.peer_states.get(host);
-            peer.is_some_and(|peer| peer.is_live(now))
-        };
-        if self.hosts.remove_expired(now, is_live_peer) {
+        if self
+            .hosts
+            .remove_expired(now, |host| self.peers.is_live(now, host))
+        {
             self.update_addresses(now);
         } else {
             self.update_group(now);
--- a/crates/gateway/src/control/state/announcements.rs
+++ b/crates/gateway/src/control/state/announcements.rs
@@ -5,15 +5,16 @@
 use carawayseam_dispatch::draining_servers::DrainingServer;
 use carawayseam_dispatch::engine::ServerLoad;
 use carawayseam_dispatch::load::{HostLoad, WaitingCount};
+use carawayseam_dispatch::peers::Heard;
 use carawayseam_dispatch::rollouts::{Evidence, ResponseCounts, RolloutUpdate};
 use carawayseam_types::{Digest, EngineKey, Millis};
 use carawayseam_wire::{EngineLoad, Heartbeat, PeerMessage, RolloutCounts, WaitingLoad};
 
-use super::{ControlState, PeerState};
+use super::ControlState;
 use crate::control::{poison_parts, rollout_pace, server_limits};
 use crate::shared::lock;
 
-/// How long heartbeats also repeat older reports of draining servers after a peer becomes live.
+/// How long older reports are repeated after a peer becomes live or starts anew.
 const NEW_PEER_REPORT_TIME: Millis = Millis(2_000);
 
 /// What a host announces to the others at each heartbeat.
@@ -31,21 +32,24 @@
         if heartbeat.host == self.shared.settings.host {
             return;
         }
-        let peer = self.peer_states.entry(heartbeat.host.clone()).or_default();
-        if (heartbeat.incarnation, heartbeat.seq) <= (peer.incarnation, peer.seq) {
-            return;
-        }
-        let was_unresponsive = !peer.is_live(now);
-        *peer = PeerState {
-            incarnation: heartbeat.incarnation,
-            seq: heartbeat.seq,
-            seen_at: now,
-            serves_keys: heartbeat.serves_keys,
-        };
-        if was_unresponsive {
-            log::info!(peer:% = heartbeat.host; "peer is live");
-            self.new_peer_until = now + NEW_PEER_REPORT_TIME;
-            self.update_group(now);
+        let Heartbeat {
+            host,
+            incarnation,
+            seq,
+            serves_keys,
+            ..
+        } = &heartbeat;
+        match self
+            .peers
+            .record_heartbeat(now, host, *incarnation, *seq, *serves_keys)
+        {
+            Heard::Outdated => return,
+            Heard::Known => {}
+            Heard::New => {
+                log::info!(peer:% = host, incarnation:% = incarnation; "peer is live");
+                self.new_peer_until = now + NEW_PEER_REPORT_TIME;
+                self.update_group(now);
+            }
         }
         for (content, crashes) in &heartbeat.crashes {
             lock(&self.shared.poison).record_peer_crashes(now, &heartbeat.host, Digest(*content), *crashes);
--- a/crates/gateway/src/control/state/group.rs
+++ b/crates/gateway/src/control/state/group.rs
@@ -22,9 +22,9 @@
     pub(super) fn update_group(&mut self, now: Millis) {
         let own_host = &self.shared.settings.host;
         let known = self.hosts.other_known_count(own_host);
-        let live_peers = self.peer_states.values().filter(|peer| peer.is_live(now));
+        let live_peers = self.peers.live(now);
         let live = live_peers.clone().count() as u32;
-        let others_serve = live_peers.clone().any(|peer| peer.serves_keys);
+        let others_serve = live_peers.clone().any(|(_, peer)| peer.serves_keys);
         let mut reach = lock(&self.shared.reachability);
         reach.has_serving_peers = others_serve;
         reach.has_unresponsive_peers = live < self.hosts.other_listed_count(own_host);
@@ -79,9 +79,9 @@
     /// Returns the listed hosts that can receive requests now, including this one.
     fn reachable_hosts(&self, now: Millis) -> Vec<HostId> {
         let reachable = self
-            .peer_states
+            .peers
             .iter()
-            .filter(|(host, peer)| now.since(peer.seen_at) <= REACHABLE_TIMEOUT && self.hosts.contains(host));
+            .filter(|(host, peer)| peer.is_seen_within(now, REACHABLE_TIMEOUT) && self.hosts.contains(host));
         let mut hosts: Vec<HostId> = reachable.map(|(host, _)| host.clone()).collect();
         hosts.push(self.shared.settings.host.clone());
         hosts.sort_unstable();
