--- a/crates/wire/tests/heartbeat.rs
+++ b/crates/wire/tests/heartbeat.rs
@@ -1,10 +1,14 @@
 //! Sizes of the heartbeats of gateway hosts.
 
-use carawayseam_types::{EngineId, EngineKey, Incarnation};
-use carawayseam_wire::{EngineLoad, Heartbeat, MAX_DATAGRAM_BYTES, PeerMessage, decode, encode};
+use carawayseam_types::{EngineId, EngineKey, Incarnation, Millis};
+use carawayseam_wire::{
+    EngineLoad, Heartbeat, MAX_DATAGRAM_BYTES, PartAnswer, PartCrash, PeerMessage, decode, encode,
+};
 
 /// The number of backend servers in the larger of the planned deployments.
 const ENGINES: u32 = 145;
+/// The maximum number of crashes, and of answers, in one update of prompt parts.
+const PARTS_IN_UPDATE: usize = 26;
 
 fn heartbeat(engines: u32) -> Heartbeat {
     let load = |number: u32| {
@@ -36,3 +40,27 @@
     let back: PeerMessage = decode(&buf).expect("it can be decoded");
     assert_eq!(back, message);
 }
+
+/// Guards against an update of prompt parts that no host can read because it exceeds a datagram.
+#[test]
+fn the_largest_update_of_prompt_parts_fits_one_datagram() {
+    let crash = PartCrash {
+        part: u64::MAX,
+        depth: u8::MAX,
+        crash: u32::MAX,
+        age: Millis::from_secs(900),
+        organisation: Some(u32::MAX),
+        weight: u16::MAX,
+    };
+    let answer = PartAnswer {
+        part: u64::MAX,
+        begun: Millis::from_secs(900),
+        complete: Some(Millis::from_secs(900)),
+    };
+    let message = PeerMessage::PromptParts {
+        crashes: vec![crash; PARTS_IN_UPDATE],
+        answers: vec![answer; PARTS_IN_UPDATE],
+    };
+    let buf = encode(&message).expect("it can be encoded");
+    assert!(buf.len() <= MAX_DATAGRAM_BYTES, "{} bytes", buf.len());
+}
