Check for a crash also when a plain response breaks in its body

Callers whose request crashes servers after the head of the response had been sent could send it again without end; each one crashed another server.

Cause: the check for a crash stood where no response head arrives and where a stream breaks, not where the body of a plain response does. Found when the places were searched that end an attempt as lost. The class: one of several ends of an attempt is handled differently.

Change: the third place checks too. The test a_request_that_crashes_servers_in_the_middle_of_a_response_is_blocked failed (6 crashes, 3 are allowed) and passes.

--- a/crates/gateway/src/traffic/plain.rs
+++ b/crates/gateway/src/traffic/plain.rs
@@ -38,6 +38,7 @@
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(e)) => {
                 log::debug!(engine:% = assignment.engine; "the response was interrupted: {e}");
+                self.check_for_crash(&assignment, 0);
                 slot.end(AttemptEnd::ConnectionLost);
                 return PlainResponse::Failed(Failure::MaybeRun(AttemptEnd::ConnectionLost));
             }
