Log the store's revision and era at a listing, and hosts that are asked ahead

Change: the adapter reads Store-Era; 'store listed' has revision and era; a host that is asked for changes after a revision that it does not know logs and counts it (store_answers).

--- a/crates/gateway/src/control/store_follower.rs
+++ b/crates/gateway/src/control/store_follower.rs
@@ -127,6 +127,7 @@
         let hosts = hosts.iter().filter_map(|item| self.decode_host(item)).collect();
         self.send_event(Event::HostsListed(hosts));
         lock(&self.shared.store_history).changes = History::since(revision);
+        log::info!(revision = revision, era:% = self.store.era(); "store listed");
         self.send_event(Event::Confirmed { sent_at });
         self.follow(retry_delay).await
     }
--- a/crates/gateway/src/control/updates.rs
+++ b/crates/gateway/src/control/updates.rs
@@ -121,6 +121,11 @@
         .configuration_age()
         .filter(|age| *age <= MAX_CONFIRMATION_AGE)?;
     let history = lock(&shared.store_history);
+    let own_end = history.changes.end();
+    if after > own_end {
+        shared.metrics.count("store_answers", "asked-ahead");
+        log::info!(asked = after, known = own_end; "a peer asked for changes after a revision that this host does not know");
+    }
     let HistoryPage {
         end,
         is_complete,
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -162,7 +162,7 @@
         &mut self,
         req: Request<Full<Bytes>>,
         time_limit: Millis,
-    ) -> Result<(StatusCode, Bytes), CallError> {
+    ) -> Result<Response<Bytes>, CallError> {
         let mut connection = match self.connection.take() {
             Some(connection) if connection.is_ready() => connection,
             _ => Connection::open(self.address, CONNECT_TIMEOUT, UNACKED_TIMEOUT)
@@ -184,17 +184,14 @@
 async fn send_and_collect(
     connection: &mut Connection,
     req: Request<Full<Bytes>>,
-) -> Result<(StatusCode, Bytes), CallError> {
+) -> Result<Response<Bytes>, CallError> {
     let response = connection.send(req).await.map_err(|e| match e {
         SendError::NotSent(e) => CallError::NotSent(io::Error::other(e)),
         SendError::MaybeSent(e) => CallError::NoResponse(e.to_string()),
     })?;
-    let status = response.status();
-    match Limited::new(response.into_body(), MAX_CALL_RESPONSE_BYTES)
-        .collect()
-        .await
-    {
-        Ok(body) => Ok((status, body.to_bytes())),
+    let (parts, body) = response.into_parts();
+    match Limited::new(body, MAX_CALL_RESPONSE_BYTES).collect().await {
+        Ok(body) => Ok(Response::from_parts(parts, body.to_bytes())),
         Err(e) => Err(CallError::NoResponse(e.to_string())),
     }
 }
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -6,7 +6,7 @@
 use carawayseam_dispatch::engine::PromptPart;
 use carawayseam_dispatch::rollouts::RolloutState;
 use carawayseam_dispatch::{Configuration, EngineEntry};
-use carawayseam_types::{BackendName, EngineId, Millis, OrganisationId, RequestRate, VersionId};
+use carawayseam_types::{BackendName, EngineId, Millis, OrganisationId, RequestRate, StoreEra, VersionId};
 use compact_str::CompactString;
 use hyper::HeaderMap;
 
@@ -262,6 +262,9 @@
 
 /// A client of the deployment's store.
 pub trait Store: Send + 'static {
+    /// Returns the era in the last response; 0 before the first.
+    fn era(&self) -> StoreEra;
+
     /// Lists the items whose keys begin with `prefix` and follow the key `after`.
     fn list(&mut self, prefix: &str, after: &str) -> impl Future<Output = Result<Page, StoreError>> + Send;
 
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -23,6 +23,7 @@
 mod ids;
 mod outcome;
 mod quantity;
+mod store_revision;
 
 pub use clock::{Clock, Millis};
 pub use error::ParseError;
@@ -33,3 +34,4 @@
 };
 pub use outcome::{NotRunReason, Outcome, Refusal, UnknownReason};
 pub use quantity::{Bytes, Permille, RequestRate, Tier, Tokens, TokensPerSecond};
+pub use store_revision::{StoreEra, StoreRevision};
