Order the store's revisions by era, so that no host vouches for a lost state

Cause: revisions of the store were plain numbers. Hosts that poll others asked for the changes after a number of the lost state; the others had lower numbers, so there was nothing to send, and their answer confirmed the asked one. Once the numbers had been given out again, the changes under them were skipped. The class: an order is taken for granted that its source may restart.

Change: StoreRevision is an era and a number, in this order, in the store's client, in the history and in messages. A host that is asked about another era says so; one that is behind lists the store anew, one that is ahead does not listen. A watch, a listing or a condition of another era fails as 'restored', a listing of an earlier era is refused, and a lease of an earlier era is gone. Entries that a copy lacks are kept for the time in which they are written again.

--- a/crates/dispatch/src/history.rs
+++ b/crates/dispatch/src/history.rs
@@ -2,12 +2,18 @@
 
 use std::collections::VecDeque;
 
+use carawayseam_types::{StoreEra, StoreRevision};
+
 /// Limit of changes kept; beyond it the oldest revisions are dropped.
 const MAX_CHANGES: usize = 1_024;
 
-/// Changes ordered by revision, without gaps.
+/// Changes of one era ordered by revision, without gaps.
+///
+/// A store that is restored from a copy gives out revisions again, so revisions of different eras are never
+/// compared by their numbers.
 #[derive(Debug)]
 pub struct History<C> {
+    era: StoreEra,
     /// All changes after this revision, up to `end`, are kept.
     begin: u64,
     /// The revision up to which changes are known.
@@ -26,25 +32,53 @@
     pub changes: Vec<(u64, C)>,
 }
 
+/// The changes after a revision that a host asked for.
+#[derive(Debug, PartialEq, Eq)]
+pub enum ChangesAfter<C> {
+    /// A page of the changes.
+    Page(HistoryPage<C>),
+    /// Some of the changes are no longer kept, or do not fit a page.
+    NotKept,
+    /// The revision is of another era than this one, which the history is of.
+    OtherEra(StoreEra),
+}
+
 impl<C: Clone> History<C> {
     /// Creates an empty history that begins after `revision`.
     #[must_use]
-    pub const fn since(revision: u64) -> Self {
+    pub const fn since(revision: StoreRevision) -> Self {
         Self {
-            begin: revision,
-            end: revision,
+            era: revision.era,
+            begin: revision.number,
+            end: revision.number,
             changes: VecDeque::new(),
         }
     }
 
+    /// Creates the history of a host that has not listed the store; it keeps no changes.
+    #[must_use]
+    pub const fn unknown() -> Self {
+        Self::since(StoreRevision::new(StoreEra(0), u64::MAX))
+    }
+
+    /// Returns the era of the revisions.
+    #[must_use]
+    pub const fn era(&self) -> StoreEra {
+        self.era
+    }
+
     /// Returns the revision up to which changes are known.
     #[must_use]
-    pub const fn end(&self) -> u64 {
-        self.end
+    pub const fn end(&self) -> StoreRevision {
+        StoreRevision::new(self.era, self.end)
     }
 
-    /// Appends a change; a change that is already known is ignored.
-    pub fn push(&mut self, revision: u64, change: C) {
+    /// Appends a change; a change that is already known or of another era is ignored.
+    pub fn push(&mut self, revision: StoreRevision, change: C) {
+        if revision.era != self.era {
+            return;
+        }
+        let revision = revision.number;
         if revision < self.end || (revision == self.end && self.changes.is_empty()) {
             return;
         }
@@ -55,16 +89,30 @@
         }
     }
 
-    /// Records that all changes up to a revision have been pushed.
-    pub fn advance(&mut self, revision: u64) {
-        self.end = self.end.max(revision);
+    /// Records that all changes up to a revision of the era have been pushed.
+    pub fn advance(&mut self, revision: StoreRevision) {
+        if revision.era == self.era {
+            self.end = self.end.max(revision.number);
+        }
     }
 
     /// Returns the changes after `revision`, up to `max_bytes` in total as measured by `size_of`.
-    ///
-    /// Returns `None` if some of these changes were already dropped, or if the changes of the
-    /// first revision alone exceed `max_bytes`.
     pub fn after(
+        &self,
+        revision: StoreRevision,
+        max_bytes: usize,
+        size_of: impl Fn(&C) -> usize,
+    ) -> ChangesAfter<C> {
+        if revision.era != self.era {
+            return ChangesAfter::OtherEra(self.era);
+        }
+        let page = self.page_after(revision.number, max_bytes, size_of);
+        page.map_or(ChangesAfter::NotKept, ChangesAfter::Page)
+    }
+
+    /// Returns a page of changes, or `None` if some of these changes were already dropped or if the changes of
+    /// the first revision alone exceed `max_bytes`.
+    fn page_after(
         &self,
         revision: u64,
         max_bytes: usize,
@@ -103,8 +151,12 @@
     }
 
     /// Iterates over the changes of one revision.
-    pub fn at(&self, revision: u64) -> impl Iterator<Item = &C> {
-        let changes = self.changes.iter().filter(move |(at, _)| *at == revision);
+    pub fn at(&self, revision: StoreRevision) -> impl Iterator<Item = &C> {
+        let is_of_era = revision.era == self.era;
+        let changes = self
+            .changes
+            .iter()
+            .filter(move |(at, _)| is_of_era && *at == revision.number);
         changes.map(|(_, change)| change)
     }
 
--- a/crates/dispatch/src/outage.rs
+++ b/crates/dispatch/src/outage.rs
@@ -51,6 +51,11 @@
         has_ended
     }
 
+    /// Records that the store was restored from a copy: entries that the copy lacks are written again.
+    pub fn on_restored(&mut self, now: Millis) {
+        self.keep_until = self.keep_until.max(Some(now + EXPIRED_ENTRY_GRACE));
+    }
+
     /// Records an update from a peer that follows the store for this host.
     ///
     /// The peer keeps missing entries until `keep_until`. Returns true if the store was unavailable before.
--- a/crates/dispatch/src/rollouts.rs
+++ b/crates/dispatch/src/rollouts.rs
@@ -9,7 +9,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use carawayseam_types::{BackendName, EngineId, HostId, Millis, VersionId};
+use carawayseam_types::{BackendName, EngineId, HostId, Millis, StoreRevision, VersionId};
 
 use crate::pace::{PaceBaseline, PaceCounts, PaceEvidence, PaceRating, PaceReport, ResponseTime};
 
@@ -59,7 +59,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Order {
     /// The order's revision; a later order has a higher one.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The version to roll out.
     pub to: VersionId,
     /// The maximum duration of the rollout.
@@ -125,7 +125,7 @@
     /// The backend.
     pub backend: BackendName,
     /// The order's revision.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The time since the order was given, as known to the sender.
     pub elapsed: Millis,
     /// The sender's own counts.
@@ -138,7 +138,7 @@
     /// The backend.
     pub backend: BackendName,
     /// The order's revision.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The sender's own counts.
     pub report: PaceReport,
 }
@@ -152,8 +152,8 @@
     pub order: Order,
     /// The new state of the rollout.
     pub state: RolloutState,
-    /// The revision of the stored state that is replaced; 0 if there is none.
-    pub expected: u64,
+    /// The revision of the stored state that is replaced, if there is one.
+    pub expected: Option<StoreRevision>,
 }
 
 #[derive(Debug)]
@@ -257,7 +257,7 @@
     /// The latest rollout of each backend.
     by_backend: BTreeMap<BackendName, Rollout>,
     /// The revision of each backend's stored state, which remains after its order is replaced.
-    written: BTreeMap<BackendName, u64>,
+    written: BTreeMap<BackendName, StoreRevision>,
     /// How long the responses of each backend take, other than those of a version that is rolled out.
     pace_baselines: BTreeMap<BackendName, PaceBaseline>,
 }
@@ -287,12 +287,18 @@
     }
 
     /// Applies the stored state of a rollout to a version.
-    pub fn apply_state(&mut self, backend: &BackendName, to: &VersionId, state: RolloutState, revision: u64) {
-        let written = self.written.entry(backend.clone()).or_default();
-        if revision <= *written {
+    pub fn apply_state(
+        &mut self,
+        backend: &BackendName,
+        to: &VersionId,
+        state: RolloutState,
+        revision: StoreRevision,
+    ) {
+        let written = self.written.get(backend).copied();
+        if written.is_some_and(|written| revision <= written) {
             return;
         }
-        *written = revision;
+        self.written.insert(backend.clone(), revision);
         // A state that is older than the order belongs to an earlier order.
         let current = self
             .by_backend
@@ -450,7 +456,7 @@
                 backend: backend.clone(),
                 order: rollout.order.clone(),
                 state: due_state,
-                expected: self.written.get(backend).copied().unwrap_or_default(),
+                expected: self.written.get(backend).copied(),
             });
         }
         decisions
--- a/crates/dispatch/tests/pace.rs
+++ b/crates/dispatch/tests/pace.rs
@@ -2,7 +2,7 @@
 
 use carawayseam_dispatch::pace::ResponseTime;
 use carawayseam_dispatch::rollouts::{Order, RolloutState, Rollouts, VersionRule};
-use carawayseam_types::{BackendName, EngineId, HostId, Millis, VersionId};
+use carawayseam_types::{BackendName, EngineId, HostId, Millis, StoreEra, StoreRevision, VersionId};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -23,6 +23,10 @@
     "guides".parse().expect("a valid name")
 }
 
+const fn revision(number: u64) -> StoreRevision {
+    StoreRevision::new(StoreEra(1), number)
+}
+
 fn version(name: &str) -> VersionId {
     name.parse().expect("a valid name")
 }
@@ -88,12 +92,12 @@
             rollouts.record_pace(&backend(), &version("v1"), &engine, time);
         }
         let order = Order {
-            revision: 10,
+            revision: revision(10),
             to: version("v2"),
             within: Millis(WITHIN_MS),
         };
         rollouts.apply_order(Millis(0), backend(), order);
-        rollouts.apply_state(&backend(), &version("v2"), RolloutState::Running, 11);
+        rollouts.apply_state(&backend(), &version("v2"), RolloutState::Running, revision(11));
         Self { rollouts, draws }
     }
 
--- a/crates/dispatch/tests/rollouts.rs
+++ b/crates/dispatch/tests/rollouts.rs
@@ -3,7 +3,7 @@
 use carawayseam_dispatch::rollouts::{
     Decision, Evidence, Order, RolloutState, RolloutUpdate, Rollouts, VersionRule,
 };
-use carawayseam_types::{BackendName, HostId, Millis, VersionId};
+use carawayseam_types::{BackendName, HostId, Millis, StoreEra, StoreRevision, VersionId};
 
 const WITHIN_MS: u64 = 12_000;
 /// A draw within the canary share.
@@ -19,9 +19,14 @@
     name.parse().expect("a valid name")
 }
 
+/// A revision of the era in which the tests begin.
+const fn revision(number: u64) -> StoreRevision {
+    StoreRevision::new(StoreEra(1), number)
+}
+
 fn order() -> Order {
     Order {
-        revision: 10,
+        revision: revision(10),
         to: version("v2"),
         within: Millis(WITHIN_MS),
     }
@@ -49,7 +54,12 @@
         #[test]
         fn $name() {
             let mut rollouts = rollouts_with_order();
-            rollouts.apply_state(&backend(), &version("v2"), RolloutState::Running, 11);
+            rollouts.apply_state(
+                &backend(),
+                &version("v2"),
+                RolloutState::Running,
+                revision(11),
+            );
             let (good, bad) = $new;
             record_responses(&mut rollouts, "v2", good, bad);
             let (good, bad) = $old;
@@ -70,7 +80,7 @@
 fn the_first_state_of_an_order_is_running() {
     let mut rollouts = rollouts_with_order();
     assert_eq!(decided_state(&mut rollouts, 10), Some(RolloutState::Running));
-    rollouts.apply_state(&backend(), &version("v2"), RolloutState::Running, 11);
+    rollouts.apply_state(&backend(), &version("v2"), RolloutState::Running, revision(11));
     assert_eq!(decided_state(&mut rollouts, 20), None);
 }
 
@@ -85,9 +95,12 @@
 #[test]
 fn a_decision_expects_the_revision_of_the_known_state() {
     let mut rollouts = rollouts_with_order();
-    rollouts.apply_state(&backend(), &version("v2"), RolloutState::Running, 11);
+    rollouts.apply_state(&backend(), &version("v2"), RolloutState::Running, revision(11));
     record_responses(&mut rollouts, "v2", 0, 5);
-    assert_eq!(rollouts.due_decisions(Millis(100), 0)[0].expected, 11);
+    assert_eq!(
+        rollouts.due_decisions(Millis(100), 0)[0].expected,
+        Some(revision(11))
+    );
 }
 
 #[test]
@@ -119,7 +132,7 @@
 #[test]
 fn a_complete_rollout_applies_without_the_store() {
     let mut rollouts = rollouts_with_order();
-    rollouts.apply_state(&backend(), &version("v2"), RolloutState::Complete, 12);
+    rollouts.apply_state(&backend(), &version("v2"), RolloutState::Complete, revision(12));
     let rule = rollouts.version_rule(Millis(WITHIN_MS + 1), &backend(), false, OTHER_DRAW);
     assert_eq!(rule, VersionRule::Only(version("v2")));
 }
@@ -128,7 +141,7 @@
 fn the_state_of_an_earlier_order_is_ignored() {
     let mut rollouts = Rollouts::default();
     rollouts.apply_order(Millis(0), backend(), order());
-    rollouts.apply_state(&backend(), &version("v2"), RolloutState::Complete, 4);
+    rollouts.apply_state(&backend(), &version("v2"), RolloutState::Complete, revision(4));
     let rule = rollouts.version_rule(Millis(10), &backend(), true, OTHER_DRAW);
     assert_eq!(rule, VersionRule::Not(version("v2")));
 }
@@ -136,7 +149,7 @@
 #[test]
 fn the_evidence_of_all_hosts_is_added_up() {
     let mut rollouts = rollouts_with_order();
-    rollouts.apply_state(&backend(), &version("v2"), RolloutState::Running, 11);
+    rollouts.apply_state(&backend(), &version("v2"), RolloutState::Running, revision(11));
     for name in ["a", "b", "c", "d"] {
         let host: HostId = name.parse().expect("a valid name");
         let mut peer_rollouts = rollouts_with_order();
@@ -156,12 +169,12 @@
     rollouts.apply_order(Millis(50_000), backend(), order());
     let updates = RolloutUpdate {
         backend: backend(),
-        revision: 10,
+        revision: revision(10),
         elapsed: Millis(11_800),
         evidence: Evidence::default(),
     };
     rollouts.record_peer_update(Millis(50_010), &"peer".parse().expect("a valid name"), &updates);
-    rollouts.apply_state(&backend(), &version("v2"), RolloutState::Running, 11);
+    rollouts.apply_state(&backend(), &version("v2"), RolloutState::Running, revision(11));
     assert_eq!(
         decided_state(&mut rollouts, 50_020),
         Some(RolloutState::RolledBack)
@@ -174,9 +187,9 @@
 #[test]
 fn the_state_of_a_second_rollout_replaces_that_of_the_first() {
     let mut rollouts = rollouts_with_order();
-    rollouts.apply_state(&backend(), &version("v2"), RolloutState::Complete, 14);
+    rollouts.apply_state(&backend(), &version("v2"), RolloutState::Complete, revision(14));
     let second_order = Order {
-        revision: 20,
+        revision: revision(20),
         to: version("v3"),
         within: Millis(WITHIN_MS),
     };
@@ -186,5 +199,5 @@
         .iter()
         .map(|decision| (decision.state, decision.expected))
         .collect();
-    assert_eq!(first, [(RolloutState::Running, 14)]);
+    assert_eq!(first, [(RolloutState::Running, Some(revision(14)))]);
 }
--- a/crates/gateway/src/control/registration.rs
+++ b/crates/gateway/src/control/registration.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
-use crate::platform::{LeaseId, Store, StoreError, StoreKeys};
+use crate::platform::{Lease, PutCondition, Store, StoreError, StoreKeys};
 use crate::shared::{Phase, Shared};
 
 /// The lease of a host's registration ends if it is not renewed within this time.
@@ -60,23 +60,29 @@
         }
     }
     if let Some(lease) = lease
-        && let Err(e) = store.revoke_lease(lease).await
+        && let Err(e) = unregister(&mut store, lease).await
     {
         log::debug!("the registration was not ended: {e}");
     }
 }
 
+/// Ends a registration, unless its lease was granted before the store was restored.
+async fn unregister<S: Store>(store: &mut S, lease: Lease) -> Result<(), StoreError> {
+    store.renew_lease(lease).await?;
+    store.revoke_lease(lease).await
+}
+
 async fn renew_or_register<S: Store>(
     store: &mut S,
-    lease: Option<LeaseId>,
+    lease: Option<Lease>,
     key: &str,
     value: &[u8],
-) -> Result<LeaseId, StoreError> {
+) -> Result<Lease, StoreError> {
     if let Some(lease) = lease {
         store.renew_lease(lease).await?;
         return Ok(lease);
     }
     let lease = store.grant_lease(REGISTRATION_TTL).await?;
-    store.put(key, value, None, Some(lease)).await?;
+    store.put(key, value, PutCondition::Always, Some(lease)).await?;
     Ok(lease)
 }
--- a/crates/gateway/src/control/rollouts.rs
+++ b/crates/gateway/src/control/rollouts.rs
@@ -5,7 +5,7 @@
 use carawayseam_dispatch::rollouts::Decision;
 use tokio::sync::mpsc::UnboundedReceiver;
 
-use crate::platform::{Platform, RolloutStatus, Store, StoreError};
+use crate::platform::{Platform, PutCondition, RolloutStatus, Store, StoreError};
 use crate::shared::Shared;
 
 /// Writes rollout decisions to the store as they are made, until the control state ends.
@@ -28,7 +28,10 @@
             state: decision.state,
         };
         let value = platform.encode_rollout_status(&status);
-        let outcome = match store.put(&key, &value, Some(decision.expected), None).await {
+        let condition = decision
+            .expected
+            .map_or(PutCondition::IsMissing, PutCondition::HasRevision);
+        let outcome = match store.put(&key, &value, condition, None).await {
             Ok(_) => "written".to_owned(),
             Err(StoreError::Conflict) => "another host wrote first".to_owned(),
             Err(e) => e.to_string(),
@@ -37,7 +40,7 @@
             backend:% = status.backend,
             version:% = status.to,
             state:% = status.state,
-            expected_revision = decision.expected,
+            expected_revision = decision.expected.map(|revision| revision.to_string()),
             outcome = outcome.as_str();
             "rollout decided"
         );
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -13,7 +13,7 @@
 use carawayseam_dispatch::rollouts::{Decision, Order};
 use carawayseam_dispatch::{Catalog, EngineEntry};
 use carawayseam_node::LogRevision;
-use carawayseam_types::{EngineId, HostId, Incarnation, Millis, ZoneId};
+use carawayseam_types::{EngineId, HostId, Incarnation, Millis, StoreRevision, ZoneId};
 use carawayseam_wire::Heartbeat;
 use kameo::Actor;
 use kameo::message::{Context, Message};
@@ -54,9 +54,15 @@
         keep_until: Option<Millis>,
     },
     /// The operator ordered a rollout.
-    RolloutOrdered { order: RolloutOrder, revision: u64 },
+    RolloutOrdered {
+        order: RolloutOrder,
+        revision: StoreRevision,
+    },
     /// The status of a rollout in the store changed.
-    RolloutStatusChanged { status: RolloutStatus, revision: u64 },
+    RolloutStatusChanged {
+        status: RolloutStatus,
+        revision: StoreRevision,
+    },
     /// All hosts that the store lists.
     HostsListed(Vec<HostEntry>),
     /// A host registered itself.
@@ -174,15 +180,15 @@
         }
     }
 
-    fn apply_rollout_order(&self, now: Millis, order: RolloutOrder, revision: u64) {
-        log::info!(backend:% = order.backend, version:% = order.to, within_ms = order.within.0, order = revision; "rollout ordered");
+    fn apply_rollout_order(&self, now: Millis, order: RolloutOrder, revision: StoreRevision) {
+        log::info!(backend:% = order.backend, version:% = order.to, within_ms = order.within.0, order:% = revision; "rollout ordered");
         let RolloutOrder { backend, to, within } = order;
         let order = Order { revision, to, within };
         lock(&self.shared.rollouts).apply_order(now, backend, order);
     }
 
-    fn apply_rollout_status(&self, status: &RolloutStatus, revision: u64) {
-        log::info!(backend:% = status.backend, version:% = status.to, state:% = status.state, item = revision; "rollout status changed");
+    fn apply_rollout_status(&self, status: &RolloutStatus, revision: StoreRevision) {
+        log::info!(backend:% = status.backend, version:% = status.to, state:% = status.state, item:% = revision; "rollout status changed");
         lock(&self.shared.rollouts).apply_state(&status.backend, &status.to, status.state, revision);
     }
 
--- a/crates/gateway/src/control/store_follower.rs
+++ b/crates/gateway/src/control/store_follower.rs
@@ -6,7 +6,7 @@
 use carawayseam_dispatch::Catalog;
 use carawayseam_dispatch::history::History;
 use carawayseam_dispatch::outage::Outage;
-use carawayseam_types::{HostId, Millis};
+use carawayseam_types::{HostId, Millis, StoreEra, StoreRevision};
 use carawayseam_wire::{PeerMessage, PeerResponse, StoreChanges, decode};
 use compact_str::CompactString;
 use kameo::actor::ActorRef;
@@ -55,6 +55,7 @@
         let Err(e) = follower.list_and_watch(&mut retry_delay).await;
         match e {
             StoreError::HistoryGone => log::info!("the store dropped its history; listing again"),
+            StoreError::Restored => log::info!("the store was restored; listing again"),
             e => {
                 follower.record_failure(&e);
                 sleep(retry_delay.to_duration()).await;
@@ -90,6 +91,8 @@
     Partial,
     /// The peer has no usable changes.
     Unavailable,
+    /// The peer knows that the store was restored.
+    LaterEra,
 }
 
 /// The success type of a loop that only ends with an error.
@@ -98,7 +101,7 @@
 impl<P: Platform> StoreFollower<P> {
     async fn list_and_watch(&mut self, retry_delay: &mut Millis) -> Result<Never, StoreError> {
         let sent_at = self.shared.now();
-        let mut revision = u64::MAX;
+        let mut revision = None;
         let configuration = self
             .list_all(&self.keys.configuration_key.clone(), &mut revision)
             .await?;
@@ -114,7 +117,12 @@
         let states = self
             .list_all(&self.keys.rollout_status_prefix.clone(), &mut revision)
             .await?;
+        let revision = revision.unwrap_or_default();
+        if revision.era < *self.shared.store_era.borrow() {
+            return Err(StoreError::NotApplied("a listing of an earlier era".into()));
+        }
         self.record_response();
+        self.begin_era(revision.era);
         for item in configuration.into_iter().chain(orders).chain(states) {
             self.apply_put(&item);
         }
@@ -127,17 +135,28 @@
         let hosts = hosts.iter().filter_map(|item| self.decode_host(item)).collect();
         self.send_event(Event::HostsListed(hosts));
         lock(&self.shared.store_history).changes = History::since(revision);
-        log::info!(revision = revision, era:% = self.store.era(); "store listed");
+        log::info!(revision:% = revision; "store listed");
         self.send_event(Event::Confirmed { sent_at });
         self.follow(retry_delay).await
     }
 
-    async fn list_all(&mut self, prefix: &str, revision: &mut u64) -> Result<Vec<Item>, StoreError> {
+    /// Lists all items of a prefix, and lowers `revision` to that of the listing.
+    ///
+    /// Fails if the store was restored since the listing that `revision` is of.
+    async fn list_all(
+        &mut self,
+        prefix: &str,
+        revision: &mut Option<StoreRevision>,
+    ) -> Result<Vec<Item>, StoreError> {
         let mut items: Vec<Item> = Vec::new();
         loop {
             let after = items.last().map(|item| item.key.clone()).unwrap_or_default();
             let page = self.store.list(prefix, &after).await?;
-            *revision = page.revision.min(*revision);
+            let listed = *revision.get_or_insert(page.revision);
+            if listed.era != page.revision.era {
+                return Err(StoreError::Restored);
+            }
+            *revision = Some(listed.min(page.revision));
             items.extend(page.items);
             if !page.has_more {
                 return Ok(items);
@@ -149,7 +168,7 @@
     /// one of them or none of them responds.
     async fn follow(&mut self, retry_delay: &mut Millis) -> Result<Never, StoreError> {
         loop {
-            if self.poll_peers(PeerSet::StoreSources).await {
+            if self.poll_peers(PeerSet::StoreSources).await? {
                 *retry_delay = MIN_RETRY_DELAY;
                 sleep(PEER_POLL_INTERVAL.to_duration()).await;
                 continue;
@@ -166,11 +185,11 @@
                     self.confirm(current, sent_at);
                     sleep(self.batch_delay().to_duration()).await;
                 }
-                Err(StoreError::HistoryGone) => return Err(StoreError::HistoryGone),
+                Err(e @ (StoreError::HistoryGone | StoreError::Restored)) => return Err(e),
                 Err(e) => {
                     self.record_failure(&e);
                     // The store may be unavailable to this host only.
-                    self.poll_peers(PeerSet::AnyReachable).await;
+                    self.poll_peers(PeerSet::AnyReachable).await?;
                     sleep(retry_delay.to_duration()).await;
                     *retry_delay = retry_delay.times(2).min(MAX_RETRY_DELAY);
                 }
@@ -179,7 +198,9 @@
     }
 
     /// Polls peers in turn; returns whether one of them sent all changes that it knows.
-    async fn poll_peers(&mut self, peer_set: PeerSet) -> bool {
+    ///
+    /// Fails if one of them knows a later era of the store.
+    async fn poll_peers(&mut self, peer_set: PeerSet) -> Result<bool, StoreError> {
         let peers = match peer_set {
             PeerSet::StoreSources => self.shared.peers.store_sources(),
             PeerSet::AnyReachable => self.shared.peers.reachable_peers(MAX_FALLBACK_PEERS),
@@ -187,13 +208,14 @@
         for peer in peers {
             while let Some(result) = self.poll_peer(&peer, peer_set).await {
                 match result {
-                    PollResult::Complete => return true,
+                    PollResult::Complete => return Ok(true),
                     PollResult::Partial => {}
                     PollResult::Unavailable => break,
+                    PollResult::LaterEra => return Err(StoreError::Restored),
                 }
             }
         }
-        false
+        Ok(false)
     }
 
     async fn poll_peer(&mut self, peer: &HostId, peer_set: PeerSet) -> Option<PollResult> {
@@ -209,9 +231,18 @@
             .peers
             .request(peer, updates::REQUEST_TIMEOUT, updates::REQUEST_ATTEMPTS, message)
             .await;
-        let Some(PeerResponse::Changes(batch)) = response else {
-            self.shared.metrics.count("store_asks", "unanswered");
-            return None;
+        let batch = match response {
+            Some(PeerResponse::Changes(batch)) => batch,
+            Some(PeerResponse::OtherEra(era)) if era > after.era => {
+                self.shared.metrics.count("store_asks", "later-era");
+                log::info!(peer:% = peer, era:% = era, known:% = after; "a peer knows a later era of the store");
+                return Some(PollResult::LaterEra);
+            }
+            Some(PeerResponse::OtherEra(_)) => None,
+            _ => {
+                self.shared.metrics.count("store_asks", "unanswered");
+                return None;
+            }
         };
         let Some(batch) = batch else {
             self.shared.metrics.count("store_asks", "not-known");
@@ -230,7 +261,7 @@
             self.record_recovery(recovered);
         }
         // After an item that cannot be read, the next poll requests it and the later changes again.
-        match self.apply_batch(requested_at, peer, batch).await {
+        match self.apply_batch(requested_at, peer, after.era, batch).await {
             Ok(()) => Some(result),
             Err(e) => {
                 self.record_failure(&e);
@@ -243,11 +274,12 @@
         &mut self,
         requested_at: Millis,
         peer: &HostId,
+        era: StoreEra,
         batch: StoreChanges,
     ) -> Result<(), StoreError> {
         for change in batch.changes {
-            let revision = change.revision;
-            let change = match updates::from_wire(change) {
+            let revision = StoreRevision::new(era, change.revision);
+            let change = match updates::from_wire(era, change) {
                 PeerChange::Full(change) => Some(change),
                 PeerChange::Large(key) => self.read_item(peer, &key, revision).await?.map(Change::Put),
             };
@@ -256,15 +288,11 @@
                 self.apply_change(revision, change);
             }
         }
+        let end = StoreRevision::new(era, batch.end_revision);
         if batch.is_complete {
-            self.confirm(
-                batch.end_revision,
-                Millis(requested_at.0.saturating_sub(batch.age.0)),
-            );
+            self.confirm(end, Millis(requested_at.0.saturating_sub(batch.age.0)));
         } else {
-            lock(&self.shared.store_history)
-                .changes
-                .advance(batch.end_revision);
+            lock(&self.shared.store_history).changes.advance(end);
         }
         Ok(())
     }
@@ -274,9 +302,10 @@
         &mut self,
         peer: &HostId,
         key: &CompactString,
-        revision: u64,
+        revision: StoreRevision,
     ) -> Result<Option<Item>, StoreError> {
         match self.store.list(key, "").await {
+            Ok(page) if page.revision.era != revision.era => Err(StoreError::Restored),
             Ok(page) => Ok(page.items.into_iter().find(|item| item.key == *key)),
             Err(e) => match updates::fetch_item(&self.shared, peer, key, revision).await {
                 Some(item) => Ok(Some(item)),
@@ -286,13 +315,13 @@
     }
 
     /// Returns the revision up to which this host knows all changes.
-    fn revision(&self) -> u64 {
+    fn revision(&self) -> StoreRevision {
         lock(&self.shared.store_history).changes.end()
     }
 
     /// Records that all changes up to `revision` are known, and that it was the newest revision at
     /// `sent_at`.
-    fn confirm(&self, revision: u64, sent_at: Millis) {
+    fn confirm(&self, revision: StoreRevision, sent_at: Millis) {
         let mut history = lock(&self.shared.store_history);
         history.changes.advance(revision);
         history.keep_until = self.outage.keep_until(self.shared.now());
@@ -300,6 +329,24 @@
         self.send_event(Event::Confirmed { sent_at });
     }
 
+    /// Begins the era of a listing, if it is later than the known one.
+    ///
+    /// Entries that the copy lacks are written again soon, like those that expired during an outage.
+    fn begin_era(&mut self, era: StoreEra) {
+        let known = *self.shared.store_era.borrow();
+        self.shared.store_era.send_if_modified(|current| {
+            let is_later = era > *current;
+            *current = era.max(*current);
+            is_later
+        });
+        let is_first = lock(&self.shared.store_history).changes.end() == History::<Change>::unknown().end();
+        if era > known && !is_first {
+            self.shared.metrics.count("store_eras", "begun");
+            log::warn!(era:% = era, known:% = known; "the store was restored from a copy");
+            self.outage.on_restored(self.shared.now());
+        }
+    }
+
     fn batch_delay(&self) -> Millis {
         let hosts = self.shared.store_followers.load(Ordering::Relaxed);
         let time = BATCH_DELAY + BATCH_DELAY_PER_FOLLOWER.times(u64::from(hosts));
@@ -307,7 +354,7 @@
     }
 
     /// Applies a change and records it under `revision` in the history for peers.
-    fn apply_change(&self, revision: u64, change: Change) {
+    fn apply_change(&self, revision: StoreRevision, change: Change) {
         match &change {
             Change::Put(item) => self.apply_put(item),
             Change::Removed { key, .. } => self.apply_removal(key),
--- a/crates/gateway/src/control/updates.rs
+++ b/crates/gateway/src/control/updates.rs
@@ -6,8 +6,8 @@
 //! the received state was still the newest.
 
 use bytes::Bytes;
-use carawayseam_dispatch::history::HistoryPage;
-use carawayseam_types::{HostId, Millis};
+use carawayseam_dispatch::history::{ChangesAfter, HistoryPage};
+use carawayseam_types::{HostId, Millis, StoreEra, StoreRevision};
 use carawayseam_wire::{ItemChunk, PeerMessage, PeerResponse, StoreChange, StoreChangeKind, StoreChanges};
 use compact_str::CompactString;
 
@@ -32,14 +32,14 @@
 #[derive(Debug)]
 pub(super) struct ChunkRange {
     pub(super) key: CompactString,
-    pub(super) revision: u64,
+    pub(super) revision: StoreRevision,
     /// The byte offset of the chunk in the item's value.
     pub(super) offset: u32,
 }
 
 /// Sends a host the changes of the store after the revision that it requested.
-pub(super) fn send(shared: &Shared, host: &HostId, request_id: u64, after: u64) {
-    let response = PeerResponse::Changes(changes_after(shared, after));
+pub(super) fn send(shared: &Shared, host: &HostId, request_id: u64, after: StoreRevision) {
+    let response = changes_after(shared, after);
     shared
         .peers
         .send(host, &PeerMessage::Response { request_id, response });
@@ -75,7 +75,7 @@
     shared: &Shared,
     peer: &HostId,
     key: &CompactString,
-    revision: u64,
+    revision: StoreRevision,
 ) -> Option<Item> {
     let mut value = Vec::new();
     loop {
@@ -109,36 +109,48 @@
     })
 }
 
-/// Returns the changes after a revision, or `None` if this host's state is not confirmed recently
-/// enough, if it should come from the store but does not, or if its history does not reach back to that revision.
-fn changes_after(shared: &Shared, after: u64) -> Option<StoreChanges> {
-    if is_rejected_follower(shared) {
-        return None;
-    }
-    // The age is read before the history: the history can only gain changes in between, so it is
-    // complete up to the time of the confirmation.
-    let age = shared
-        .configuration_age()
-        .filter(|age| *age <= MAX_CONFIRMATION_AGE)?;
+/// Returns the changes after a revision.
+///
+/// There are none if this host's state is not confirmed recently enough, if it should come from the store but
+/// does not, or if its history does not reach back to that revision.
+fn changes_after(shared: &Shared, after: StoreRevision) -> PeerResponse {
+    let Some(age) = confirmed_age(shared) else {
+        return PeerResponse::Changes(None);
+    };
     let history = lock(&shared.store_history);
-    let own_end = history.changes.end();
-    if after > own_end {
-        shared.metrics.count("store_answers", "asked-ahead");
-        log::info!(asked = after, known = own_end; "a peer asked for changes after a revision that this host does not know");
-    }
+    let page = match history.changes.after(after, MAX_CHANGES_BYTES, encoded_size) {
+        ChangesAfter::Page(page) => page,
+        ChangesAfter::NotKept => return PeerResponse::Changes(None),
+        ChangesAfter::OtherEra(era) => {
+            shared.metrics.count("store_answers", "other-era");
+            return PeerResponse::OtherEra(era);
+        }
+    };
     let HistoryPage {
         end,
         is_complete,
         changes,
-    } = history.changes.after(after, MAX_CHANGES_BYTES, encoded_size)?;
+    } = page;
     let now = shared.now();
-    Some(StoreChanges {
+    PeerResponse::Changes(Some(StoreChanges {
         end_revision: end,
         is_complete,
         age,
         removal_grace: history.keep_until.map_or(Millis::ZERO, |until| until.since(now)),
         changes: changes.into_iter().map(to_wire).collect(),
-    })
+    }))
+}
+
+/// Returns the time since this host's state was confirmed, if it may vouch for it.
+fn confirmed_age(shared: &Shared) -> Option<Millis> {
+    if is_rejected_follower(shared) {
+        return None;
+    }
+    // The age is read before the history: the history can only gain changes in between, so it is
+    // complete up to the time of the confirmation.
+    shared
+        .configuration_age()
+        .filter(|age| *age <= MAX_CONFIRMATION_AGE)
 }
 
 /// Returns whether this host should follow the store for others, but cannot reach it.
@@ -190,8 +202,9 @@
     Large(CompactString),
 }
 
-pub(super) fn from_wire(change: StoreChange) -> PeerChange {
+pub(super) fn from_wire(era: StoreEra, change: StoreChange) -> PeerChange {
     let StoreChange { key, revision, kind } = change;
+    let revision = StoreRevision::new(era, revision);
     match kind {
         StoreChangeKind::Put(value) => PeerChange::Full(Change::Put(Item {
             key,
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -6,7 +6,9 @@
 use carawayseam_dispatch::engine::PromptPart;
 use carawayseam_dispatch::rollouts::RolloutState;
 use carawayseam_dispatch::{Configuration, EngineEntry};
-use carawayseam_types::{BackendName, EngineId, Millis, OrganisationId, RequestRate, StoreEra, VersionId};
+use carawayseam_types::{
+    BackendName, EngineId, Millis, OrganisationId, RequestRate, StoreEra, StoreRevision, VersionId,
+};
 use compact_str::CompactString;
 use hyper::HeaderMap;
 
@@ -194,7 +196,7 @@
     /// The value.
     pub value: Bytes,
     /// The store's revision at the item's last change.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 /// A change in the store.
@@ -207,14 +209,14 @@
         /// The item's key.
         key: CompactString,
         /// The store's revision at the item's removal.
-        revision: u64,
+        revision: StoreRevision,
     },
 }
 
 impl Change {
     /// Returns the store's revision at the change.
     #[must_use]
-    pub const fn revision(&self) -> u64 {
+    pub const fn revision(&self) -> StoreRevision {
         match self {
             Self::Put(item) => item.revision,
             Self::Removed { revision, .. } => *revision,
@@ -230,12 +232,17 @@
     /// Whether more items follow.
     pub has_more: bool,
     /// The store's revision at the listing.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
-/// The id of a lease in the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
-pub struct LeaseId(pub u64);
+/// A lease in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Lease {
+    /// The era in which the store granted the lease; a restored store gives out ids again.
+    pub era: StoreEra,
+    /// The lease's id in this era.
+    pub id: u64,
+}
 
 /// Why a call to the store failed.
 #[derive(Debug, derive_more::Display, derive_more::Error)]
@@ -249,6 +256,9 @@
     /// The store no longer has the changes that a watch requested.
     #[display("the store no longer has the requested history")]
     HistoryGone,
+    /// The store was restored from a copy since the state that the call relies on.
+    #[display("the store was restored from a copy")]
+    Restored,
     /// The condition of a write does not hold.
     #[display("the condition of the write does not hold")]
     Conflict,
@@ -260,41 +270,52 @@
     Unreadable(#[error(not(source))] CompactString),
 }
 
+/// The condition of a write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PutCondition {
+    /// None.
+    Always,
+    /// The item does not exist.
+    IsMissing,
+    /// The item has this revision.
+    HasRevision(StoreRevision),
+}
+
 /// A client of the deployment's store.
 pub trait Store: Send + 'static {
-    /// Returns the era in the last response; 0 before the first.
-    fn era(&self) -> StoreEra;
-
     /// Lists the items whose keys begin with `prefix` and follow the key `after`.
     fn list(&mut self, prefix: &str, after: &str) -> impl Future<Output = Result<Page, StoreError>> + Send;
 
     /// Waits up to `wait` for changes after a revision.
     ///
-    /// Returns the changes and the revision from which to continue.
+    /// Returns the changes and the revision from which to continue. Fails with [`StoreError::Restored`] if
+    /// the store is no longer in the revision's era.
     fn watch(
         &mut self,
         prefix: &str,
-        after: u64,
+        after: StoreRevision,
         wait: Millis,
-    ) -> impl Future<Output = Result<(Vec<Change>, u64), StoreError>> + Send;
+    ) -> impl Future<Output = Result<(Vec<Change>, StoreRevision), StoreError>> + Send;
 
-    /// Writes an item if it has the expected revision; 0 expects that the item does not exist.
+    /// Writes an item under a condition.
     ///
-    /// Without an expected revision it writes unconditionally. Returns the new revision.
+    /// Returns the new revision.
     fn put(
         &mut self,
         key: &str,
         value: &[u8],
-        expected: Option<u64>,
-        lease: Option<LeaseId>,
-    ) -> impl Future<Output = Result<u64, StoreError>> + Send;
+        condition: PutCondition,
+        lease: Option<Lease>,
+    ) -> impl Future<Output = Result<StoreRevision, StoreError>> + Send;
 
     /// Acquires a lease.
-    fn grant_lease(&mut self, ttl: Millis) -> impl Future<Output = Result<LeaseId, StoreError>> + Send;
+    fn grant_lease(&mut self, ttl: Millis) -> impl Future<Output = Result<Lease, StoreError>> + Send;
 
-    /// Renews a lease.
-    fn renew_lease(&mut self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>> + Send;
+    /// Renews a lease; fails with [`StoreError::NoSuchLease`] if it was granted in an earlier era.
+    fn renew_lease(&mut self, lease: Lease) -> impl Future<Output = Result<(), StoreError>> + Send;
 
     /// Revokes a lease, which removes the items attached to it.
-    fn revoke_lease(&mut self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>> + Send;
+    ///
+    /// The lease must be of the store's era: an earlier one may have the id of another host's lease.
+    fn revoke_lease(&mut self, lease: Lease) -> impl Future<Output = Result<(), StoreError>> + Send;
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -13,7 +13,7 @@
 use carawayseam_dispatch::rollouts::Rollouts;
 use carawayseam_dispatch::server_limits::{ServerLimit, ServerLimits};
 use carawayseam_dispatch::{Action, AttemptEnd, Catalog, Dispatcher, Job, Ticket};
-use carawayseam_types::{Clock, EngineId, Millis, RequestRate, VersionId};
+use carawayseam_types::{Clock, EngineId, Millis, RequestRate, StoreEra, VersionId};
 use tokio::sync::{oneshot, watch};
 
 use crate::metrics::Metrics;
@@ -220,7 +220,7 @@
 impl Default for StoreHistory {
     fn default() -> Self {
         Self {
-            changes: History::since(u64::MAX),
+            changes: History::unknown(),
             keep_until: None,
         }
     }
@@ -251,6 +251,8 @@
     pub(crate) store_followers: AtomicU32,
     /// The changes of the store that peers may request.
     pub(crate) store_history: Mutex<StoreHistory>,
+    /// The era of the store's known state.
+    pub(crate) store_era: watch::Sender<StoreEra>,
     /// The time of the first of the latest successive failed readiness checks; `None` while ready.
     pub(crate) unready_since: Mutex<Option<Millis>>,
     /// The number of requests whose responses are not complete.
--- a/crates/wire/src/heartbeat.rs
+++ b/crates/wire/src/heartbeat.rs
@@ -1,6 +1,6 @@
 //! Heartbeats that gateway hosts exchange several times a second.
 
-use carawayseam_types::{BackendName, EngineId, EngineKey, HostId, Incarnation, Millis, Tier};
+use carawayseam_types::{BackendName, EngineId, EngineKey, HostId, Incarnation, Millis, StoreRevision, Tier};
 use serde::{Deserialize, Serialize};
 
 /// A host's heartbeat, which carries its load.
@@ -32,7 +32,7 @@
     /// The backend.
     pub backend: BackendName,
     /// The revision of the rollout order in the store.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The time elapsed since the order.
     pub elapsed: Millis,
     /// Responses of the new version.
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -1,6 +1,8 @@
 //! Datagrams between gateway hosts.
 
-use carawayseam_types::{BackendName, EngineId, EngineKey, HostId, Millis, OrganisationId, RequestRate};
+use carawayseam_types::{
+    BackendName, EngineId, EngineKey, HostId, Millis, OrganisationId, RequestRate, StoreEra, StoreRevision,
+};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
@@ -29,7 +31,7 @@
         /// The id of the request, which the response repeats.
         request_id: u64,
         /// The revision.
-        after: u64,
+        after: StoreRevision,
     },
     /// Requests a chunk of an item that is too large for a datagram.
     ItemChunkRequest {
@@ -40,7 +42,7 @@
         /// The item's key.
         key: CompactString,
         /// The revision of its change.
-        revision: u64,
+        revision: StoreRevision,
         /// The offset of the chunk in bytes.
         offset: u32,
     },
@@ -139,7 +141,7 @@
     /// The backend.
     pub backend: BackendName,
     /// The revision of the rollout order in the store.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Responses of the new version.
     pub new_all: u32,
     /// Slow and very slow responses of the new version.
@@ -193,6 +195,8 @@
     Chunk(Option<ItemChunk>),
     /// The result of a [`PeerMessage::PermitRequest`].
     Permit(PermitOutcome),
+    /// The requested changes are of another era of the store than the one that the host knows.
+    OtherEra(StoreEra),
 }
 
 /// A chunk of an item's value.
@@ -204,7 +208,7 @@
     pub bytes: Vec<u8>,
 }
 
-/// The changes of the store known to a host.
+/// The changes of the store known to a host, of the era that was requested.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreChanges {
     /// The revision up to which the changes are complete.
