Register a host again at once after the store was restored

Hosts whose registration the copy lacked were not listed until their next renewal, up to 2.5 s, and what hosts that started meanwhile knew of the group was too small.

Cause: the registration was looked at on a timer only.

Change: the registration watches the store's era.

--- a/crates/gateway/src/control/registration.rs
+++ b/crates/gateway/src/control/registration.rs
@@ -43,6 +43,7 @@
         }
     };
     let mut phase = shared.phase.subscribe();
+    let mut era = shared.store_era.subscribe();
     let mut lease = None;
     loop {
         let (new_lease, delay) = match renew_or_register(&mut store, lease, &key, &value).await {
@@ -56,6 +57,8 @@
         lease = new_lease;
         tokio::select! {
             () = sleep(delay.to_duration()) => {}
+            // A restored store may have lost the registration.
+            Ok(()) = era.changed() => {}
             _ = phase.wait_for(|phase| *phase != Phase::Serving) => break,
         }
     }
