Continue rollouts over a restore of the store

After a restore the store held an older status of a rollout, or none, and its order was written again under another revision. A host took the order for a new one: with all of its time again and no evidence, so that it did not end by its deadline; a lost outcome was never written again, and an order from before in the copy replaced the one in force.

Cause: orders and states are told apart by their revisions alone. The tests an_order_that_is_written_again_after_a_restore_continues_its_rollout, a_decided_state_that_a_restored_store_lost_is_written_again and an_earlier_order_in_the_copy_does_not_replace_a_later_one failed before.

Change: an order of a later era for the same version and time continues its rollout; an outcome that is decided stays so, and is written again unless the store has it; an order whose number is that of the replaced one or lower is from the copy.

--- a/crates/dispatch/src/rollouts.rs
+++ b/crates/dispatch/src/rollouts.rs
@@ -168,6 +168,8 @@
     peer_pace: HashMap<HostId, PaceReport>,
     pace: PaceEvidence,
     state: Option<RolloutState>,
+    /// Whether the store may have lost the decided state.
+    is_state_lost: bool,
     /// The state that is due to be written, and the time from which this host's write delay counts.
     due_write: Option<(RolloutState, Millis)>,
 }
@@ -208,6 +210,30 @@
         )
     }
 
+    /// Returns whether an order is this rollout's own, written again after the store was restored.
+    fn is_written_again(&self, order: &Order) -> bool {
+        let Order { revision, to, within } = &self.order;
+        revision.era < order.revision.era && *to == order.to && *within == order.within
+    }
+
+    /// Returns whether an order is one from before this rollout, which the copy of a restored store contains.
+    ///
+    /// A copy holds only revisions that were given out before it was made, so what it holds of an earlier
+    /// order has at most the number of the order that this one replaced.
+    fn is_older_copy(&self, order: &Order, replaced: Option<StoreRevision>) -> bool {
+        self.order.revision.era < order.revision.era
+            && replaced.is_some_and(|replaced| order.revision.number <= replaced.number)
+    }
+
+    /// Lets the state be written again unless it is read from the store.
+    fn expect_lost_state(&mut self) {
+        if self.is_decided() {
+            self.is_state_lost = true;
+        } else {
+            self.state = None;
+        }
+    }
+
     const fn is_complete(&self) -> bool {
         matches!(self.state, Some(RolloutState::Complete))
     }
@@ -227,7 +253,7 @@
     /// Returns the state that should be written now, if any.
     fn due_state(&self, now: Millis) -> Option<RolloutState> {
         match self.state {
-            _ if self.is_decided() => None,
+            state if self.is_decided() => state.filter(|_| self.is_state_lost),
             _ if self.shows_regression() => Some(RolloutState::RolledBack),
             _ if self.is_within_lead(now, DECISION_LEAD) && self.is_healthy() => Some(RolloutState::Complete),
             _ if self.is_within_lead(now, DECISION_LEAD) => Some(RolloutState::RolledBack),
@@ -258,19 +284,41 @@
     by_backend: BTreeMap<BackendName, Rollout>,
     /// The revision of each backend's stored state, which remains after its order is replaced.
     written: BTreeMap<BackendName, StoreRevision>,
+    /// The revision of the order that each backend's latest one has replaced.
+    replaced: BTreeMap<BackendName, StoreRevision>,
     /// How long the responses of each backend take, other than those of a version that is rolled out.
     pace_baselines: BTreeMap<BackendName, PaceBaseline>,
 }
 
 impl Rollouts {
+    /// Drops what only the lost state of a store contained that was restored from a copy.
+    ///
+    /// Rollouts and their evidence stay: the operator writes the orders again that the copy lacks, and the
+    /// hosts the states.
+    pub fn forget_stored_states(&mut self) {
+        self.written.clear();
+        for rollout in self.by_backend.values_mut() {
+            rollout.expect_lost_state();
+        }
+    }
+
     /// Starts the rollout of an order; a known or older order is ignored.
+    ///
+    /// An order that is written again after the store was restored continues its rollout.
     pub fn apply_order(&mut self, now: Millis, backend: BackendName, order: Order) {
-        let is_known = self
-            .by_backend
-            .get(&backend)
-            .is_some_and(|rollout| rollout.order.revision >= order.revision);
-        if is_known {
-            return;
+        let replaced = self.replaced.get(&backend).copied();
+        match self.by_backend.get_mut(&backend) {
+            Some(known) if known.order.revision >= order.revision => return,
+            Some(known) if known.is_written_again(&order) => {
+                known.order.revision = order.revision;
+                known.expect_lost_state();
+                return;
+            }
+            Some(known) if known.is_older_copy(&order, replaced) => return,
+            Some(known) => {
+                self.replaced.insert(backend.clone(), known.order.revision);
+            }
+            None => {}
         }
         let new_rollout = Rollout {
             order,
@@ -281,12 +329,15 @@
             peer_pace: HashMap::new(),
             pace: PaceEvidence::default(),
             state: None,
+            is_state_lost: false,
             due_write: None,
         };
         self.by_backend.insert(backend, new_rollout);
     }
 
     /// Applies the stored state of a rollout to a version.
+    ///
+    /// A decided state is not replaced by an earlier one, which a copy of the store may contain.
     pub fn apply_state(
         &mut self,
         backend: &BackendName,
@@ -304,8 +355,13 @@
             .by_backend
             .get_mut(backend)
             .filter(|rollout| rollout.order.to == *to && revision > rollout.order.revision);
-        if let Some(rollout) = current {
-            rollout.state = Some(state);
+        match current {
+            Some(rollout) if rollout.is_decided() && state == RolloutState::Running => {}
+            Some(rollout) => {
+                rollout.state = Some(state);
+                rollout.is_state_lost = false;
+            }
+            None => {}
         }
     }
 
--- a/crates/dispatch/tests/rollouts.rs
+++ b/crates/dispatch/tests/rollouts.rs
@@ -201,3 +201,109 @@
         .collect();
     assert_eq!(first, [(RolloutState::Running, Some(revision(14)))]);
 }
+
+/// A revision of the era after the store was restored from a copy.
+const fn restored(number: u64) -> StoreRevision {
+    StoreRevision::new(StoreEra(2), number)
+}
+
+fn order_at(revision: StoreRevision, name: &str) -> Order {
+    Order {
+        revision,
+        to: version(name),
+        within: Millis(WITHIN_MS),
+    }
+}
+
+/// Guards against a rollout that starts anew, with all of its time, because its order was written again.
+#[test]
+fn an_order_that_is_written_again_after_a_restore_continues_its_rollout() {
+    let mut rollouts = rollouts_with_order();
+    rollouts.apply_state(&backend(), &version("v2"), RolloutState::Running, revision(11));
+    record_responses(&mut rollouts, "v2", 0, 5);
+    rollouts.forget_stored_states();
+    rollouts.apply_order(Millis(9_000), backend(), order_at(restored(5), "v2"));
+    assert_eq!(
+        decided_state(&mut rollouts, 9_100),
+        Some(RolloutState::RolledBack)
+    );
+    let elapsed = rollouts.gossip_updates(Millis(9_100))[0].elapsed;
+    assert_eq!(elapsed, Millis(9_100));
+}
+
+/// Guards against a rollout whose outcome stays lost, so that the store says that it is running for ever.
+#[test]
+fn a_decided_state_that_a_restored_store_lost_is_written_again() {
+    let mut rollouts = rollouts_with_order();
+    rollouts.apply_state(&backend(), &version("v2"), RolloutState::Complete, revision(12));
+    rollouts.forget_stored_states();
+    rollouts.apply_state(&backend(), &version("v2"), RolloutState::Running, restored(7));
+    let rule = rollouts.version_rule(Millis(100), &backend(), true, OTHER_DRAW);
+    assert_eq!(
+        rule,
+        VersionRule::Only(version("v2")),
+        "the outcome stays in force"
+    );
+    let decisions = rollouts.due_decisions(Millis(100), 0);
+    assert_eq!(decisions[0].state, RolloutState::Complete);
+    assert_eq!(decisions[0].expected, Some(restored(7)));
+    rollouts.apply_state(&backend(), &version("v2"), RolloutState::Complete, restored(8));
+    assert_eq!(
+        decided_state(&mut rollouts, 5_000),
+        None,
+        "it is in the store again"
+    );
+}
+
+#[test]
+fn a_decided_state_that_the_copy_contains_is_not_written_again() {
+    let mut rollouts = rollouts_with_order();
+    rollouts.apply_state(&backend(), &version("v2"), RolloutState::Complete, revision(12));
+    rollouts.forget_stored_states();
+    rollouts.apply_order(Millis(100), backend(), order_at(restored(10), "v2"));
+    rollouts.apply_state(&backend(), &version("v2"), RolloutState::Complete, restored(12));
+    assert_eq!(decided_state(&mut rollouts, 5_000), None);
+}
+
+/// Guards against a rollout that yields to the order before it, which the copy of the store contains.
+#[test]
+fn an_earlier_order_in_the_copy_does_not_replace_a_later_one() {
+    let mut rollouts = rollouts_with_order();
+    rollouts.apply_state(&backend(), &version("v2"), RolloutState::Complete, revision(12));
+    rollouts.apply_order(Millis(20_000), backend(), order_at(revision(20), "v3"));
+    rollouts.forget_stored_states();
+    rollouts.apply_order(Millis(21_000), backend(), order_at(restored(10), "v2"));
+    let rule = rollouts.version_rule(Millis(21_000), &backend(), true, OTHER_DRAW);
+    assert_eq!(rule, VersionRule::Not(version("v3")));
+    rollouts.apply_order(Millis(22_000), backend(), order_at(restored(15), "v3"));
+    let elapsed = rollouts.gossip_updates(Millis(22_000))[0].elapsed;
+    assert_eq!(elapsed, Millis(2_000), "it continues");
+}
+
+#[test]
+fn a_new_order_after_a_restore_starts_a_rollout() {
+    let mut rollouts = rollouts_with_order();
+    rollouts.apply_state(&backend(), &version("v2"), RolloutState::Complete, revision(12));
+    rollouts.forget_stored_states();
+    rollouts.apply_order(Millis(20_000), backend(), order_at(restored(6), "v3"));
+    let rule = rollouts.version_rule(Millis(20_100), &backend(), true, OTHER_DRAW);
+    assert_eq!(rule, VersionRule::Not(version("v3")));
+}
+
+/// Guards against evidence of a peer that is dropped because the order has other revisions before and after a restore.
+#[test]
+fn evidence_counts_for_the_order_that_was_written_again() {
+    let update_after_restore = |name: &str| {
+        let mut rollouts = rollouts_with_order();
+        record_responses(&mut rollouts, name, 0, 5);
+        rollouts.forget_stored_states();
+        rollouts.apply_order(Millis(200), backend(), order_at(restored(4), "v2"));
+        rollouts
+    };
+    let mut rollouts = update_after_restore("v1");
+    let peer = update_after_restore("v2").gossip_updates(Millis(300));
+    rollouts.record_peer_update(Millis(300), &"peer".parse().expect("a valid name"), &peer[0]);
+    assert_eq!(rollouts.gossip_updates(Millis(300))[0].revision, restored(4));
+    let rule = rollouts.version_rule(Millis(300), &backend(), true, CANARY_DRAW);
+    assert_eq!(rule, VersionRule::Only(version("v2")), "both versions fail alike");
+}
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -35,6 +35,8 @@
 pub(crate) enum Event {
     /// The store holds this configuration.
     Configuration(Arc<Catalog>),
+    /// The store was restored from a copy; its state is listed next.
+    StoreRestored,
     /// At `sent_at`, when a call was sent, the known state of the store was still the newest.
     Confirmed { sent_at: Millis },
     /// All backend servers that the store lists.
@@ -138,6 +140,7 @@
         let now = self.shared.now();
         match event {
             Event::Configuration(catalog) => self.apply_configuration(catalog),
+            Event::StoreRestored => lock(&self.shared.rollouts).forget_stored_states(),
             Event::Confirmed { sent_at } => lock(&self.shared.freshness).confirm(sent_at),
             Event::EnginesListed { listed, keep_until } => self.replace_engines(now, listed, keep_until),
             Event::EngineChanged(entry) => self.update_engine(now, entry),
--- a/crates/gateway/src/control/store_follower.rs
+++ b/crates/gateway/src/control/store_follower.rs
@@ -344,6 +344,7 @@
             self.shared.metrics.count("store_eras", "begun");
             log::warn!(era:% = era, known:% = known; "the store was restored from a copy");
             self.outage.on_restored(self.shared.now());
+            self.send_event(Event::StoreRestored);
         }
     }
 
