Use no server that a restored store lists from before it drained or went

After a restore the store lists servers as they were when it was copied: those that have drained since as ready, and those that have gone.

Cause: an entry counted by what it says alone.

Change: the servers that the store lists are in dispatch::known_servers. A server that was listed as draining stays so until another start; one that was removed and is in a copy gets nothing until it writes its entry again.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -21,6 +21,7 @@
 //! | [`peers`] | the other hosts' heartbeats, and which of them are live |
 //! | [`hosts`] | the known hosts and their addresses |
 //! | [`history`] | the store's latest changes, for peers that follow the store through this host |
+//! | [`known_servers`] | the backend servers that the store lists, or listed lately |
 //! | [`draining_servers`] | backend servers that reported that they are draining |
 //! | [`server_limits`] | rate limits that backend servers reported |
 //! | [`load`] | the load that a host reports to peers and operators |
@@ -48,6 +49,7 @@
 pub mod history;
 pub mod hosts;
 mod job;
+pub mod known_servers;
 pub mod load;
 pub mod outage;
 pub mod pace;
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -9,6 +9,7 @@
 
 use carawayseam_dispatch::group::Group;
 use carawayseam_dispatch::hosts::Hosts;
+use carawayseam_dispatch::known_servers::{KnownServers, ListSource};
 use carawayseam_dispatch::peers::Peers;
 use carawayseam_dispatch::rollouts::{Decision, Order};
 use carawayseam_dispatch::{Catalog, EngineEntry};
@@ -44,6 +45,7 @@
     /// Known servers that are not listed stay until `keep_until`; without it they are removed at once.
     EnginesListed {
         listed: Vec<EngineEntry>,
+        source: ListSource,
         keep_until: Option<Millis>,
     },
     /// A backend server's entry changed.
@@ -86,15 +88,6 @@
     pub(crate) zone: ZoneId,
 }
 
-/// A backend server in the control state.
-#[derive(Debug)]
-struct KnownEngine {
-    entry: EngineEntry,
-    /// The time until which the engine is kept although its entry is missing after an outage of the
-    /// store.
-    missing_until: Option<Millis>,
-}
-
 /// The control state of the process.
 #[derive(Debug, Actor)]
 pub(crate) struct ControlState {
@@ -102,7 +95,7 @@
     incarnation: Incarnation,
     log_revision: LogRevision,
     decisions: UnboundedSender<Decision>,
-    engines: BTreeMap<EngineId, KnownEngine>,
+    engines: KnownServers,
     hosts: Hosts,
     /// The availability zone of each host that was ever listed.
     zones: BTreeMap<HostId, ZoneId>,
@@ -125,7 +118,7 @@
             incarnation,
             log_revision,
             decisions,
-            engines: BTreeMap::new(),
+            engines: KnownServers::default(),
             hosts: Hosts::default(),
             zones: BTreeMap::new(),
             peers: Peers::default(),
@@ -142,7 +135,15 @@
             Event::Configuration(catalog) => self.apply_configuration(catalog),
             Event::StoreRestored => lock(&self.shared.rollouts).forget_stored_states(),
             Event::Confirmed { sent_at } => lock(&self.shared.freshness).confirm(sent_at),
-            Event::EnginesListed { listed, keep_until } => self.replace_engines(now, listed, keep_until),
+            Event::EnginesListed {
+                listed,
+                source,
+                keep_until,
+            } => {
+                self.engines.replace(now, listed, source, keep_until);
+                log::info!(engines = self.engines.len(), after_outage = keep_until.is_some(); "backend servers listed");
+                self.update_engines(now);
+            }
             Event::EngineChanged(entry) => self.update_engine(now, entry),
             Event::EngineRemoved { engine, keep_until } => self.remove_engine(now, &engine, keep_until),
             Event::RolloutOrdered { order, revision } => self.apply_rollout_order(now, order, revision),
@@ -213,57 +214,28 @@
         }
     }
 
-    fn replace_engines(&mut self, now: Millis, listed: Vec<EngineEntry>, keep_until: Option<Millis>) {
-        for known in self.engines.values_mut() {
-            let until = keep_until.unwrap_or(now);
-            known.missing_until.get_or_insert(until);
-        }
-        for entry in listed {
-            let known = KnownEngine {
-                entry,
-                missing_until: None,
-            };
-            self.engines.insert(known.entry.id.clone(), known);
-        }
-        self.engines
-            .retain(|_, known| known.missing_until.is_none_or(|until| now < until));
-        log::info!(engines = self.engines.len(), after_outage = keep_until.is_some(); "backend servers listed");
-        self.update_engines(now);
-    }
-
     fn update_engine(&mut self, now: Millis, entry: EngineEntry) {
-        let updated = KnownEngine {
-            entry,
-            missing_until: None,
-        };
-        let id = updated.entry.id.clone();
-        let is_same = self
-            .engines
-            .get(&id)
-            .is_some_and(|known| known.entry == updated.entry && known.missing_until.is_none());
-        if is_same {
-            return;
+        let EngineEntry {
+            id,
+            is_draining,
+            version,
+            ..
+        } = entry.clone();
+        if self.engines.update(entry) {
+            log::info!(engine:% = id, leaving = is_draining, version:% = version; "backend server changed");
+            self.update_engines(now);
         }
-        log::info!(engine:% = id, leaving = updated.entry.is_draining, version:% = updated.entry.version; "backend server changed");
-        self.engines.insert(id, updated);
-        self.update_engines(now);
     }
 
     fn remove_engine(&mut self, now: Millis, engine: &EngineId, keep_until: Option<Millis>) {
         log::info!(engine:% = engine, after_outage = keep_until.is_some(); "backend server's entry removed");
-        match self.engines.get_mut(engine) {
-            Some(known) if keep_until.is_some() => {
-                known.missing_until = known.missing_until.or(keep_until);
-            }
-            _ => {
-                self.engines.remove(engine);
-                self.update_engines(now);
-            }
+        if self.engines.remove(now, engine, keep_until) {
+            self.update_engines(now);
         }
     }
 
     fn update_engines(&self, now: Millis) {
-        let entries = self.engines.values().map(|known| known.entry.clone()).collect();
+        let entries = self.engines.entries();
         let mut dispatch = lock(&self.shared.dispatch);
         let actions = dispatch.dispatcher.set_engines(now, entries);
         dispatch.apply(now, actions);
@@ -288,15 +260,9 @@
     }
 
     fn tick(&mut self, now: Millis) {
-        let expired: Vec<EngineId> = self
-            .engines
-            .iter()
-            .filter(|(_, known)| known.missing_until.is_some_and(|until| now >= until))
-            .map(|(id, _)| id.clone())
-            .collect();
+        let expired = self.engines.remove_expired(now);
         if !expired.is_empty() {
             log::info!(engines:? = expired; "backend servers were not listed again after the outage of the store; removed");
-            self.engines.retain(|id, _| !expired.contains(id));
             self.update_engines(now);
         }
         if self
@@ -315,7 +281,7 @@
             let engines = &self.engines;
             self.shared
                 .connections
-                .sweep(now, |engine| engines.contains_key(engine));
+                .sweep(now, |engine| engines.contains(engine));
         }
         let mut dispatch = lock(&self.shared.dispatch);
         let actions = dispatch.dispatcher.tick(now);
--- a/crates/gateway/src/control/store_follower.rs
+++ b/crates/gateway/src/control/store_follower.rs
@@ -5,6 +5,7 @@
 
 use carawayseam_dispatch::Catalog;
 use carawayseam_dispatch::history::History;
+use carawayseam_dispatch::known_servers::ListSource;
 use carawayseam_dispatch::outage::Outage;
 use carawayseam_types::{HostId, Millis, StoreEra, StoreRevision};
 use carawayseam_wire::{PeerMessage, PeerResponse, StoreChanges, decode};
@@ -122,7 +123,7 @@
             return Err(StoreError::NotApplied("a listing of an earlier era".into()));
         }
         self.record_response();
-        self.begin_era(revision.era);
+        let source = self.begin_era(revision.era);
         for item in configuration.into_iter().chain(orders).chain(states) {
             self.apply_put(&item);
         }
@@ -131,7 +132,11 @@
             .filter_map(|item| self.decode_engine(item))
             .collect();
         let keep_until = self.outage.keep_until(self.shared.now());
-        self.send_event(Event::EnginesListed { listed, keep_until });
+        self.send_event(Event::EnginesListed {
+            listed,
+            source,
+            keep_until,
+        });
         let hosts = hosts.iter().filter_map(|item| self.decode_host(item)).collect();
         self.send_event(Event::HostsListed(hosts));
         lock(&self.shared.store_history).changes = History::since(revision);
@@ -329,10 +334,10 @@
         self.send_event(Event::Confirmed { sent_at });
     }
 
-    /// Begins the era of a listing, if it is later than the known one.
+    /// Begins the era of a listing, if it is later than the known one; returns what the listing is based on.
     ///
     /// Entries that the copy lacks are written again soon, like those that expired during an outage.
-    fn begin_era(&mut self, era: StoreEra) {
+    fn begin_era(&mut self, era: StoreEra) -> ListSource {
         let known = *self.shared.store_era.borrow();
         self.shared.store_era.send_if_modified(|current| {
             let is_later = era > *current;
@@ -340,12 +345,14 @@
             is_later
         });
         let is_first = lock(&self.shared.store_history).changes.end() == History::<Change>::unknown().end();
-        if era > known && !is_first {
-            self.shared.metrics.count("store_eras", "begun");
-            log::warn!(era:% = era, known:% = known; "the store was restored from a copy");
-            self.outage.on_restored(self.shared.now());
-            self.send_event(Event::StoreRestored);
+        if era <= known || is_first {
+            return ListSource::Latest;
         }
+        self.shared.metrics.count("store_eras", "begun");
+        log::warn!(era:% = era, known:% = known; "the store was restored from a copy");
+        self.outage.on_restored(self.shared.now());
+        self.send_event(Event::StoreRestored);
+        ListSource::Copy
     }
 
     fn batch_delay(&self) -> Millis {
