Restore the store of the soak from copies

Each round of the soak restores the store once from a copy of up to 7 s, drawn from a generator of its own; operator and servers write again 0.6 s later what the copy lacks.

--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -22,6 +22,8 @@
 const STOP_AFTER_FAULTS: Millis = Millis(3_300);
 const SHORTEST_FAULT: u64 = 200;
 const LONGEST_FAULT: u64 = 3_500;
+/// The age of the oldest copy from which the store is restored.
+const OLDEST_COPY: u64 = 7_000;
 /// A gateway that is cut from the store for so long outlives the time in which keys may be used.
 const LONG_CUT: Millis = Millis(8_500);
 /// A key is taken away this long after the cut began.
@@ -78,6 +80,8 @@
     Store(StoreFault),
     /// The store forgets its history.
     Forget,
+    /// The store is away for a moment, and comes back from a copy of its state at the begin of the fault.
+    Restore,
     /// All leases end.
     Lapse,
     /// A server crashes, and starts anew afterwards.
@@ -140,6 +144,7 @@
         }
         add_server_faults(seed, size, &mut entries);
         add_limits(seed, size, &mut entries);
+        add_restores(seed, size, &mut entries);
         entries.retain(|entry| entry.at < size.length);
         entries.sort_by_key(|entry| entry.at);
         Self { seed, entries }
@@ -184,6 +189,22 @@
     }
 }
 
+/// Adds restores of the store from a copy, from a generator of its own.
+fn add_restores(seed: u64, size: Size, entries: &mut Vec<Entry>) {
+    let mut rng = StdRng::seed_from_u64(!seed.rotate_left(2));
+    let faulty = (ROUND.0 as f64 * FAULTY_PART) as u64;
+    let mut from = Millis::ZERO;
+    while from < size.length {
+        let lasts = rng.random_range(SHORTEST_FAULT..OLDEST_COPY);
+        entries.push(Entry {
+            at: from + Millis(rng.random_range(0..faulty - lasts)),
+            lasts: Millis(lasts),
+            fault: Fault::Restore,
+        });
+        from += ROUND;
+    }
+}
+
 fn round(rng: &mut StdRng, size: Size, from: Millis, entries: &mut Vec<Entry>) {
     let faulty = (ROUND.0 as f64 * FAULTY_PART) as u64;
     let count = (size.gateways as f64 * FAULTS_PER_GATEWAY).ceil() as usize + 2;
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -26,6 +26,10 @@
 /// How long a move may take, in seconds.
 const MOVE_WITHIN_S: u32 = 8;
 const MOVE_POLL: Duration = Duration::from_millis(100);
+/// How long the store is away before it comes back from a copy.
+const RESTORE_TIME: Duration = Duration::from_millis(400);
+/// After this time, operator and servers have written again what the copy lacks.
+const WRITTEN_AGAIN: Duration = Duration::from_millis(600);
 /// A started gateway wants callers by then, unless the store is away.
 const READY_LIMIT: Duration = Duration::from_secs(12);
 const FIRST_VERSION: &str = "v1";
@@ -144,6 +148,7 @@
             Fault::ServerLink(slot, link) => self.harm_server_link(slot, link, lasts).await,
             Fault::Store(fault) => self.harm_store(fault, lasts).await,
             Fault::Forget => self.store.compact_history(),
+            Fault::Restore => self.restore_store(lasts).await,
             Fault::Lapse => self.store.expire_all_leases(),
             Fault::Crash(slot) => return self.crash(slot, lasts).await,
             Fault::Misbehave(slot, trouble) => self.misbehave(slot, trouble, lasts).await,
@@ -227,6 +232,19 @@
         self.store.set_fault(None);
     }
 
+    /// Lets the store lose what is written within `lasts`; operator and servers write theirs again.
+    async fn restore_store(&self, lasts: Duration) {
+        let copy = self.store.copy();
+        sleep(lasts).await;
+        let _disturbed = self.recorder.disturb(Scope::Store);
+        self.store.set_fault(Some(StoreFault::Refuses));
+        sleep(RESTORE_TIME).await;
+        let lost = self.store.restore(copy);
+        self.store.set_fault(None);
+        sleep(WRITTEN_AGAIN).await;
+        self.store.write_again(lost);
+    }
+
     async fn crash(&self, slot: usize, lasts: Duration) -> eyre::Result<()> {
         let _disturbed = self.recorder.disturb(Scope::Servers);
         let server = self.slot(slot).await;
