Take a later configuration from a peer that has it in force

A host that started after a restore, before the operator had written again, served keys that had been withdrawn in the lost configuration, while all other hosts denied them.

Cause: a configuration came from the store only, also when the hosts knew a later one.

Change: heartbeats name the version of the configuration in force. A host that hears of a later one than its own for a second, which the store usually brings sooner, fetches the item from that peer.

--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! The control state of this host: configuration, backend servers, peers and rollouts.
 
+mod configuration;
 mod ownership;
 mod peers;
 mod poison_parts;
@@ -12,6 +13,7 @@
 mod store_follower;
 mod updates;
 
+pub(crate) use configuration::fetch_configurations;
 pub(crate) use peers::{receive, send_heartbeats};
 pub(crate) use registration::{HostRecord, register};
 pub(crate) use rollouts::write_rollout_decisions;
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -15,13 +15,14 @@
 use carawayseam_dispatch::{Catalog, EngineEntry};
 use carawayseam_node::LogRevision;
 use carawayseam_types::{EngineId, HostId, Incarnation, Millis, StoreRevision, ZoneId};
-use carawayseam_wire::Heartbeat;
+use carawayseam_wire::{ConfigurationVersion, Heartbeat};
 use kameo::Actor;
 use kameo::message::{Context, Message};
 use tokio::sync::mpsc::UnboundedSender;
 
+use super::configuration::{LaterConfiguration, MAX_LAG};
 use super::poison_parts;
-use crate::platform::{RolloutOrder, RolloutStatus};
+use crate::platform::{Item, RolloutOrder, RolloutStatus};
 use crate::shared::{Shared, lock};
 use crate::sockets;
 use announcements::Announcement;
@@ -34,8 +35,8 @@
 /// An event that changes the control state.
 #[derive(Debug)]
 pub(crate) enum Event {
-    /// The store holds this configuration.
-    Configuration(Arc<Catalog>),
+    /// A configuration was read from an item of the store, or a peer's copy of it.
+    Configuration { catalog: Arc<Catalog>, item: Item },
     /// The store was restored from a copy; its state is listed next.
     StoreRestored,
     /// At `sent_at`, when a call was sent, the known state of the store was still the newest.
@@ -95,6 +96,9 @@
     incarnation: Incarnation,
     log_revision: LogRevision,
     decisions: UnboundedSender<Decision>,
+    /// A peer that has a later configuration.
+    later_configuration: Option<LaterConfiguration>,
+    lagging: UnboundedSender<LaterConfiguration>,
     engines: KnownServers,
     hosts: Hosts,
     /// The availability zone of each host that was ever listed.
@@ -113,11 +117,14 @@
         incarnation: Incarnation,
         log_revision: LogRevision,
         decisions: UnboundedSender<Decision>,
+        lagging: UnboundedSender<LaterConfiguration>,
     ) -> Self {
         Self {
             incarnation,
             log_revision,
             decisions,
+            later_configuration: None,
+            lagging,
             engines: KnownServers::default(),
             hosts: Hosts::default(),
             zones: BTreeMap::new(),
@@ -132,7 +139,7 @@
     fn handle_event(&mut self, event: Event) {
         let now = self.shared.now();
         match event {
-            Event::Configuration(catalog) => self.apply_configuration(catalog),
+            Event::Configuration { catalog, item } => self.apply_configuration(catalog, item),
             Event::StoreRestored => lock(&self.shared.rollouts).forget_stored_states(),
             Event::Confirmed { sent_at } => lock(&self.shared.freshness).confirm(sent_at),
             Event::EnginesListed {
@@ -166,7 +173,7 @@
     }
 
     /// Applies a configuration if it is newer than the one in force.
-    fn apply_configuration(&self, catalog: Arc<Catalog>) {
+    fn apply_configuration(&mut self, catalog: Arc<Catalog>, item: Item) {
         let revision = catalog.revision;
         lock(&self.shared.dispatch)
             .quotas
@@ -179,11 +186,43 @@
             is_newer
         });
         if applied {
+            *lock(&self.shared.configuration_item) = Some(item);
+            self.later_configuration = None;
             self.log_revision.set(revision);
             log::info!("configuration in force");
         }
     }
 
+    /// Records the configuration that a peer has in force.
+    fn record_peer_configuration(&mut self, now: Millis, host: &HostId, version: ConfigurationVersion) {
+        let known = self.shared.catalog().map(|catalog| catalog.revision);
+        let later = self.later_configuration.as_ref();
+        let latest = known.max(later.map(|later| later.version.revision));
+        if latest.is_none_or(|latest| latest < version.revision) {
+            self.later_configuration = Some(LaterConfiguration {
+                host: host.clone(),
+                version,
+                since: now,
+            });
+        }
+    }
+
+    /// Requests the configuration of a peer that has had a later one for too long.
+    fn request_later_configuration(&mut self, now: Millis) {
+        let later = self.later_configuration.as_mut();
+        let Some(later) = later.filter(|later| now.since(later.since) >= MAX_LAG) else {
+            return;
+        };
+        later.since = now;
+        if let Err(e) = self.lagging.send(later.clone()) {
+            log::error!("a later configuration was not requested: {e}");
+        }
+        // The next heartbeat that announces it names a peer that is live.
+        if !self.peers.is_live(now, &later.host) {
+            self.later_configuration = None;
+        }
+    }
+
     fn apply_rollout_order(&self, now: Millis, order: RolloutOrder, revision: StoreRevision) {
         log::info!(backend:% = order.backend, version:% = order.to, within_ms = order.within.0, order:% = revision; "rollout ordered");
         let RolloutOrder { backend, to, within } = order;
@@ -275,6 +314,7 @@
         }
         self.probe_engines(now);
         self.decide_rollouts(now);
+        self.request_later_configuration(now);
         poison_parts::decide(&self.shared, now);
         if now.since(self.last_sweep_at) >= SWEEP_INTERVAL {
             self.last_sweep_at = now;
--- a/crates/gateway/src/control/state/announcements.rs
+++ b/crates/gateway/src/control/state/announcements.rs
@@ -11,7 +11,7 @@
 use carawayseam_wire::{EngineLoad, Heartbeat, PeerMessage, RolloutCounts, WaitingLoad};
 
 use super::ControlState;
-use crate::control::{poison_parts, rollout_pace, server_limits};
+use crate::control::{configuration, poison_parts, rollout_pace, server_limits};
 use crate::shared::lock;
 
 /// How long older reports are repeated after a peer becomes live or starts anew.
@@ -51,6 +51,9 @@
                 self.update_group(now);
             }
         }
+        if let Some(version) = heartbeat.configuration {
+            self.record_peer_configuration(now, &heartbeat.host, version);
+        }
         for (content, crashes) in &heartbeat.crashes {
             lock(&self.shared.poison).record_peer_crashes(now, &heartbeat.host, Digest(*content), *crashes);
         }
@@ -140,6 +143,7 @@
                 .into_iter()
                 .map(encode_rollout_counts)
                 .collect(),
+            configuration: configuration::announced(&self.shared),
             draining_servers: draining
                 .into_iter()
                 .map(|server| (server.engine, server.started))
--- a/crates/gateway/src/control/store_follower/items.rs
+++ b/crates/gateway/src/control/store_follower/items.rs
@@ -16,7 +16,8 @@
             match self.platform.decode_configuration(&item.value) {
                 Ok(configuration) => {
                     let catalog = Arc::new(Catalog::new(configuration));
-                    self.send_event(Event::Configuration(catalog));
+                    let item = item.clone();
+                    self.send_event(Event::Configuration { catalog, item });
                 }
                 Err(e) => log::error!(key:% = item.key; "the configuration cannot be read: {e}"),
             }
--- a/crates/gateway/src/control/updates.rs
+++ b/crates/gateway/src/control/updates.rs
@@ -54,10 +54,7 @@
 }
 
 fn read_chunk(shared: &Shared, range: &ChunkRange) -> Option<ItemChunk> {
-    let history = lock(&shared.store_history);
-    let item = history.items.get(&range.key);
-    let value = item.filter(|item| item.revision == range.revision)?.value.clone();
-    drop(history);
+    let value = item_value(shared, range)?;
     let begin = (range.offset as usize).min(value.len());
     let end = (begin + MAX_CHANGES_BYTES).min(value.len());
     Some(ItemChunk {
@@ -66,6 +63,19 @@
     })
 }
 
+/// Returns the value of an item at a revision, of the latest state or of the configuration in force.
+fn item_value(shared: &Shared, range: &ChunkRange) -> Option<Bytes> {
+    let is_wanted = |item: &&Item| item.key == range.key && item.revision == range.revision;
+    let history = lock(&shared.store_history);
+    let listed = history.items.get(&range.key).filter(is_wanted);
+    if let Some(item) = listed {
+        return Some(item.value.clone());
+    }
+    drop(history);
+    let in_force = lock(&shared.configuration_item);
+    in_force.as_ref().filter(is_wanted).map(|item| item.value.clone())
+}
+
 /// Fetches an item from a peer chunk by chunk.
 ///
 /// Returns `None` if the peer does not have the item or does not respond.
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -151,6 +151,7 @@
         peers,
         reachability: Mutex::new(Reachability::default()),
         store_followers: AtomicU32::new(1),
+        configuration_item: Mutex::new(None),
         store_history: Mutex::new(StoreHistory::default()),
         store_era: watch::Sender::new(StoreEra::default()),
         unready_since: Mutex::new(None),
@@ -177,13 +178,20 @@
             .wrap_err("cannot listen for peers")?;
         let peers = Arc::new(peers);
         let (tx, decisions) = mpsc::unbounded_channel();
-        let state = ControlState::new(Arc::clone(shared), incarnation, log_revision, tx);
+        let (lagging_tx, lagging_rx) = mpsc::unbounded_channel();
+        let state = ControlState::new(Arc::clone(shared), incarnation, log_revision, tx, lagging_tx);
         let control = ControlState::spawn_with_mailbox(state, mailbox::unbounded());
         tokio::spawn(control::write_rollout_decisions(
             Arc::clone(shared),
             Arc::clone(&platform),
             decisions,
         ));
+        tokio::spawn(control::fetch_configurations(
+            Arc::clone(shared),
+            Arc::clone(&platform),
+            control.clone(),
+            lagging_rx,
+        ));
         tokio::spawn(readiness::serve(Arc::clone(shared), admin));
         if let Some(address) = shared.settings.metrics {
             let metrics = TcpListener::bind(address)
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -274,6 +274,8 @@
     pub(crate) reachability: Mutex<Reachability>,
     /// The number of hosts in all availability zones that watch the store.
     pub(crate) store_followers: AtomicU32,
+    /// The item of the store that held the configuration in force.
+    pub(crate) configuration_item: Mutex<Option<Item>>,
     /// The changes of the store that peers may request.
     pub(crate) store_history: Mutex<StoreHistory>,
     /// The era of the store's known state.
--- a/crates/wire/src/heartbeat.rs
+++ b/crates/wire/src/heartbeat.rs
@@ -1,8 +1,19 @@
 //! Heartbeats that gateway hosts exchange several times a second.
 
-use carawayseam_types::{BackendName, EngineId, EngineKey, HostId, Incarnation, Millis, StoreRevision, Tier};
+use carawayseam_types::{
+    BackendName, EngineId, EngineKey, HostId, Incarnation, Millis, Revision, StoreRevision, Tier,
+};
 use serde::{Deserialize, Serialize};
 
+/// The configuration that is in force on a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigurationVersion {
+    /// The configuration's own revision.
+    pub revision: Revision,
+    /// The revision of the store's item that held it.
+    pub item: StoreRevision,
+}
+
 /// A host's heartbeat, which carries its load.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -24,6 +35,8 @@
     pub crashes: Vec<(u128, u32)>,
     /// Backend servers that recently reported to the sender that they are draining, with their start times.
     pub draining_servers: Vec<(EngineId, Option<u64>)>,
+    /// The configuration in force, if any.
+    pub configuration: Option<ConfigurationVersion>,
 }
 
 /// A host's response counts during one rollout.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -24,7 +24,7 @@
     MAX_DATAGRAM_BYTES, MAX_STREAM_BYTES, PROTOCOL_VERSION, WireError, decode, decode_datagram, encode,
 };
 pub use datagram::{Body, Datagram, GossipUpdate, Item, ItemKey, ItemPart, Peer, PeerRole, PeerState, Topic};
-pub use heartbeat::{EngineLoad, Heartbeat, RolloutCounts, WaitingLoad};
+pub use heartbeat::{ConfigurationVersion, EngineLoad, Heartbeat, RolloutCounts, WaitingLoad};
 pub use peers::{
     ItemChunk, ItemsPage, PaceCounts, PartAnswer, PartCrash, PeerMessage, PeerResponse, PermitOutcome,
     QuotaOutcome, QuotaRequest, ServerLimitUpdate, SlotOutcome, StoreChange, StoreChangeKind, StoreChanges,
--- a/crates/wire/tests/heartbeat.rs
+++ b/crates/wire/tests/heartbeat.rs
@@ -1,8 +1,9 @@
 //! Sizes of the heartbeats of gateway hosts.
 
-use carawayseam_types::{EngineId, EngineKey, Incarnation, Millis};
+use carawayseam_types::{EngineId, EngineKey, Incarnation, Millis, Revision, StoreEra, StoreRevision};
 use carawayseam_wire::{
-    EngineLoad, Heartbeat, MAX_DATAGRAM_BYTES, PartAnswer, PartCrash, PeerMessage, decode, encode,
+    ConfigurationVersion, EngineLoad, Heartbeat, MAX_DATAGRAM_BYTES, PartAnswer, PartCrash, PeerMessage,
+    decode, encode,
 };
 
 /// The number of backend servers in the larger of the planned deployments.
@@ -29,6 +30,10 @@
         rollouts: Vec::new(),
         crashes: Vec::new(),
         draining_servers: Vec::new(),
+        configuration: Some(ConfigurationVersion {
+            revision: Revision(1_000_000),
+            item: StoreRevision::new(StoreEra(9), 100_000_000),
+        }),
     }
 }
 
