Reword the config crate

Comments, private names and test names of crates/config are in the usual terms: rollout, rolled back, canary. Names in documents, in stored data and in messages are as before (take-back by an attribute).

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -1,4 +1,4 @@
-//! The rules of a document.
+//! Checks a parsed document against the rules.
 
 use std::collections::HashSet;
 use std::fmt::Display;
@@ -6,26 +6,26 @@
 use carawayseam_types::{BackendName, Digest, Millis, Tier, Tokens, VersionId};
 use compact_str::{CompactString, ToCompactString, format_compact};
 
-use crate::raw::{RawDocument, RawMove, RawOrganisation, RawRoute};
+use crate::raw::{RawDocument, RawOrganisation, RawRollout, RawRoute};
 use crate::{
     Backend, BackendKind, Document, DocumentError, DocumentProblem, EngineSpec, Limits, OrganisationSpec,
     RolloutSpec, RouteSpec,
 };
 
 const MAX_TIERS: usize = 16;
-const MIN_MOVE_TIME: Millis = Millis::from_secs(10);
+const MIN_ROLLOUT_TIME: Millis = Millis::from_secs(10);
 
-/// A rule's verdict: the field's path and its problem.
-type Broken = (CompactString, DocumentProblem);
+/// A violated rule: the field's path and its problem.
+type Violation = (CompactString, DocumentProblem);
 
 impl Document {
-    /// Reads and checks a document.
+    /// Parses and checks a document.
     ///
     /// # Errors
     ///
-    /// Gives the first problem with its line and field, in the order of the file.
+    /// Returns the first problem in the order of the checks, with its line and field.
     pub fn from_yaml(file: &str, text: &str) -> Result<Self, DocumentError> {
-        let raw: RawDocument = serde_saphyr::from_str(text).map_err(|e| shape_error(file, &e))?;
+        let raw: RawDocument = serde_saphyr::from_str(text).map_err(|e| parse_error(file, &e))?;
         check(raw, Digest::of(text.as_bytes())).map_err(|(field, problem)| DocumentError {
             file: file.into(),
             line: line_of(text, &field),
@@ -35,7 +35,7 @@
     }
 }
 
-fn shape_error(file: &str, error: &serde_saphyr::Error) -> DocumentError {
+fn parse_error(file: &str, error: &serde_saphyr::Error) -> DocumentError {
     let message = error.to_string();
     let line = error.location().map_or(0, |at| at.line());
     let first = message.lines().next().unwrap_or_default().to_owned();
@@ -47,10 +47,10 @@
     }
 }
 
-/// Finds the line of a field's path, by its list and the place of its entry in it.
+/// Returns the line of a field, found by the field's list and the index of its entry; 0 if it is not found.
 fn line_of(text: &str, field: &str) -> u64 {
     let (list, rest) = field.split_once('[').unwrap_or((field, ""));
-    let place: usize = rest
+    let index: usize = rest
         .split_once(']')
         .and_then(|(n, _)| n.parse().ok())
         .unwrap_or(0);
@@ -71,10 +71,10 @@
         .filter(|(_, line)| line.trim_start().starts_with("- "))
         .map(|(at, _)| at)
         .collect();
-    let Some(&entry) = entries.get(place) else {
+    let Some(&entry) = entries.get(index) else {
         return start as u64 + 1;
     };
-    let end = entries.get(place + 1).copied().unwrap_or(lines.len());
+    let end = entries.get(index + 1).copied().unwrap_or(lines.len());
     let named = |line: &&str| {
         line.trim_start_matches([' ', '-', '{'])
             .starts_with(&format!("{leaf}:"))
@@ -83,7 +83,7 @@
     (entry + offset) as u64 + 1
 }
 
-fn check(raw: RawDocument, digest: Digest) -> Result<Document, Broken> {
+fn check(raw: RawDocument, digest: Digest) -> Result<Document, Violation> {
     check_lists(&raw)?;
     let organisations = check_organisations(&raw)?;
     let backends = raw.backends.iter().map(|b| Backend {
@@ -94,7 +94,7 @@
     let backends: Vec<Backend> = backends.collect();
     let engines = check_engines(&raw, &backends)?;
     let routes = check_routes(&raw.routes, &backends)?;
-    let moves = check_moves(&raw.moves, &backends, &engines)?;
+    let moves = check_rollouts(&raw.moves, &backends, &engines)?;
     for (at, backend) in backends.iter().enumerate() {
         require_engine(&engines, &backend.name, &backend.version, || {
             format_compact!("backends[{at}].version")
@@ -121,7 +121,7 @@
     })
 }
 
-fn check_lists(raw: &RawDocument) -> Result<(), Broken> {
+fn check_lists(raw: &RawDocument) -> Result<(), Violation> {
     distinct("zones", &raw.zones, |zone| zone)?;
     distinct("tiers", &raw.tiers, |tier| tier)?;
     distinct("organisations", &raw.organisations, |org| &org.name)?;
@@ -129,7 +129,7 @@
     distinct("engines", &raw.engines, |engine| &engine.name)?;
     distinct("routes", &raw.routes, |route| &route.name)?;
     if !raw.moves.is_empty() {
-        distinct("moves", &raw.moves, |mv| &mv.name)?;
+        distinct("moves", &raw.moves, |rollout| &rollout.name)?;
     }
     match raw.tiers.len() {
         1..=MAX_TIERS => Ok(()),
@@ -141,7 +141,7 @@
     list: &'static str,
     entries: &'a [T],
     name: impl Fn(&'a T) -> &'a N,
-) -> Result<(), Broken> {
+) -> Result<(), Violation> {
     if entries.is_empty() {
         return Err((list.into(), DocumentProblem::Empty));
     }
@@ -158,7 +158,7 @@
     Ok(())
 }
 
-fn check_organisations(raw: &RawDocument) -> Result<Vec<OrganisationSpec>, Broken> {
+fn check_organisations(raw: &RawDocument) -> Result<Vec<OrganisationSpec>, Violation> {
     let checked = raw
         .organisations
         .iter()
@@ -171,7 +171,7 @@
     raw: &RawDocument,
     at: usize,
     org: &RawOrganisation,
-) -> Result<OrganisationSpec, Broken> {
+) -> Result<OrganisationSpec, Violation> {
     let field = |leaf: &str| format_compact!("organisations[{at}].{leaf}");
     match org {
         org if org.share == 0 => return Err(out_of_range(field("share"), "a share of at least 1", &0)),
@@ -182,7 +182,7 @@
         Some(rank) => Ok(Tier(rank as u8)),
         None => Err((field("tiers"), undeclared(name, "tiers"))),
     };
-    let tiers: Result<Vec<Tier>, Broken> = org.tiers.iter().map(rank).collect();
+    let tiers: Result<Vec<Tier>, Violation> = org.tiers.iter().map(rank).collect();
     Ok(OrganisationSpec {
         name: org.name.clone(),
         share: org.share,
@@ -190,7 +190,7 @@
     })
 }
 
-fn check_engines(raw: &RawDocument, backends: &[Backend]) -> Result<Vec<EngineSpec>, Broken> {
+fn check_engines(raw: &RawDocument, backends: &[Backend]) -> Result<Vec<EngineSpec>, Violation> {
     let mut engines = Vec::with_capacity(raw.engines.len());
     for (at, engine) in raw.engines.iter().enumerate() {
         let field = |leaf: &str| format_compact!("engines[{at}].{leaf}");
@@ -215,7 +215,7 @@
     Ok(engines)
 }
 
-fn check_routes(raw: &[RawRoute], backends: &[Backend]) -> Result<Vec<RouteSpec>, Broken> {
+fn check_routes(raw: &[RawRoute], backends: &[Backend]) -> Result<Vec<RouteSpec>, Violation> {
     let mut routes = Vec::with_capacity(raw.len());
     for (at, route) in raw.iter().enumerate() {
         let field = |leaf: &str| format_compact!("routes[{at}].{leaf}");
@@ -260,55 +260,59 @@
     Ok(routes)
 }
 
-fn check_moves(
-    raw: &[RawMove],
+fn check_rollouts(
+    raw: &[RawRollout],
     backends: &[Backend],
     engines: &[EngineSpec],
-) -> Result<Vec<RolloutSpec>, Broken> {
-    let mut moves: Vec<RolloutSpec> = Vec::with_capacity(raw.len());
-    for (at, mv) in raw.iter().enumerate() {
+) -> Result<Vec<RolloutSpec>, Violation> {
+    let mut rollouts: Vec<RolloutSpec> = Vec::with_capacity(raw.len());
+    for (at, rollout) in raw.iter().enumerate() {
         let field = |leaf: &str| format_compact!("moves[{at}].{leaf}");
-        require_backend(backends, &mv.backend, || field("backend"))?;
-        require_engine(engines, &mv.backend, &mv.from, || field("from"))?;
-        require_engine(engines, &mv.backend, &mv.to, || field("to"))?;
-        match mv {
-            mv if moves.iter().any(|other| other.backend == mv.backend) => {
-                let backend = mv.backend.to_compact_string();
-                return Err((field("backend"), DocumentProblem::SecondMove { backend }));
+        require_backend(backends, &rollout.backend, || field("backend"))?;
+        require_engine(engines, &rollout.backend, &rollout.from, || field("from"))?;
+        require_engine(engines, &rollout.backend, &rollout.to, || field("to"))?;
+        match rollout {
+            rollout if rollouts.iter().any(|other| other.backend == rollout.backend) => {
+                let backend = rollout.backend.to_compact_string();
+                return Err((field("backend"), DocumentProblem::SecondRollout { backend }));
             }
-            mv if mv.from == mv.to => {
-                return Err(out_of_range(field("to"), "another version than `from`", &mv.to));
+            rollout if rollout.from == rollout.to => {
+                return Err(out_of_range(
+                    field("to"),
+                    "another version than `from`",
+                    &rollout.to,
+                ));
             }
-            mv if mv.within < MIN_MOVE_TIME => {
-                return Err(out_of_range(field("within"), "at least 10s", &mv.within));
+            rollout if rollout.within < MIN_ROLLOUT_TIME => {
+                return Err(out_of_range(field("within"), "at least 10s", &rollout.within));
             }
-            mv if !(1..=500).contains(&mv.first_share.get()) => {
+            rollout if !(1..=500).contains(&rollout.first_share.get()) => {
                 return Err(out_of_range(
                     field("first_share"),
                     "1 to 500 thousandths",
-                    &mv.first_share,
+                    &rollout.first_share,
                 ));
             }
             _ => {}
         }
-        moves.push(RolloutSpec {
-            name: mv.name.clone(),
-            backend: mv.backend.clone(),
-            from: mv.from.clone(),
-            to: mv.to.clone(),
-            within: mv.within,
-            first_share: mv.first_share,
-            on_no_evidence: mv.on_no_evidence,
+        rollouts.push(RolloutSpec {
+            name: rollout.name.clone(),
+            backend: rollout.backend.clone(),
+            from: rollout.from.clone(),
+            to: rollout.to.clone(),
+            within: rollout.within,
+            first_share: rollout.first_share,
+            on_no_evidence: rollout.on_no_evidence,
         });
     }
-    Ok(moves)
+    Ok(rollouts)
 }
 
 fn require_backend<'a>(
     backends: &'a [Backend],
     name: &BackendName,
     field: impl Fn() -> CompactString,
-) -> Result<&'a Backend, Broken> {
+) -> Result<&'a Backend, Violation> {
     let found = backends.iter().find(|backend| backend.name == *name);
     found.ok_or_else(|| (field(), undeclared(name, "backends")))
 }
@@ -318,7 +322,7 @@
     backend: &BackendName,
     version: &VersionId,
     field: impl Fn() -> CompactString,
-) -> Result<(), Broken> {
+) -> Result<(), Violation> {
     let runs = |engine: &EngineSpec| engine.backend == *backend && engine.version == *version;
     if engines.iter().any(runs) {
         return Ok(());
@@ -337,7 +341,7 @@
     }
 }
 
-fn out_of_range(field: CompactString, expected: &'static str, found: &impl Display) -> Broken {
+fn out_of_range(field: CompactString, expected: &'static str, found: &impl Display) -> Violation {
     let found = found.to_compact_string();
     (field, DocumentProblem::OutOfRange { expected, found })
 }
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -8,16 +8,16 @@
 };
 use serde::{Deserialize, Serialize};
 
-/// One environment, checked: every name it uses is declared in it.
+/// The checked document of one environment; every name that it uses is declared in it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Document {
     /// The environment's name.
     pub environment: EnvironmentId,
-    /// The digest of the YAML text it was read from.
+    /// The digest of the YAML text.
     pub digest: Digest,
     /// The availability zones.
     pub zones: Vec<ZoneId>,
-    /// The tiers, highest first; a tier's rank is its place here.
+    /// The tiers, highest first; a tier's rank is its index.
     pub tiers: Vec<TierName>,
     /// The organisations.
     pub organisations: Vec<OrganisationSpec>,
@@ -27,38 +27,38 @@
     pub engines: Vec<EngineSpec>,
     /// The routes.
     pub routes: Vec<RouteSpec>,
-    /// The moves between versions.
+    /// The rollouts of other versions.
     pub moves: Vec<RolloutSpec>,
-    /// Limits for the whole environment.
+    /// Limits that apply to the whole environment.
     pub limits: Limits,
 }
 
 impl Document {
-    /// The organisation of that name.
+    /// Returns the organisation with this name.
     #[must_use]
     pub fn organisation(&self, name: &OrganisationId) -> Option<&OrganisationSpec> {
         self.organisations.iter().find(|org| org.name == *name)
     }
 
-    /// The route of that name.
+    /// Returns the route with this name.
     #[must_use]
     pub fn route(&self, name: &RouteName) -> Option<&RouteSpec> {
         self.routes.iter().find(|route| route.name == *name)
     }
 
-    /// The backend of that name.
+    /// Returns the backend with this name.
     #[must_use]
     pub fn backend(&self, name: &BackendName) -> Option<&Backend> {
         self.backends.iter().find(|backend| backend.name == *name)
     }
 
-    /// The engine of that name.
+    /// Returns the engine with this name.
     #[must_use]
     pub fn engine(&self, name: &EngineId) -> Option<&EngineSpec> {
         self.engines.iter().find(|engine| engine.name == *name)
     }
 
-    /// The rank of a tier's name.
+    /// Returns the rank of the tier with this name.
     #[must_use]
     pub fn tier(&self, name: &TierName) -> Option<Tier> {
         self.tiers
@@ -68,117 +68,118 @@
     }
 }
 
-/// An organisation and its share.
+/// An organisation.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OrganisationSpec {
-    /// Its name.
+    /// The name.
     pub name: OrganisationId,
-    /// Its weight beside the other organisations in a tier; at least 1.
+    /// The organisation's weight within a tier, relative to the other organisations; at least 1.
     pub share: u32,
-    /// The tiers its callers may name; the first is the default.
+    /// The tiers that the organisation's callers may request; the first is the default.
     pub tiers: Vec<Tier>,
 }
 
-/// Whether a backend generates tokens or answers plain calls.
+/// The kind of a backend.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum BackendKind {
-    /// Model engines.
+    /// Model engines, which generate tokens.
     Model,
-    /// Servers of a plain service.
+    /// Servers of a plain service, which respond to calls.
     Service,
 }
 
 /// A model or plain service, with its versions.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Backend {
-    /// Its name.
+    /// The name.
     pub name: BackendName,
-    /// What it is.
+    /// The kind.
     pub kind: BackendKind,
-    /// The version that serves when no move is under way.
+    /// The version that serves while no rollout is in progress.
     pub version: VersionId,
 }
 
 /// One backend server.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineSpec {
-    /// Its name.
+    /// The name.
     pub name: EngineId,
-    /// The model or service it serves.
+    /// The model or service that the server belongs to.
     pub backend: BackendName,
-    /// The version it is to run.
+    /// The version that the server is to run.
     pub version: VersionId,
-    /// Its availability zone.
+    /// The server's availability zone.
     pub zone: ZoneId,
-    /// Where it listens.
+    /// The address that the server listens on.
     pub address: SocketAddr,
-    /// Whether it refuses orders with an old fencing token.
+    /// Whether the server rejects orders with an outdated fencing token.
     pub checks_fencing: bool,
-    /// The most requests it may run at once; the adaptive limit stays below.
+    /// The maximum number of concurrent requests; an upper bound of the adaptive limit.
     pub max_concurrency: u32,
 }
 
-/// A route that callers name.
+/// A route that callers can request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteSpec {
-    /// Its name.
+    /// The name.
     pub name: RouteName,
-    /// Where it leads.
+    /// The backend that serves the route.
     pub backend: BackendName,
-    /// The operation asked of a plain service; the route's name if not given.
+    /// The operation of a plain service; the route's name by default.
     pub operation: String,
-    /// Whether a call may run twice without harm.
+    /// Whether a call may run more than once.
     pub idempotent: bool,
-    /// The longest answer, in tokens; 0 for plain services.
+    /// The maximum length of a response in tokens; 0 for plain services.
     pub max_output: Tokens,
-    /// The longest deadline that a caller may ask for.
+    /// The maximum deadline that a caller may request.
     pub max_deadline: Millis,
 }
 
-/// What becomes of a move whose version saw too little traffic to be judged.
+/// The outcome of a rollout whose version got too little traffic to be judged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum OnNoEvidence {
-    /// Finish, if nothing spoke against the version.
+    /// The rollout is finished, unless there is evidence against the version.
     Finish,
-    /// Take it back.
-    TakeBack,
+    /// The rollout is rolled back.
+    #[serde(rename = "take-back")]
+    RollBack,
 }
 
-/// A move of a backend's traffic from one version to another.
+/// A rollout of a backend's traffic from one version to another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename = "MoveSpec")]
 pub struct RolloutSpec {
-    /// Its name.
+    /// The name.
     pub name: RolloutId,
     /// The model or service.
     pub backend: BackendName,
     /// The version that serves now.
     pub from: VersionId,
-    /// The version to move to.
+    /// The version to roll out.
     pub to: VersionId,
-    /// How long the move may take from its promotion on.
+    /// The maximum duration of the rollout, from its promotion.
     pub within: Millis,
-    /// The first share of traffic that the new version gets.
+    /// The canary share of traffic that the new version gets first.
     pub first_share: Permille,
-    /// What becomes of it without enough evidence.
+    /// The outcome without enough evidence.
     pub on_no_evidence: OnNoEvidence,
 }
 
-/// Limits for the whole environment.
+/// Limits that apply to the whole environment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
-    /// The largest request body.
+    /// The maximum size of a request body.
     pub max_body: Bytes,
-    /// Retries allowed as a share of first attempts.
+    /// The maximum number of retries, relative to first attempts.
     pub retry_budget: Permille,
-    /// The most engines of a backend that may be ejected at once.
+    /// The maximum share of a backend's engines that may be ejected at once.
     pub max_ejected: Permille,
-    /// The longest wait for a first token before the attempt counts as silent.
+    /// The timeout of the first token, after which the attempt counts as unresponsive.
     pub first_token_timeout: Millis,
-    /// The longest gap between tokens before the attempt counts as silent.
+    /// The timeout between tokens, after which the attempt counts as unresponsive.
     pub token_gap_timeout: Millis,
-    /// How long a claim on an unrepeatable call is kept.
+    /// How long the claim of a call is kept that must not be repeated.
     pub claim_ttl: Millis,
 }
--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -1,56 +1,56 @@
-//! Errors of a document, with file, line and field.
+//! Errors in a document, with file, line and field.
 
 use compact_str::CompactString;
 
-/// A document that cannot be used, and where it is wrong.
+/// The first problem of a document that cannot be used.
 #[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 #[display("{file}:{line}: {field}: {problem}")]
 pub struct DocumentError {
-    /// The file's name as the operator gave it.
+    /// The file name as the operator passed it.
     pub file: CompactString,
-    /// The line, from 1; 0 where it is not known.
+    /// The line number, starting at 1; 0 if unknown.
     pub line: u64,
     /// The field's path, such as `engines[2].version`.
     pub field: CompactString,
-    /// What is wrong with it.
+    /// The problem.
     pub problem: DocumentProblem,
 }
 
-/// What is wrong with a field.
+/// A problem of a field.
 #[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 pub enum DocumentProblem {
-    /// The YAML does not have the document's shape.
+    /// The YAML cannot be parsed as a document.
     #[display("{message}")]
     Shape {
-        /// What the reader expected.
+        /// The parser's message.
         message: String,
     },
-    /// A name is used that the document does not declare.
+    /// A name is used but not declared.
     #[display("`{name}` is not declared under `{declared_under}`")]
     Undeclared {
         /// The name.
         name: CompactString,
-        /// The list it should stand in.
+        /// The list that should declare it.
         declared_under: &'static str,
     },
-    /// A name stands twice in one list.
+    /// A name is declared twice in one list.
     #[display("`{name}` is declared twice")]
     Duplicate {
         /// The name.
         name: CompactString,
     },
-    /// A list has nothing in it.
+    /// A list is empty.
     #[display("expected at least one entry")]
     Empty,
-    /// A number or time is outside its range.
+    /// A value is out of range.
     #[display("expected {expected}, found {found}")]
     OutOfRange {
-        /// The range.
+        /// The allowed range.
         expected: &'static str,
         /// The value.
         found: CompactString,
     },
-    /// A move names a version that no engine runs.
+    /// A rollout refers to a version that no engine runs.
     #[display("no engine of `{backend}` is declared with version `{version}`")]
     NoEngineForVersion {
         /// The model or service.
@@ -58,13 +58,13 @@
         /// The version.
         version: CompactString,
     },
-    /// Two moves of one backend are declared.
+    /// A backend has more than one rollout.
     #[display("`{backend}` has another move already")]
-    SecondMove {
+    SecondRollout {
         /// The model or service.
         backend: CompactString,
     },
-    /// A route that may not be repeated leads to a model.
+    /// The route of a model is not idempotent.
     #[display("calls to model `{backend}` are idempotent; only plain services may have routes that are not")]
     UnrepeatableModel {
         /// The model.
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,8 +1,7 @@
-//! The environment document: what operators declare, checked before it is used.
+//! Parses and checks the environment document that operators write.
 //!
-//! A document is read in two steps. YAML becomes a [`RawDocument`], and
-//! [`Document::from_yaml`] checks that against the rules and gives a typed
-//! [`Document`]; the rest of the system sees only that.
+//! [`Document::from_yaml`] parses the YAML into a [`RawDocument`], checks it against the
+//! rules and returns a typed [`Document`], which the rest of the system uses.
 //!
 //! ```no_run
 //! use carawayseam_config::Document;
--- a/crates/config/src/raw.rs
+++ b/crates/config/src/raw.rs
@@ -1,4 +1,4 @@
-//! The document as YAML gives it, before its rules are checked.
+//! The document as parsed from YAML, before it is checked against the rules.
 
 use std::net::SocketAddr;
 
@@ -12,7 +12,7 @@
 
 use crate::{BackendKind, OnNoEvidence};
 
-/// A document whose shape is right and whose rules are not yet checked.
+/// A document that was parsed but not checked.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RawDocument {
@@ -24,7 +24,7 @@
     pub(crate) engines: Vec<RawEngine>,
     pub(crate) routes: Vec<RawRoute>,
     #[serde(default)]
-    pub(crate) moves: Vec<RawMove>,
+    pub(crate) moves: Vec<RawRollout>,
     #[serde(default)]
     pub(crate) limits: RawLimits,
 }
@@ -78,7 +78,7 @@
 #[serde_as]
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub(crate) struct RawMove {
+pub(crate) struct RawRollout {
     pub(crate) name: RolloutId,
     pub(crate) backend: BackendName,
     pub(crate) from: VersionId,
--- a/crates/rollout/src/driver.rs
+++ b/crates/rollout/src/driver.rs
@@ -281,7 +281,7 @@
         match self.record.spec.on_no_evidence {
             _ if self.has_evidence() => rollout.finish(Cause::EvidenceGood, now).map(Rollout::into_record),
             OnNoEvidence::Finish => rollout.finish(Cause::NoEvidence, now).map(Rollout::into_record),
-            OnNoEvidence::TakeBack => Ok(rollout.roll_back(Cause::NoEvidence, now).into_record()),
+            OnNoEvidence::RollBack => Ok(rollout.roll_back(Cause::NoEvidence, now).into_record()),
         }
     }
 
--- a/crates/rollout/tests/driver.rs
+++ b/crates/rollout/tests/driver.rs
@@ -45,26 +45,26 @@
 
 rollout_ends!(
     good_version_with_much_traffic,
-    TakeBack,
+    RollBack,
     600,
     Finished,
     EvidenceGood
 );
 rollout_ends!(
     good_version_with_little_traffic,
-    TakeBack,
+    RollBack,
     1,
     Finished,
     EvidenceGood
 );
 rollout_ends!(no_traffic_and_rule_finish, Finish, 0, Finished, NoEvidence);
-rollout_ends!(no_traffic_and_rule_take_back, TakeBack, 0, RolledBack, NoEvidence);
+rollout_ends!(no_traffic_and_rule_take_back, RollBack, 0, RolledBack, NoEvidence);
 
 #[test]
 fn too_little_traffic_ends_by_the_rule() {
     for (rule, phase) in [
         (OnNoEvidence::Finish, Phase::Finished),
-        (OnNoEvidence::TakeBack, Phase::RolledBack),
+        (OnNoEvidence::RollBack, Phase::RolledBack),
     ] {
         let mut record = whole().into_record();
         record.spec.on_no_evidence = rule;
