Check a server again that accepts a connection right after it lost a response

Cause: whether a server crashed was decided by one connection attempt right after the loss. A process that ends closes its connections before its listener, and until then the attempt is accepted, so the crash was not counted.

Evidence: a_request_that_crashes_servers_is_blocked beside six busy processes failed 3 of 40 times; in each of the three logs a server that had crashed 'lost a response and still accepts connections' (two, three and one of them), and as many servers beyond the third were reached.

The decision is in dispatch::crash_check.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`rollouts`] | rollouts of a backend's traffic to another version |
 //! | [`pace`] | evidence that a new version is slow |
 //! | [`outage`] | how long missing entries are kept after an outage of the store |
+//! | [`crash_check`] | whether a server that lost a response has crashed |
 //! | [`poison`] | requests that crash the servers that run them |
 //! | [`poison_parts`] | parts of prompts that crash the servers that begin to answer them |
 //! | [`quota`] | an organisation's quota in tokens per second, shared by all hosts |
@@ -41,6 +42,7 @@
 
 mod accounts;
 pub mod catalog;
+pub mod crash_check;
 pub mod dispatcher;
 pub mod draining_servers;
 pub mod engine;
--- a/crates/gateway/src/traffic/crashes.rs
+++ b/crates/gateway/src/traffic/crashes.rs
@@ -1,11 +1,14 @@
 //! Detects and rejects requests, and parts of prompts, that crash the servers that run them.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
+use carawayseam_dispatch::crash_check::{CrashCheck, CrashVerdict};
 use carawayseam_dispatch::engine::PromptPart;
 use carawayseam_dispatch::poison_parts::{Admission, BlockedPart, CrashId, OrganisationKey, PartId};
 use carawayseam_types::{Digest, Millis};
 use compact_str::{CompactString, ToCompactString, format_compact};
+use tokio::time::sleep;
 
 use super::exchange::Exchange;
 use super::response::{Reason, Refusal};
@@ -65,10 +68,7 @@
         let organisation = self.organisation_key();
         let id = self.head.id.clone();
         tokio::spawn(async move {
-            if sockets::connect(address, CRASH_CHECK_TIMEOUT, CRASH_CHECK_TIMEOUT)
-                .await
-                .is_ok()
-            {
+            if !has_crashed(address).await {
                 shared.metrics.count("engine_crash_checks", "server-alive");
                 log::info!(request = id.as_deref(), engine:% = engine; "backend server lost a response and still accepts connections");
                 return;
@@ -174,6 +174,20 @@
     }
 }
 
+/// Returns whether a server that lost a response has crashed.
+async fn has_crashed(address: SocketAddr) -> bool {
+    let mut check = CrashCheck::default();
+    loop {
+        sleep(check.pause().to_duration()).await;
+        let connected = sockets::connect(address, CRASH_CHECK_TIMEOUT, CRASH_CHECK_TIMEOUT).await;
+        match check.record(connected.is_ok()) {
+            CrashVerdict::Crashed => return true,
+            CrashVerdict::Alive => return false,
+            CrashVerdict::Undecided => {}
+        }
+    }
+}
+
 /// Returns the ids of a prompt's parts in order, for logs.
 fn format_parts(parts: &[PromptPart]) -> CompactString {
     let ids: Vec<CompactString> = parts
