--- a/crates/gateway/src/control/store_follower.rs
+++ b/crates/gateway/src/control/store_follower.rs
@@ -57,7 +57,10 @@
         let Err(e) = follower.list_and_watch(&mut retry_delay).await;
         match e {
             StoreError::HistoryGone => log::info!("the store dropped its history; listing again"),
-            StoreError::Restored => log::info!("the store was restored; listing again"),
+            StoreError::Restored => {
+                log::info!("the store was restored; listing again");
+                sleep(MIN_RETRY_DELAY.to_duration()).await;
+            }
             e => {
                 follower.record_failure(&e);
                 sleep(retry_delay.to_duration()).await;
