--- a/crates/dispatch/src/known_servers.rs
+++ b/crates/dispatch/src/known_servers.rs
@@ -10,8 +10,8 @@
 
 use crate::engine::EngineEntry;
 
-/// Time for which it is kept that a server is gone; it exceeds the age of a copy of the store.
-const GONE_TTL: Millis = Millis::from_secs(120);
+/// How long the removal of a server is remembered; longer than the age of a copy of the store.
+const REMOVED_TTL: Millis = Millis::from_secs(120);
 
 /// A server that the store lists, or listed before an outage.
 #[derive(Debug)]
@@ -19,13 +19,13 @@
     entry: EngineEntry,
     /// The time until which the server is kept although its entry is missing.
     missing_until: Option<Millis>,
-    /// Whether the entry is from a copy of the store, and the server had already gone.
+    /// Whether the entry is from a copy of the store, and the server had been removed before.
     is_outdated: bool,
 }
 
 /// One start of a server whose entry was removed.
 #[derive(Debug, Clone, Copy)]
-struct GoneServer {
+struct RemovedServer {
     started: Option<u64>,
     at: Millis,
 }
@@ -43,7 +43,7 @@
 #[derive(Debug, Default)]
 pub struct KnownServers {
     servers: BTreeMap<EngineId, KnownServer>,
-    gone: BTreeMap<EngineId, GoneServer>,
+    removed: BTreeMap<EngineId, RemovedServer>,
 }
 
 impl KnownServers {
@@ -75,7 +75,7 @@
             is_listed && known.entry == entry
         });
         if !is_same {
-            self.gone.remove(&entry.id);
+            self.removed.remove(&entry.id);
             self.insert(entry, false);
         }
         !is_same
@@ -103,7 +103,8 @@
         for server in &expired {
             self.forget(now, server);
         }
-        self.gone.retain(|_, gone| now.since(gone.at) <= GONE_TTL);
+        self.removed
+            .retain(|_, removed| now.since(removed.at) <= REMOVED_TTL);
         expired
     }
 
@@ -140,9 +141,9 @@
             .servers
             .get(&entry.id)
             .is_some_and(|known| known.is_outdated && known.entry == *entry);
-        let gone = self.gone.get(&entry.id);
-        let is_gone = gone.is_some_and(|gone| gone.started >= entry.started);
-        was_outdated || (source == ListSource::Copy && is_gone)
+        let removed = self.removed.get(&entry.id);
+        let was_removed = removed.is_some_and(|removed| removed.started >= entry.started);
+        was_outdated || (source == ListSource::Copy && was_removed)
     }
 
     /// Inserts an entry; a server that was draining stays so until it starts again.
@@ -161,11 +162,11 @@
 
     fn forget(&mut self, now: Millis, server: &EngineId) {
         if let Some(known) = self.servers.remove(server) {
-            let gone = GoneServer {
+            let removed = RemovedServer {
                 started: known.entry.started,
                 at: now,
             };
-            self.gone.insert(server.clone(), gone);
+            self.removed.insert(server.clone(), removed);
         }
     }
 }
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -1,4 +1,4 @@
-//! The heartbeats of the other hosts: who is live, and who has just become so.
+//! The heartbeats of the other hosts, and which of these are live.
 
 use std::collections::BTreeMap;
 
@@ -31,9 +31,9 @@
     }
 }
 
-/// What a heartbeat says about the state of its sender.
+/// The sender of a heartbeat, compared with the last one of the same host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Heard {
+pub enum HeartbeatOrigin {
     /// The heartbeat is older than the last one.
     Outdated,
     /// The peer was live before, in the same process.
@@ -55,10 +55,10 @@
         incarnation: Incarnation,
         seq: u64,
         serves_keys: bool,
-    ) -> Heard {
+    ) -> HeartbeatOrigin {
         let peer = self.0.entry(host.clone()).or_default();
         if (incarnation, seq) <= (peer.incarnation, peer.seq) {
-            return Heard::Outdated;
+            return HeartbeatOrigin::Outdated;
         }
         let is_known = incarnation == peer.incarnation && peer.is_live(now);
         *peer = PeerState {
@@ -67,7 +67,11 @@
             seen_at: now,
             serves_keys,
         };
-        if is_known { Heard::Known } else { Heard::New }
+        if is_known {
+            HeartbeatOrigin::Known
+        } else {
+            HeartbeatOrigin::New
+        }
     }
 
     /// Returns whether a host is live.
--- a/crates/dispatch/src/poison_parts.rs
+++ b/crates/dispatch/src/poison_parts.rs
@@ -1,16 +1,16 @@
 //! Blocks parts of prompts that crash the backend servers that begin to answer them.
 //!
-//! A crash breaks all requests on its server, and requests share parts, so a crash alone tells little about
-//! any part. What tells the cause from the parts that were only near:
+//! A crash interrupts all requests on its server, and requests share parts, so a single crash is weak evidence
+//! against any part. The part that causes crashes is told from those of concurrent requests as follows:
 //!
-//! - No answer begins on the part that causes crashes. A request whose answer had begun is no suspect, and an
+//! - No answer begins on the part that causes crashes. A request whose answer had begun is not suspected, and an
 //!   answer that begins on a part clears its earlier crashes.
-//! - A sound part is rarely in several crashes in a row. How rarely depends on the share of requests that are
-//!   lost in crashes at the time, so each crash weighs less while many servers crash.
-//! - A crash has one cause. A crash that a blocked part explains does not count against another one.
+//! - Any other part is rarely in several crashes in a row. How rarely depends on the share of requests that are
+//!   lost in crashes at the time, so each crash has a lower weight while many servers crash.
+//! - A crash has one cause. A crash that a blocked part explains is not counted for other parts.
 //!
-//! Hosts send each other the crashes and the answers, as facts that may arrive twice, late, or from a third
-//! host. Each host decides by itself; with the same facts all decide alike.
+//! Hosts send each other the crashes and the answers. Such a record may arrive twice, late, or from a third
+//! host. Each host decides on its own, and with the same records all decide alike.
 //!
 //! The last part of a prompt is the request's own and never a suspect.
 //!
@@ -147,7 +147,7 @@
         /// The only organisation whose requests are refused; `None` for all.
         organisation: Option<OrganisationKey>,
     },
-    /// An answer showed that the part is sound.
+    /// An answer showed that the part does not crash servers.
     Cleared {
         /// The part.
         part: PartId,
@@ -160,7 +160,7 @@
 #[derive(Debug, Default)]
 pub struct PoisonParts {
     suspects: BTreeMap<PartId, Suspect>,
-    /// When an answer last began on a part, as this host observed or heard it.
+    /// When an answer last began on a part, as observed by this host or reported by a peer.
     begun: HashMap<PartId, Millis>,
     outcomes: Outcomes,
     events: Vec<PartEvent>,
@@ -278,7 +278,8 @@
 
     /// Decides on the suspects, those that fewer requests share first.
     ///
-    /// Parts before the guilty one are in the same crashes, so a part whose crashes suffice explains them.
+    /// The parts before the one that causes crashes are in the same crashes, so a part whose crashes suffice
+    /// explains them.
     fn decide(&mut self, now: Millis) {
         let blocked = self.suspects.values().filter(|suspect| suspect.block.is_some());
         let mut explained: Vec<Crash> = blocked
--- a/crates/dispatch/src/poison_parts/evidence.rs
+++ b/crates/dispatch/src/poison_parts/evidence.rs
@@ -1,4 +1,4 @@
-//! The crashes that speak against one part, and how much they say.
+//! The crashes in which one part was, and their weight as evidence against it.
 
 use carawayseam_types::{Digest, EngineId, Millis, OrganisationId};
 
@@ -9,7 +9,7 @@
 const SAME_MOMENT: Millis = Millis(30);
 /// Number of crashes without which no part is blocked.
 const MIN_CRASHES: usize = 3;
-/// Sum of weights at which a part is blocked: by chance, one sound part in a thousand reaches it.
+/// Sum of weights at which a part is blocked: one other part in a thousand reaches it by chance.
 const BLOCKING_WEIGHT: Weight = Weight(691);
 /// Bounds the weight of one crash, so that even the rarest one does not count as much as two.
 const MAX_WEIGHT: Weight = Weight(240);
@@ -72,7 +72,7 @@
     }
 }
 
-/// How unlikely it is that a sound request is lost in a crash: the negative logarithm of the share of requests
+/// How unlikely it is that a request is lost in a crash that it did not cause: the negative logarithm of the share of requests
 /// that were lost, in hundredths.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
 pub struct Weight(pub u16);
@@ -121,7 +121,7 @@
     }
 }
 
-/// The crashes that speak against one part, in the order of their times.
+/// The crashes in which one part was, in the order of their times.
 #[derive(Debug, Default)]
 pub(super) struct Crashes(Vec<Crash>);
 
@@ -160,7 +160,7 @@
         self.0.is_empty()
     }
 
-    /// Returns the crashes that no other part explains, one for each moment.
+    /// Returns the crashes that no other part explains, counting crashes at the same moment once.
     pub(super) fn counted(&self, explained: &[Crash]) -> Vec<Crash> {
         let is_explained = |crash: &Crash| explained.iter().any(|other| other.id == crash.id);
         let mut counted: Vec<Crash> = Vec::new();
@@ -176,7 +176,7 @@
     }
 }
 
-/// Returns whether the crashes suffice to block the part that they speak against.
+/// Returns whether the crashes suffice to block their part.
 pub(super) fn is_sufficient(counted: &[Crash]) -> bool {
     let weight: u32 = counted.iter().map(|crash| u32::from(crash.weight.0)).sum();
     counted.len() >= MIN_CRASHES && weight >= u32::from(BLOCKING_WEIGHT.0)
--- a/crates/dispatch/src/poison_parts/gossip.rs
+++ b/crates/dispatch/src/poison_parts/gossip.rs
@@ -1,4 +1,4 @@
-//! What hosts tell each other about parts of prompts.
+//! The records of crashes and answers that hosts send each other.
 
 use carawayseam_types::Millis;
 
--- a/crates/dispatch/tests/peers.rs
+++ b/crates/dispatch/tests/peers.rs
@@ -1,6 +1,6 @@
 //! Tests of the peers' heartbeats.
 
-use carawayseam_dispatch::peers::{Heard, Peers};
+use carawayseam_dispatch::peers::{HeartbeatOrigin, Peers};
 use carawayseam_types::{HostId, Incarnation, Millis};
 
 fn host() -> HostId {
@@ -15,34 +15,34 @@
             fn $name() {
                 let mut peers = Peers::default();
                 peers.record_heartbeat(Millis($last_at), &host(), Incarnation(2), 7, true);
-                let heard = peers.record_heartbeat(Millis(5_100), &host(), Incarnation($incarnation), $seq, true);
-                assert_eq!(heard, $expected);
+                let origin = peers.record_heartbeat(Millis(5_100), &host(), Incarnation($incarnation), $seq, true);
+                assert_eq!(origin, $expected);
             }
         )*
     };
 }
 
 heartbeats! {
-    the_next_heartbeat_of_a_live_peer: 5_000, (2, 8) => Heard::Known;
-    a_heartbeat_that_arrives_again: 5_000, (2, 7) => Heard::Outdated;
-    a_heartbeat_of_an_earlier_process: 5_000, (1, 99) => Heard::Outdated;
-    a_heartbeat_after_a_pause: 4_000, (2, 8) => Heard::New;
+    the_next_heartbeat_of_a_live_peer: 5_000, (2, 8) => HeartbeatOrigin::Known;
+    a_heartbeat_that_arrives_again: 5_000, (2, 7) => HeartbeatOrigin::Outdated;
+    a_heartbeat_of_an_earlier_process: 5_000, (1, 99) => HeartbeatOrigin::Outdated;
+    a_heartbeat_after_a_pause: 4_000, (2, 8) => HeartbeatOrigin::New;
 }
 
-/// Guards against a host that restarts within a second and is told nothing of what it has forgotten.
+/// Guards against a host that restarts within a second and gets no reports of what its earlier process knew.
 #[test]
 fn a_process_that_started_within_a_second_is_new() {
     let mut peers = Peers::default();
     peers.record_heartbeat(Millis(5_000), &host(), Incarnation(2), 7, true);
-    let heard = peers.record_heartbeat(Millis(5_100), &host(), Incarnation(3), 1, true);
-    assert_eq!(heard, Heard::New);
+    let origin = peers.record_heartbeat(Millis(5_100), &host(), Incarnation(3), 1, true);
+    assert_eq!(origin, HeartbeatOrigin::New);
 }
 
 #[test]
 fn the_first_heartbeat_is_of_a_new_peer() {
     let mut peers = Peers::default();
-    let heard = peers.record_heartbeat(Millis(500), &host(), Incarnation(1), 1, true);
-    assert_eq!(heard, Heard::New);
+    let origin = peers.record_heartbeat(Millis(500), &host(), Incarnation(1), 1, true);
+    assert_eq!(origin, HeartbeatOrigin::New);
     assert!(peers.is_live(Millis(1_500), &host()));
     assert!(!peers.is_live(Millis(1_501), &host()));
 }
--- a/crates/dispatch/tests/poison_parts.rs
+++ b/crates/dispatch/tests/poison_parts.rs
@@ -7,7 +7,7 @@
 use carawayseam_types::Millis;
 
 const SHARED: u64 = 1;
-const GUILTY: u64 = 2;
+const POISON: u64 = 2;
 const ORGANISATION: Option<OrganisationKey> = Some(OrganisationKey(7));
 const OTHER_ORGANISATION: Option<OrganisationKey> = Some(OrganisationKey(8));
 /// Time for which answers at other hosts may still become known before a part is blocked.
@@ -63,12 +63,12 @@
 }
 
 block_cases! {
-    a_part_in_three_crashes_is_blocked: [GUILTY, 100], [GUILTY, 200] => true;
-    other_parts_are_not_blocked: [GUILTY, 100], [SHARED, 200] => false;
-    the_last_part_is_never_blocked: [GUILTY, 100], [100, 200] => false;
-    the_last_part_of_a_prompt_is_not_looked_up: [GUILTY, 100], [SHARED, GUILTY] => false;
-    the_part_that_fewer_requests_share_explains_the_crashes: [SHARED, GUILTY, 100], [SHARED, 200] => false;
-    the_part_that_fewer_requests_share_is_blocked: [SHARED, GUILTY, 100], [SHARED, GUILTY, 200] => true;
+    a_part_in_three_crashes_is_blocked: [POISON, 100], [POISON, 200] => true;
+    other_parts_are_not_blocked: [POISON, 100], [SHARED, 200] => false;
+    the_last_part_is_never_blocked: [POISON, 100], [100, 200] => false;
+    the_last_part_of_a_prompt_is_not_looked_up: [POISON, 100], [SHARED, POISON] => false;
+    the_part_that_fewer_requests_share_explains_the_crashes: [SHARED, POISON, 100], [SHARED, 200] => false;
+    the_part_that_fewer_requests_share_is_blocked: [SHARED, POISON, 100], [SHARED, POISON, 200] => true;
 }
 
 #[test]
@@ -76,14 +76,14 @@
     let mut parts = PoisonParts::default();
     serve_others(&mut parts);
     for number in 0..3 {
-        crash(&mut parts, 1_000 + 100 * u64::from(number), number, &[GUILTY, 9]);
+        crash(&mut parts, 1_000 + 100 * u64::from(number), number, &[POISON, 9]);
     }
     parts.tick(Millis(1_200));
     parts.tick(Millis(1_200 + DECISION_DELAY - 1));
-    assert!(!is_blocked(&parts, 1_449, &[GUILTY, 9]));
+    assert!(!is_blocked(&parts, 1_449, &[POISON, 9]));
     let events = parts.tick(Millis(1_200 + DECISION_DELAY));
     let blocked = PartEvent::Blocked {
-        part: PartId(GUILTY),
+        part: PartId(POISON),
         crashes: vec![CrashId(0), CrashId(1), CrashId(2)],
         organisation: ORGANISATION,
     };
@@ -94,22 +94,22 @@
 fn connections_that_break_in_one_crash_count_once() {
     let mut parts = PoisonParts::default();
     for now in [1_000, 1_100, 1_200, 1_300, 1_400] {
-        crash(&mut parts, now, 1, &[GUILTY, now]);
+        crash(&mut parts, now, 1, &[POISON, now]);
     }
     parts.tick(Millis(1_400));
     parts.tick(Millis(2_000));
-    assert!(!is_blocked(&parts, 2_000, &[GUILTY, 9]));
+    assert!(!is_blocked(&parts, 2_000, &[POISON, 9]));
 }
 
 #[test]
 fn servers_that_crash_at_one_moment_count_once() {
     let mut parts = PoisonParts::default();
     for number in 0..8 {
-        crash(&mut parts, 1_000 + u64::from(number), number, &[GUILTY, 9]);
+        crash(&mut parts, 1_000 + u64::from(number), number, &[POISON, 9]);
     }
     parts.tick(Millis(1_010));
     parts.tick(Millis(2_000));
-    assert!(!is_blocked(&parts, 2_000, &[GUILTY, 9]));
+    assert!(!is_blocked(&parts, 2_000, &[POISON, 9]));
 }
 
 #[test]
@@ -132,20 +132,20 @@
             let now = 1_000 + 100 * u64::from(number);
             crash(&mut parts, now, number, &[1_000 + own, own]);
         }
-        crash(&mut parts, 1_000 + 100 * u64::from(number), number, &[GUILTY, 9]);
+        crash(&mut parts, 1_000 + 100 * u64::from(number), number, &[POISON, 9]);
     }
     parts.tick(Millis(1_300));
     parts.tick(Millis(2_000));
-    assert!(!is_blocked(&parts, 2_000, &[GUILTY, 9]));
+    assert!(!is_blocked(&parts, 2_000, &[POISON, 9]));
 }
 
 #[test]
 fn crashes_that_a_blocked_part_explains_do_not_count_against_others() {
     let mut parts = PoisonParts::default();
-    block(&mut parts, &[SHARED, GUILTY, 100]);
+    block(&mut parts, &[SHARED, POISON, 100]);
     for number in 10..14 {
         let now = 2_000 + 100 * u64::from(number);
-        crash(&mut parts, now, number, &[SHARED, GUILTY, 100]);
+        crash(&mut parts, now, number, &[SHARED, POISON, 100]);
         crash(&mut parts, now, number, &[SHARED, 101]);
     }
     parts.tick(Millis(3_300));
@@ -156,23 +156,23 @@
 #[test]
 fn crashes_of_one_organisation_block_nobody_else() {
     let mut parts = PoisonParts::default();
-    block(&mut parts, &[GUILTY, 100]);
-    let others = parts.blocked_part(Millis(2_000), OTHER_ORGANISATION, &prompt(&[GUILTY, 200]));
+    block(&mut parts, &[POISON, 100]);
+    let others = parts.blocked_part(Millis(2_000), OTHER_ORGANISATION, &prompt(&[POISON, 200]));
     assert_eq!(others, None);
     let now = Millis(2_100);
-    parts.record_crash(now, CrashId(9), OTHER_ORGANISATION, &prompt(&[GUILTY, 201]));
-    let others = parts.blocked_part(now, OTHER_ORGANISATION, &prompt(&[GUILTY, 202]));
+    parts.record_crash(now, CrashId(9), OTHER_ORGANISATION, &prompt(&[POISON, 201]));
+    let others = parts.blocked_part(now, OTHER_ORGANISATION, &prompt(&[POISON, 202]));
     assert!(others.is_some(), "now it is not one organisation's matter");
 }
 
 #[test]
 fn a_complete_answer_ends_a_block() {
     let mut parts = PoisonParts::default();
-    block(&mut parts, &[GUILTY, 100]);
-    parts.record_complete(Millis(3_000), Millis(2_000), &prompt(&[GUILTY, 101]));
-    assert!(!is_blocked(&parts, 3_000, &[GUILTY, 102]));
+    block(&mut parts, &[POISON, 100]);
+    parts.record_complete(Millis(3_000), Millis(2_000), &prompt(&[POISON, 101]));
+    assert!(!is_blocked(&parts, 3_000, &[POISON, 102]));
     let cleared = PartEvent::Cleared {
-        part: PartId(GUILTY),
+        part: PartId(POISON),
         was_blocked: true,
     };
     assert_eq!(parts.tick(Millis(3_000)), [cleared]);
@@ -181,28 +181,28 @@
 #[test]
 fn an_answer_that_began_before_the_crashes_ends_no_block() {
     let mut parts = PoisonParts::default();
-    block(&mut parts, &[GUILTY, 100]);
-    parts.record_complete(Millis(3_000), Millis(900), &prompt(&[GUILTY, 101]));
-    assert!(is_blocked(&parts, 3_000, &[GUILTY, 102]));
+    block(&mut parts, &[POISON, 100]);
+    parts.record_complete(Millis(3_000), Millis(900), &prompt(&[POISON, 101]));
+    assert!(is_blocked(&parts, 3_000, &[POISON, 102]));
 }
 
 #[test]
 fn one_request_at_the_owner_tries_a_blocked_part_after_a_while() {
     let mut parts = PoisonParts::default();
-    block(&mut parts, &[GUILTY, 100]);
+    block(&mut parts, &[POISON, 100]);
     let refused = |admission| matches!(admission, Admission::Blocked(_));
     assert!(
-        refused(admit(&mut parts, 21_199, &[GUILTY, 101], true)),
+        refused(admit(&mut parts, 21_199, &[POISON, 101], true)),
         "too early"
     );
     assert!(
-        refused(admit(&mut parts, 21_200, &[GUILTY, 102], false)),
+        refused(admit(&mut parts, 21_200, &[POISON, 102], false)),
         "not the owner"
     );
-    let admission = admit(&mut parts, 21_200, &[GUILTY, 103], true);
-    assert_eq!(admission, Admission::Trial(PartId(GUILTY)));
+    let admission = admit(&mut parts, 21_200, &[POISON, 103], true);
+    assert_eq!(admission, Admission::Trial(PartId(POISON)));
     assert!(
-        refused(admit(&mut parts, 21_300, &[GUILTY, 104], true)),
+        refused(admit(&mut parts, 21_300, &[POISON, 104], true)),
         "only one"
     );
 }
@@ -210,10 +210,10 @@
 #[test]
 fn a_failed_trial_doubles_the_time_until_the_next() {
     let mut parts = PoisonParts::default();
-    block(&mut parts, &[GUILTY, 100]);
-    admit(&mut parts, 21_200, &[GUILTY, 101], true);
-    crash(&mut parts, 21_300, 10, &[GUILTY, 101]);
-    let Admission::Blocked(blocked) = admit(&mut parts, 30_000, &[GUILTY, 102], true) else {
+    block(&mut parts, &[POISON, 100]);
+    admit(&mut parts, 21_200, &[POISON, 101], true);
+    crash(&mut parts, 21_300, 10, &[POISON, 101]);
+    let Admission::Blocked(blocked) = admit(&mut parts, 30_000, &[POISON, 102], true) else {
         panic!("the trial failed");
     };
     assert_eq!(blocked.retry_after, Millis(21_300 + 40_000 - 30_000));
@@ -222,12 +222,12 @@
 #[test]
 fn a_suspicion_ends_after_a_minute_without_crashes() {
     let mut parts = PoisonParts::default();
-    crash(&mut parts, 1_000, 1, &[GUILTY, 9]);
-    crash(&mut parts, 1_100, 2, &[GUILTY, 9]);
+    crash(&mut parts, 1_000, 1, &[POISON, 9]);
+    crash(&mut parts, 1_100, 2, &[POISON, 9]);
     parts.tick(Millis(61_100));
-    assert!(parts.is_suspected(&prompt(&[GUILTY, 9])));
+    assert!(parts.is_suspected(&prompt(&[POISON, 9])));
     parts.tick(Millis(61_101));
-    assert!(!parts.is_suspected(&prompt(&[GUILTY, 9])));
+    assert!(!parts.is_suspected(&prompt(&[POISON, 9])));
 }
 
 #[test]
@@ -238,7 +238,7 @@
         PoisonParts::default(),
     ];
     for (number, parts) in hosts.iter_mut().enumerate() {
-        crash(parts, 1_000 + 100 * number as u64, number as u32, &[GUILTY, 9]);
+        crash(parts, 1_000 + 100 * number as u64, number as u32, &[POISON, 9]);
     }
     let now = Millis(1_250);
     let updates = [0, 1, 2].map(|ix| hosts[ix].gossip_update(now, false));
@@ -248,7 +248,7 @@
         }
         parts.tick(now);
         parts.tick(Millis(1_500));
-        assert!(is_blocked(parts, 1_500, &[GUILTY, 10]));
+        assert!(is_blocked(parts, 1_500, &[POISON, 10]));
     }
 }
 
@@ -256,20 +256,20 @@
 fn a_report_that_is_read_late_is_no_other_crash() {
     let mut observer = PoisonParts::default();
     let mut frozen = PoisonParts::default();
-    crash(&mut observer, 1_000, 1, &[GUILTY, 9]);
-    crash(&mut observer, 1_100, 2, &[GUILTY, 9]);
+    crash(&mut observer, 1_000, 1, &[POISON, 9]);
+    crash(&mut observer, 1_100, 2, &[POISON, 9]);
     let update = observer.gossip_update(Millis(1_100), false);
     frozen.record_peer_update(Millis(1_150), &update);
     frozen.record_peer_update(Millis(5_150), &update);
     frozen.tick(Millis(5_150));
     frozen.tick(Millis(6_000));
-    assert!(!is_blocked(&frozen, 6_000, &[GUILTY, 10]));
+    assert!(!is_blocked(&frozen, 6_000, &[POISON, 10]));
 }
 
 #[test]
 fn a_new_peer_is_told_of_blocked_parts_by_any_host() {
     let mut observer = PoisonParts::default();
-    block(&mut observer, &[GUILTY, 100]);
+    block(&mut observer, &[POISON, 100]);
     let mut relay = PoisonParts::default();
     relay.record_peer_update(Millis(1_500), &observer.gossip_update(Millis(1_500), false));
     relay.tick(Millis(1_500));
@@ -279,20 +279,20 @@
     started.record_peer_update(Millis(9_000), &relay.gossip_update(Millis(9_000), true));
     started.tick(Millis(9_000));
     started.tick(Millis(9_250));
-    assert!(is_blocked(&started, 9_250, &[GUILTY, 10]));
+    assert!(is_blocked(&started, 9_250, &[POISON, 10]));
 }
 
 #[test]
 fn a_new_peer_is_told_of_cleared_parts() {
     let mut partitioned = PoisonParts::default();
-    block(&mut partitioned, &[GUILTY, 100]);
+    block(&mut partitioned, &[POISON, 100]);
     let mut others = PoisonParts::default();
-    block(&mut others, &[GUILTY, 100]);
-    others.record_complete(Millis(3_100), Millis(3_000), &prompt(&[GUILTY, 101]));
+    block(&mut others, &[POISON, 100]);
+    others.record_complete(Millis(3_100), Millis(3_000), &prompt(&[POISON, 101]));
     partitioned.record_peer_update(Millis(9_000), &others.gossip_update(Millis(9_000), true));
-    assert!(!is_blocked(&partitioned, 9_000, &[GUILTY, 102]));
+    assert!(!is_blocked(&partitioned, 9_000, &[POISON, 102]));
     others.record_peer_update(Millis(9_000), &partitioned.gossip_update(Millis(9_000), true));
     others.tick(Millis(9_000));
     others.tick(Millis(9_500));
-    assert!(!is_blocked(&others, 9_500, &[GUILTY, 102]));
+    assert!(!is_blocked(&others, 9_500, &[POISON, 102]));
 }
--- a/crates/dispatch/tests/poison_parts_load.rs
+++ b/crates/dispatch/tests/poison_parts_load.rs
@@ -19,14 +19,14 @@
 const CONTACT_MS: u64 = 3_000;
 /// Requests with one part that may reach servers after that.
 const MAX_LATE_SENDS: usize = 3;
-/// Bound on the share of sound requests that are refused.
+/// Bound on the share of other requests that are refused.
 const MAX_REFUSED: f64 = 0.002;
 const DATAGRAM_LOSS: f64 = 0.02;
 const RESTART_MS: u64 = 3_000;
 const BEGIN_MS: std::ops::Range<u64> = 50..300;
 const ANSWER_MS: std::ops::Range<u64> = 300..2_500;
 const SUBJECTS: u64 = 60;
-/// Parts that few sound requests share, such as those of a session.
+/// Parts that few requests share, such as those of a session.
 const SESSIONS: u64 = 400;
 const SESSION_SHARE: f64 = 0.3;
 const ORGANISATIONS: u64 = 5;
@@ -35,9 +35,9 @@
 #[derive(Clone, Copy)]
 struct Trouble {
     /// Number of parts that crash servers, from different times on.
-    deadly_parts: u64,
+    poison_parts: u64,
     /// Share of the requests that have one of them.
-    deadly_share: f64,
+    poison_share: f64,
     /// Servers that crash for other reasons, in a second.
     other_crashes: f64,
     /// When all servers crash at once, if they do.
@@ -45,8 +45,8 @@
 }
 
 const NO_TROUBLE: Trouble = Trouble {
-    deadly_parts: 0,
-    deadly_share: 0.0,
+    poison_parts: 0,
+    poison_share: 0.0,
     other_crashes: 0.0,
     all_crash_at: None,
 };
@@ -56,7 +56,7 @@
     server: usize,
     organisation: OrganisationKey,
     parts: Vec<PromptPart>,
-    deadly: Option<u64>,
+    poison: Option<u64>,
     begins_at: u64,
     ends_at: u64,
     begun_at: Option<u64>,
@@ -68,9 +68,9 @@
     up_at: u64,
 }
 
-/// What was seen of one deadly part.
+/// What was seen of one poison part.
 #[derive(Default)]
-struct DeadlyPart {
+struct PoisonPart {
     crashes: Vec<u64>,
     sends: Vec<u64>,
 }
@@ -80,8 +80,8 @@
     servers: Vec<Server>,
     running: Vec<Request>,
     updates: Vec<(usize, PartsUpdate)>,
-    deadly: BTreeMap<u64, DeadlyPart>,
-    sound: usize,
+    poison: BTreeMap<u64, PoisonPart>,
+    others: usize,
     refused: usize,
     refused_parts: BTreeSet<PartId>,
     next_own_part: u64,
@@ -96,8 +96,8 @@
             servers: vec![Server { started: 1, up_at: 0 }; servers],
             running: Vec::new(),
             updates: Vec::new(),
-            deadly: BTreeMap::new(),
-            sound: 0,
+            poison: BTreeMap::new(),
+            others: 0,
             refused: 0,
             refused_parts: BTreeSet::new(),
             next_own_part: 1 << 32,
@@ -134,11 +134,11 @@
             .random_range(0..SUBJECTS)
             .min(self.rng.random_range(0..SUBJECTS));
         let organisation = OrganisationKey((subject % ORGANISATIONS) as u32);
-        let deadly = (self.trouble.deadly_parts > 0 && self.rng.random_bool(self.trouble.deadly_share))
-            .then(|| self.rng.random_range(0..self.trouble.deadly_parts))
-            .filter(|deadly| now > 2_000 + 2_000 * deadly);
-        let middle = match deadly {
-            Some(deadly) => Some(10_000 + deadly),
+        let poison = (self.trouble.poison_parts > 0 && self.rng.random_bool(self.trouble.poison_share))
+            .then(|| self.rng.random_range(0..self.trouble.poison_parts))
+            .filter(|poison| now > 2_000 + 2_000 * poison);
+        let middle = match poison {
+            Some(poison) => Some(10_000 + poison),
             None if self.rng.random_bool(SESSION_SHARE) => {
                 Some(20_000 + subject * SESSIONS + self.rng.random_range(0..SESSIONS / SUBJECTS))
             }
@@ -152,16 +152,16 @@
             .map(|id| PromptPart { id, tokens: 40 })
             .collect();
         let admission = self.hosts[host].admit(Millis(now), Some(organisation), &parts, |_| false);
-        self.sound += usize::from(deadly.is_none());
+        self.others += usize::from(poison.is_none());
         if let Admission::Blocked(blocked) = admission {
-            self.refused += usize::from(deadly.is_none());
-            if deadly.is_none() {
+            self.refused += usize::from(poison.is_none());
+            if poison.is_none() {
                 self.refused_parts.insert(blocked.part);
             }
             return;
         }
-        if let Some(deadly) = deadly {
-            self.deadly.entry(deadly).or_default().sends.push(now);
+        if let Some(poison) = poison {
+            self.poison.entry(poison).or_default().sends.push(now);
         }
         let begins_at = now + self.rng.random_range(BEGIN_MS);
         self.running.push(Request {
@@ -169,7 +169,7 @@
             server,
             organisation,
             parts,
-            deadly,
+            poison,
             begins_at,
             ends_at: begins_at + self.rng.random_range(ANSWER_MS),
             begun_at: None,
@@ -193,17 +193,17 @@
         }
     }
 
-    /// Begins and ends answers; a request with a deadly part crashes its server instead.
+    /// Begins and ends answers; a request with a poison part crashes its server instead.
     fn advance(&mut self, now: u64) {
-        let fatal: Vec<(usize, u64)> = self
+        let crashing: Vec<(usize, u64)> = self
             .running
             .iter()
             .filter(|request| request.begins_at <= now)
-            .filter_map(|request| Some((request.server, request.deadly?)))
+            .filter_map(|request| Some((request.server, request.poison?)))
             .collect();
-        for (server, deadly) in fatal {
+        for (server, poison) in crashing {
             if self.servers[server].up_at <= now {
-                self.deadly.entry(deadly).or_default().crashes.push(now);
+                self.poison.entry(poison).or_default().crashes.push(now);
                 self.crash(now, server);
             }
         }
@@ -263,9 +263,9 @@
         }
     }
 
-    /// Asserts that each deadly part is refused in time, and that sound requests are not.
+    /// Asserts that each poison part is refused in time, and that other requests are not.
     fn check(&self) {
-        for (part, seen) in &self.deadly {
+        for (part, seen) in &self.poison {
             assert!(
                 seen.crashes.len() >= 3,
                 "part {part} crashed too few servers to be told"
@@ -278,12 +278,12 @@
                 seen.crashes.len()
             );
         }
-        let refused = self.refused as f64 / self.sound as f64;
+        let refused = self.refused as f64 / self.others as f64;
         assert!(
             refused <= MAX_REFUSED,
-            "{} of {} sound requests refused for {:?}",
+            "{} of {} other requests refused for {:?}",
             self.refused,
-            self.sound,
+            self.others,
             self.refused_parts
         );
     }
@@ -307,24 +307,24 @@
 }
 
 loads! {
-    a_deadly_part_at_four_hosts: 4, 12, 100.0,
-        Trouble { deadly_parts: 1, deadly_share: 0.02, ..NO_TROUBLE };
-    a_rare_deadly_part_at_four_hosts: 4, 12, 100.0,
-        Trouble { deadly_parts: 1, deadly_share: 0.004, ..NO_TROUBLE };
-    a_frequent_deadly_part_at_four_hosts: 4, 12, 100.0,
-        Trouble { deadly_parts: 1, deadly_share: 0.2, ..NO_TROUBLE };
-    several_deadly_parts_at_four_hosts: 4, 12, 100.0,
-        Trouble { deadly_parts: 4, deadly_share: 0.05, ..NO_TROUBLE };
-    a_deadly_part_beside_other_crashes_at_four_hosts: 4, 12, 100.0,
-        Trouble { deadly_parts: 1, deadly_share: 0.02, other_crashes: 1.0, ..NO_TROUBLE };
+    a_poison_part_at_four_hosts: 4, 12, 100.0,
+        Trouble { poison_parts: 1, poison_share: 0.02, ..NO_TROUBLE };
+    a_rare_poison_part_at_four_hosts: 4, 12, 100.0,
+        Trouble { poison_parts: 1, poison_share: 0.004, ..NO_TROUBLE };
+    a_frequent_poison_part_at_four_hosts: 4, 12, 100.0,
+        Trouble { poison_parts: 1, poison_share: 0.2, ..NO_TROUBLE };
+    several_poison_parts_at_four_hosts: 4, 12, 100.0,
+        Trouble { poison_parts: 4, poison_share: 0.05, ..NO_TROUBLE };
+    a_poison_part_beside_other_crashes_at_four_hosts: 4, 12, 100.0,
+        Trouble { poison_parts: 1, poison_share: 0.02, other_crashes: 1.0, ..NO_TROUBLE };
     frequent_crashes_with_other_causes_block_nothing: 4, 12, 100.0,
         Trouble { other_crashes: 3.0, ..NO_TROUBLE };
     a_crash_of_all_servers_blocks_nothing: 4, 12, 100.0,
         Trouble { all_crash_at: Some(10_000), ..NO_TROUBLE };
-    a_deadly_part_at_118_hosts: 118, 160, 1_000.0,
-        Trouble { deadly_parts: 1, deadly_share: 0.02, ..NO_TROUBLE };
-    several_deadly_parts_beside_other_crashes_at_118_hosts: 118, 160, 1_000.0,
-        Trouble { deadly_parts: 4, deadly_share: 0.03, other_crashes: 4.0, all_crash_at: None };
+    a_poison_part_at_118_hosts: 118, 160, 1_000.0,
+        Trouble { poison_parts: 1, poison_share: 0.02, ..NO_TROUBLE };
+    several_poison_parts_beside_other_crashes_at_118_hosts: 118, 160, 1_000.0,
+        Trouble { poison_parts: 4, poison_share: 0.03, other_crashes: 4.0, all_crash_at: None };
     a_crash_of_all_servers_blocks_nothing_at_118_hosts: 118, 160, 1_000.0,
         Trouble { all_crash_at: Some(10_000), other_crashes: 4.0, ..NO_TROUBLE };
 }
--- a/crates/gateway/src/control/state/announcements.rs
+++ b/crates/gateway/src/control/state/announcements.rs
@@ -5,7 +5,7 @@
 use carawayseam_dispatch::draining_servers::DrainingServer;
 use carawayseam_dispatch::engine::ServerLoad;
 use carawayseam_dispatch::load::{HostLoad, WaitingCount};
-use carawayseam_dispatch::peers::Heard;
+use carawayseam_dispatch::peers::HeartbeatOrigin;
 use carawayseam_dispatch::rollouts::{Evidence, ResponseCounts, RolloutUpdate};
 use carawayseam_types::{Digest, EngineKey, Millis};
 use carawayseam_wire::{EngineLoad, Heartbeat, PeerMessage, RolloutCounts, WaitingLoad};
@@ -43,9 +43,9 @@
             .peers
             .record_heartbeat(now, host, *incarnation, *seq, *serves_keys)
         {
-            Heard::Outdated => return,
-            Heard::Known => {}
-            Heard::New => {
+            HeartbeatOrigin::Outdated => return,
+            HeartbeatOrigin::Known => {}
+            HeartbeatOrigin::New => {
                 log::info!(peer:% = host, incarnation:% = incarnation; "peer is live");
                 self.new_peer_until = now + NEW_PEER_REPORT_TIME;
                 self.update_group(now);
--- a/crates/gateway/src/control/store_copy.rs
+++ b/crates/gateway/src/control/store_copy.rs
@@ -1,4 +1,4 @@
-//! Copies the known state of the store between hosts, for a host that the store rejects.
+//! Copies the state of the store from a peer, for a host that the store rejects.
 //!
 //! The pages of a copy are requested one after the other while the state changes. All changes after the
 //! lowest of their revisions are applied afterwards, so the state is complete in the end.
@@ -54,7 +54,7 @@
     })
 }
 
-/// Copies the state of a peer; returns `None` if the peer does not vouch for its state, or changes its era.
+/// Copies the state of a peer; returns `None` if the peer's state is not confirmed recently, or its era changes.
 pub(super) async fn copy_from(shared: &Shared, peer: &HostId) -> Option<Listing> {
     let mut listing: Option<Listing> = None;
     loop {
--- a/crates/gateway/src/control/store_follower.rs
+++ b/crates/gateway/src/control/store_follower.rs
@@ -140,7 +140,7 @@
         })
     }
 
-    /// Copies the state that a peer vouches for, unless this host knows a later one.
+    /// Copies the confirmed state of a peer, unless this host knows a later one.
     async fn copy_from_peers(&mut self) -> Option<Listing> {
         let known = self.revision();
         let is_listed = known != History::<Change>::unknown().end();
--- a/crates/gateway/src/control/updates.rs
+++ b/crates/gateway/src/control/updates.rs
@@ -149,7 +149,7 @@
     }))
 }
 
-/// Returns the time since this host's state was confirmed, if it may vouch for it.
+/// Returns the time since this host's state was confirmed, if it may be sent to peers.
 pub(super) fn confirmed_age(shared: &Shared) -> Option<Millis> {
     if is_rejected_follower(shared) {
         return None;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -80,7 +80,7 @@
     Store(StoreFault),
     /// The store forgets its history.
     Forget,
-    /// The store is away for a moment, and comes back from a copy of its state at the begin of the fault.
+    /// The store is unavailable for a moment, and is restored from a copy made when the fault began.
     Restore,
     /// All leases end.
     Lapse,
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -26,7 +26,7 @@
 /// How long a move may take, in seconds.
 const MOVE_WITHIN_S: u32 = 8;
 const MOVE_POLL: Duration = Duration::from_millis(100);
-/// How long the store is away before it comes back from a copy.
+/// How long the store is unavailable before it is restored from a copy.
 const RESTORE_TIME: Duration = Duration::from_millis(400);
 /// After this time, operator and servers have written again what the copy lacks.
 const WRITTEN_AGAIN: Duration = Duration::from_millis(600);
