Send callers of a blocked part away for a second while its trial is due

The retry delay was 250 ms when the time of the block was over and another host owned the trial, so callers came back four times a second. The delay is one second now, which the test of the trial asserts.

--- a/crates/dispatch/src/poison_parts.rs
+++ b/crates/dispatch/src/poison_parts.rs
@@ -41,6 +41,8 @@
 const MAX_DOUBLINGS: u32 = 5;
 /// Time after which a trial without a result is followed by another.
 const TRIAL_TIMEOUT: Millis = Millis::from_secs(15);
+/// The retry delay while the trial of a part is due, which only the host that owns the part may send.
+const MIN_RETRY_DELAY: Millis = Millis(1_000);
 /// Time after the last crash for which a part is tracked while it is not blocked.
 const SUSPICION_TTL: Millis = Millis::from_secs(60);
 /// Time after the last crash or refusal for which a blocked part is tracked.
@@ -93,6 +95,11 @@
         (self.last_crash_at + BLOCK_TIME.times(1 << doublings)).max(after_trial)
     }
 
+    /// Returns the retry delay of a request that is refused.
+    fn retry_after(&self, now: Millis) -> Millis {
+        self.ends_at().since(now).max(MIN_RETRY_DELAY)
+    }
+
     /// Records another crash of the part.
     fn record_crash(&mut self, crash: &Crash) {
         let is_trial = crash.at.since(self.last_crash_at) >= BLOCK_TIME;
@@ -164,7 +171,7 @@
     begun: HashMap<PartId, Millis>,
     outcomes: Outcomes,
     events: Vec<PartEvent>,
-    /// Number of facts announced so far, which rotates through those that do not fit one update.
+    /// Number of records announced so far, which rotates through those that do not fit one update.
     announced: usize,
 }
 
@@ -230,7 +237,7 @@
             };
             block.refused_at = now;
             if now < block.ends_at() || !owns(part) || trial.is_some() {
-                let retry_after = block.ends_at().since(now).max(DECISION_DELAY);
+                let retry_after = block.retry_after(now);
                 return Admission::Blocked(BlockedPart { part, retry_after });
             }
             trial = Some(part);
@@ -254,7 +261,7 @@
     ) -> Option<BlockedPart> {
         shared_parts(parts).find_map(|(_, part)| {
             let block = self.block(part).filter(|block| block.applies_to(organisation))?;
-            let retry_after = block.ends_at().since(now).max(DECISION_DELAY);
+            let retry_after = block.retry_after(now);
             Some(BlockedPart { part, retry_after })
         })
     }
--- a/crates/dispatch/tests/poison_parts.rs
+++ b/crates/dispatch/tests/poison_parts.rs
@@ -195,10 +195,10 @@
         refused(admit(&mut parts, 21_199, &[POISON, 101], true)),
         "too early"
     );
-    assert!(
-        refused(admit(&mut parts, 21_200, &[POISON, 102], false)),
-        "not the owner"
-    );
+    let Admission::Blocked(blocked) = admit(&mut parts, 21_200, &[POISON, 102], false) else {
+        panic!("another host owns the trial");
+    };
+    assert_eq!(blocked.retry_after, Millis(1_000));
     let admission = admit(&mut parts, 21_200, &[POISON, 103], true);
     assert_eq!(admission, Admission::Trial(PartId(POISON)));
     assert!(
