Declare the store's era by the macro of the other numbers

Cause: the era wrote out the derives that number_type! makes for all numbers of ids.rs, three places cut a digest to 32 bits by hand, History::era had no caller, and PartId derived conversions that nothing uses.

Change: one macro, one Digest::low_bits, and the rest removed.

--- a/crates/dispatch/src/history.rs
+++ b/crates/dispatch/src/history.rs
@@ -61,12 +61,6 @@
         Self::since(StoreRevision::new(StoreEra(0), u64::MAX))
     }
 
-    /// Returns the era of the revisions.
-    #[must_use]
-    pub const fn era(&self) -> StoreEra {
-        self.era
-    }
-
     /// Returns the revision up to which changes are known.
     #[must_use]
     pub const fn end(&self) -> StoreRevision {
--- a/crates/dispatch/src/poison_parts/evidence.rs
+++ b/crates/dispatch/src/poison_parts/evidence.rs
@@ -22,19 +22,7 @@
 const MAX_CRASHES: usize = 12;
 
 /// The id of a part of a prompt.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    derive_more::Display,
-    derive_more::From,
-    derive_more::Into,
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display)]
 #[display("{_0:x}")]
 pub struct PartId(pub u64);
 
@@ -51,7 +39,7 @@
 
 impl From<&OrganisationId> for OrganisationKey {
     fn from(organisation: &OrganisationId) -> Self {
-        Self(Digest::of(organisation.as_str().as_bytes()).0 as u32)
+        Self(Digest::of(organisation.as_str().as_bytes()).low_bits())
     }
 }
 
@@ -68,12 +56,13 @@
     pub fn new(server: &EngineId, started: Option<u64>) -> Self {
         let mut buf = server.as_str().as_bytes().to_vec();
         buf.extend_from_slice(&started.unwrap_or_default().to_le_bytes());
-        Self(Digest::of(&buf).0 as u32)
+        Self(Digest::of(&buf).low_bits())
     }
 }
 
-/// How unlikely it is that a request is lost in a crash that it did not cause: the negative logarithm of the share of requests
-/// that were lost, in hundredths.
+/// How unlikely it is that a request is lost in a crash that it did not cause.
+///
+/// This is the negative logarithm of the share of requests that were lost, in hundredths.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
 pub struct Weight(pub u16);
 
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -162,6 +162,12 @@
     /// A number that grows with each start of a host, so that messages from before a restart are dropped.
     Incarnation, u64, "incarnation"
 );
+number_type!(
+    /// The number of times that the store was restored from a copy of its state.
+    ///
+    /// A restored store has lost its latest revisions and gives them out again.
+    StoreEra, u64, "store era"
+);
 number_type!(
     /// A random number by which a writer recognises its own write.
     Nonce, u64, "nonce"
@@ -195,6 +201,12 @@
     pub fn of(bytes: &[u8]) -> Self {
         Self(xxhash_rust::xxh3::xxh3_128(bytes))
     }
+
+    /// Returns the lowest 32 bits, for messages in which collisions are harmless.
+    #[must_use]
+    pub const fn low_bits(self) -> u32 {
+        self.0 as u32
+    }
 }
 
 /// A 32-bit digest of an engine's name, used in messages that list many engines.
@@ -207,7 +219,7 @@
 
 impl From<&EngineId> for EngineKey {
     fn from(engine: &EngineId) -> Self {
-        Self(Digest::of(engine.as_str().as_bytes()).0 as u32)
+        Self(Digest::of(engine.as_str().as_bytes()).low_bits())
     }
 }
 
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -29,9 +29,9 @@
 pub use error::ParseError;
 pub use ids::{
     AttemptId, BackendName, Digest, EngineId, EngineKey, EnvironmentId, FencingToken, HostId, Incarnation,
-    Nonce, OrganisationId, RequestId, RequestSeq, Revision, RolloutId, RouteName, TierName, VersionId,
-    ZoneId,
+    Nonce, OrganisationId, RequestId, RequestSeq, Revision, RolloutId, RouteName, StoreEra, TierName,
+    VersionId, ZoneId,
 };
 pub use outcome::{NotRunReason, Outcome, Refusal, UnknownReason};
 pub use quantity::{Bytes, Permille, RequestRate, Tier, Tokens, TokensPerSecond};
-pub use store_revision::{StoreEra, StoreRevision};
+pub use store_revision::StoreRevision;
--- a/crates/types/src/store_revision.rs
+++ b/crates/types/src/store_revision.rs
@@ -2,27 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-/// The number of times that the store was restored from a copy of its state.
-///
-/// A restored store has lost its latest revisions and gives them out again.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-    derive_more::Display,
-    derive_more::From,
-    derive_more::FromStr,
-)]
-#[serde(transparent)]
-pub struct StoreEra(pub u64);
+use crate::StoreEra;
 
 /// A revision of the store, in the order in which the store's states were in force: by era, then by number.
 #[derive(
