Derive from one value whether the store was listed, and in which era

Cause: whether a host had listed the store was read from a sentinel revision of its history, in two places, beside the era that is kept for the registration.

Change: the kept era is None before the first listing, which replaces both. A subtraction that Millis already saturates is no longer written out.

--- a/crates/gateway/src/control/store_follower.rs
+++ b/crates/gateway/src/control/store_follower.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use carawayseam_dispatch::history::History;
 use carawayseam_dispatch::known_servers::ListSource;
 use carawayseam_dispatch::outage::Outage;
 use carawayseam_types::{HostId, Millis, StoreEra, StoreRevision};
@@ -129,7 +128,7 @@
             items.extend(self.list_all(&prefix, &mut revision).await?);
         }
         let revision = revision.unwrap_or_default();
-        if revision.era < *self.shared.store_era.borrow() {
+        if Some(revision.era) < *self.shared.store_era.borrow() {
             return Err(StoreError::NotApplied("a listing of an earlier era".into()));
         }
         self.record_response();
@@ -142,13 +141,12 @@
 
     /// Copies the confirmed state of a peer, unless this host knows a later one.
     async fn copy_from_peers(&mut self) -> Option<Listing> {
-        let known = self.revision();
-        let is_listed = known != History::<Change>::unknown().end();
+        let is_listed = self.shared.store_era.borrow().is_some();
         for peer in self.shared.peers.reachable_peers(MAX_FALLBACK_PEERS) {
             let Some(listing) = store_copy::copy_from(&self.shared, &peer).await else {
                 continue;
             };
-            if !is_listed || listing.revision >= known {
+            if !is_listed || listing.revision >= self.revision() {
                 self.shared.metrics.count("store_asks", "copied");
                 log::info!(peer:% = peer, revision:% = listing.revision; "the store's state was copied from a peer");
                 return Some(listing);
@@ -347,7 +345,7 @@
         }
         let end = StoreRevision::new(era, batch.end_revision);
         if batch.is_complete {
-            self.confirm(end, Millis(requested_at.0.saturating_sub(batch.age.0)));
+            self.confirm(end, requested_at - batch.age);
         } else {
             lock(&self.shared.store_history).changes.advance(end);
         }
@@ -391,15 +389,13 @@
     /// Entries that the copy lacks are written again soon, like those that expired during an outage.
     fn begin_era(&mut self, era: StoreEra) -> ListSource {
         let known = *self.shared.store_era.borrow();
-        self.shared.store_era.send_if_modified(|current| {
-            let is_later = era > *current;
-            *current = era.max(*current);
-            is_later
-        });
-        let is_first = lock(&self.shared.store_history).changes.end() == History::<Change>::unknown().end();
-        if era <= known || is_first {
+        if known == Some(era) {
             return ListSource::Latest;
         }
+        self.shared.store_era.send_replace(Some(era));
+        let Some(known) = known else {
+            return ListSource::Latest;
+        };
         self.shared.metrics.count("store_eras", "begun");
         log::warn!(era:% = era, known:% = known; "the store was restored from a copy");
         self.outage.on_restored(self.shared.now());
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -14,7 +14,7 @@
 use carawayseam_dispatch::rollouts::Rollouts;
 use carawayseam_dispatch::server_limits::ServerLimits;
 use carawayseam_node::{LogRevision, init_stdout_logging, wait_for_stop_signal};
-use carawayseam_types::{Clock, Incarnation, Millis, StoreEra};
+use carawayseam_types::{Clock, Incarnation, Millis};
 use eyre::WrapErr;
 use kameo::actor::{ActorRef, Spawn};
 use kameo::mailbox;
@@ -153,7 +153,7 @@
         store_followers: AtomicU32::new(1),
         configuration_item: Mutex::new(None),
         store_history: Mutex::new(StoreHistory::default()),
-        store_era: watch::Sender::new(StoreEra::default()),
+        store_era: watch::Sender::new(None),
         unready_since: Mutex::new(None),
         open_requests: AtomicUsize::new(0),
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -278,8 +278,8 @@
     pub(crate) configuration_item: Mutex<Option<Item>>,
     /// The changes of the store that peers may request.
     pub(crate) store_history: Mutex<StoreHistory>,
-    /// The era of the store's known state.
-    pub(crate) store_era: watch::Sender<StoreEra>,
+    /// The era of the store's known state; `None` before the first listing.
+    pub(crate) store_era: watch::Sender<Option<StoreEra>>,
     /// The time of the first of the latest successive failed readiness checks; `None` while ready.
     pub(crate) unready_since: Mutex<Option<Millis>>,
     /// The number of requests whose responses are not complete.
