--- a/crates/gateway/src/control/ownership.rs
+++ b/crates/gateway/src/control/ownership.rs
@@ -3,17 +3,14 @@
 
 use carawayseam_dispatch::quota::AccountKind;
 use carawayseam_types::{EngineId, EngineKey, HostId, OrganisationId, RequestRate};
-use carawayseam_wire::{PeerMessage, PeerResponse, PermitOutcome, QuotaOutcome, QuotaRequest, SlotOutcome};
+use carawayseam_wire::{PeerResponse, PermitOutcome, QuotaOutcome, QuotaRequest, SlotOutcome};
 
 use crate::shared::{Shared, lock};
 
 /// Responds to a host's request for tokens of an organisation's quota.
 pub(super) fn respond_quota(shared: &Shared, request: &QuotaRequest) {
     let response = PeerResponse::Quota(grant_quota(shared, request));
-    let request_id = request.request_id;
-    shared
-        .peers
-        .send(&request.host, &PeerMessage::Response { request_id, response });
+    shared.peers.respond(&request.host, request.request_id, response);
 }
 
 /// Responds to a host's request for a slot of a backend server.
@@ -27,9 +24,7 @@
         None => SlotOutcome::NotOwner,
     };
     let response = PeerResponse::Slot(outcome);
-    shared
-        .peers
-        .send(host, &PeerMessage::Response { request_id, response });
+    shared.peers.respond(host, request_id, response);
 }
 
 /// Releases a slot that another host held; a request that waits on this host may then start.
@@ -57,9 +52,7 @@
         Err(None) => PermitOutcome::NotOwner,
     };
     let response = PeerResponse::Permit(outcome);
-    shared
-        .peers
-        .send(host, &PeerMessage::Response { request_id, response });
+    shared.peers.respond(host, request_id, response);
 }
 
 /// Takes back a permit that another host did not use.
--- a/crates/gateway/src/control/store_copy.rs
+++ b/crates/gateway/src/control/store_copy.rs
@@ -25,9 +25,7 @@
 /// Sends a host the page of items that it requested.
 pub(super) fn send_page(shared: &Shared, host: &HostId, request_id: u64, after: &CompactString) {
     let response = PeerResponse::Items(items_after(shared, after));
-    shared
-        .peers
-        .send(host, &PeerMessage::Response { request_id, response });
+    shared.peers.respond(host, request_id, response);
 }
 
 fn items_after(shared: &Shared, after: &CompactString) -> Option<ItemsPage> {
--- a/crates/gateway/src/control/updates.rs
+++ b/crates/gateway/src/control/updates.rs
@@ -40,17 +40,13 @@
 /// Sends a host the changes of the store after the revision that it requested.
 pub(super) fn send(shared: &Shared, host: &HostId, request_id: u64, after: StoreRevision) {
     let response = changes_after(shared, after);
-    shared
-        .peers
-        .send(host, &PeerMessage::Response { request_id, response });
+    shared.peers.respond(host, request_id, response);
 }
 
 /// Sends a host the chunk of an item that it requested.
 pub(super) fn send_chunk(shared: &Shared, host: &HostId, request_id: u64, range: &ChunkRange) {
     let response = PeerResponse::Chunk(read_chunk(shared, range));
-    shared
-        .peers
-        .send(host, &PeerMessage::Response { request_id, response });
+    shared.peers.respond(host, request_id, response);
 }
 
 fn read_chunk(shared: &Shared, range: &ChunkRange) -> Option<ItemChunk> {
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Responds to a host's request; delivery is not guaranteed.
+    pub(crate) fn respond(&self, host: &HostId, request_id: u64, response: PeerResponse) {
+        self.send(host, &PeerMessage::Response { request_id, response });
+    }
+
     /// Replaces the group, whose reachable hosts can receive requests.
     pub(crate) fn set_group(&self, group: Group) {
         *lock(&self.group) = group;
