Rotate the records of prompt parts and the servers' limits by one type

The change had written a second copy of how server limits rotate through what does not fit one update. dispatch::rotation serves both; crashes and answers each have their own position. The tests of dispatch pass.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -63,6 +63,7 @@
 pub mod quota;
 pub mod retries;
 pub mod rollouts;
+mod rotation;
 pub mod server_limits;
 mod speed;
 
--- a/crates/dispatch/src/poison_parts.rs
+++ b/crates/dispatch/src/poison_parts.rs
@@ -26,6 +26,7 @@
 use carawayseam_types::Millis;
 
 use crate::engine::PromptPart;
+use crate::rotation::Rotation;
 use evidence::{Crashes, Outcomes, is_sufficient};
 
 pub use evidence::{Crash, CrashId, OrganisationKey, PartId, Weight};
@@ -171,8 +172,8 @@
     begun: HashMap<PartId, Millis>,
     outcomes: Outcomes,
     events: Vec<PartEvent>,
-    /// Number of records announced so far, which rotates through those that do not fit one update.
-    announced: usize,
+    announced_crashes: Rotation,
+    announced_answers: Rotation,
 }
 
 impl PoisonParts {
--- a/crates/dispatch/src/poison_parts/gossip.rs
+++ b/crates/dispatch/src/poison_parts/gossip.rs
@@ -83,12 +83,10 @@
             .iter()
             .filter_map(|(part, suspect)| announced_answer(now, **part, suspect))
             .collect();
-        let update = PartsUpdate {
-            crashes: rotate(&crashes, self.announced, MAX_CRASHES),
-            answers: rotate(&answers, self.announced, MAX_ANSWERS),
-        };
-        self.announced = self.announced.wrapping_add(MAX_CRASHES);
-        update
+        PartsUpdate {
+            crashes: self.announced_crashes.take(&crashes, MAX_CRASHES),
+            answers: self.announced_answers.take(&answers, MAX_ANSWERS),
+        }
     }
 
     /// Records what a peer announced.
@@ -136,10 +134,3 @@
         complete: (suspect.complete_at > Millis::ZERO).then(|| now.since(suspect.complete_at)),
     })
 }
-
-/// Returns up to `limit` items, beginning at `offset` and wrapping around.
-fn rotate<T: Copy>(items: &[T], offset: usize, limit: usize) -> Vec<T> {
-    let start = offset % items.len().max(1);
-    let items = items.iter().cycle().skip(start).take(items.len().min(limit));
-    items.copied().collect()
-}
--- a/crates/dispatch/src/server_limits.rs
+++ b/crates/dispatch/src/server_limits.rs
@@ -17,6 +17,7 @@
 
 use crate::accounts::{Accounts, BucketParams};
 use crate::group::Group;
+use crate::rotation::Rotation;
 
 /// Lower bound of the rate at which requests are sent to a limited server, also if it reports zero: only
 /// the response to a request can end a limit.
@@ -66,8 +67,7 @@
 pub struct ServerLimits {
     entries: BTreeMap<EngineId, Entry>,
     accounts: Accounts<EngineId>,
-    /// Number of updates announced so far, which rotates through those that do not fit one update.
-    announced: usize,
+    announced: Rotation,
 }
 
 impl ServerLimits {
@@ -77,7 +77,7 @@
         Self {
             entries: BTreeMap::new(),
             accounts: Accounts::new(me),
-            announced: 0,
+            announced: Rotation::default(),
         }
     }
 
@@ -138,16 +138,14 @@
     pub fn gossip_updates(&mut self, now: Millis, has_new_peer: bool) -> Vec<ServerLimit> {
         let is_due = |entry: &Entry| has_new_peer || now.since(entry.changed_at) <= GOSSIP_PERIOD;
         let due: Vec<_> = self.entries.iter().filter(|(_, entry)| is_due(entry)).collect();
-        let count = due.len().min(MAX_GOSSIP_UPDATES);
-        let updates = due.iter().cycle().skip(self.announced % due.len().max(1));
-        let updates = updates.take(count).map(|(engine, entry)| ServerLimit {
-            engine: (*engine).clone(),
-            version: entry.version,
-            limit: entry.limit,
-        });
-        let updates = updates.collect();
-        self.announced = self.announced.wrapping_add(count);
+        let updates = self.announced.take(&due, MAX_GOSSIP_UPDATES).into_iter();
         updates
+            .map(|(engine, entry)| ServerLimit {
+                engine: engine.clone(),
+                version: entry.version,
+                limit: entry.limit,
+            })
+            .collect()
     }
 
     /// Updates the group of known hosts; accounts that this host newly owns start empty.
