Take a draining server's entry as unchanged when only the store says ready

After a restore the copy may list a draining server as ready. Each later write of that entry counted as a change: a log line that said leaving=false, and a new distribution of all servers. Each entry that a server writes was also cloned whole, for the line, changed or not.

Cause: the entry was compared before it was marked as draining. The test the_same_entry_of_a_server_that_stays_draining_is_no_change failed and passes.

Change: an entry is marked first and compared then; update returns the entry in force if it changed.

--- a/crates/dispatch/src/known_servers.rs
+++ b/crates/dispatch/src/known_servers.rs
@@ -61,24 +61,26 @@
             known.missing_until.get_or_insert(keep_until.unwrap_or(now));
         }
         for entry in listed {
+            let entry = self.keep_draining(entry);
             let is_outdated = self.is_outdated(&entry, source);
             self.insert(entry, is_outdated);
         }
         self.remove_expired(now);
     }
 
-    /// Applies an entry that its server has written; returns whether anything changed.
-    pub fn update(&mut self, entry: EngineEntry) -> bool {
+    /// Applies an entry that its server has written; returns the entry in force if anything changed.
+    pub fn update(&mut self, entry: EngineEntry) -> Option<&EngineEntry> {
+        let entry = self.keep_draining(entry);
         let before = self.servers.get(&entry.id);
         let is_same = before.is_some_and(|known| {
             let is_listed = known.missing_until.is_none() && !known.is_outdated;
             is_listed && known.entry == entry
         });
-        if !is_same {
-            self.removed.remove(&entry.id);
-            self.insert(entry, false);
+        if is_same {
+            return None;
         }
-        !is_same
+        self.removed.remove(&entry.id);
+        Some(self.insert(entry, false))
     }
 
     /// Removes a server whose entry was removed, or keeps it until `keep_until`; returns whether it was removed.
@@ -146,18 +148,23 @@
         was_outdated || (source == ListSource::Copy && was_removed)
     }
 
-    /// Inserts an entry; a server that was draining stays so until it starts again.
-    fn insert(&mut self, mut entry: EngineEntry, is_outdated: bool) {
+    /// Marks an entry as draining if its server already was; only another start ends that.
+    fn keep_draining(&self, mut entry: EngineEntry) -> EngineEntry {
         let known = self.servers.get(&entry.id);
-        let was_draining =
+        entry.is_draining |=
             known.is_some_and(|known| known.entry.is_draining && known.entry.started >= entry.started);
-        entry.is_draining |= was_draining;
+        entry
+    }
+
+    fn insert(&mut self, entry: EngineEntry, is_outdated: bool) -> &EngineEntry {
+        let id = entry.id.clone();
         let known = KnownServer {
             entry,
             missing_until: None,
             is_outdated,
         };
-        self.servers.insert(known.entry.id.clone(), known);
+        let slot = self.servers.entry(id).insert_entry(known);
+        &slot.into_mut().entry
     }
 
     fn forget(&mut self, now: Millis, server: &EngineId) {
--- a/crates/dispatch/tests/known_servers.rs
+++ b/crates/dispatch/tests/known_servers.rs
@@ -23,15 +23,16 @@
     entry(name, false)
 }
 
+/// Lists servers, all of them ready, without an outage before.
+fn list(servers: &mut KnownServers, now: u64, names: &[&str], source: ListSource) {
+    let listed = names.iter().copied().map(ready).collect();
+    servers.replace(Millis(now), listed, source, None);
+}
+
 /// Servers `a` and `b`, both listed at 1,000 ms.
 fn two_servers() -> KnownServers {
     let mut servers = KnownServers::default();
-    servers.replace(
-        Millis(1_000),
-        vec![ready("a"), ready("b")],
-        ListSource::Latest,
-        None,
-    );
+    list(&mut servers, 1_000, &["a", "b"], ListSource::Latest);
     servers
 }
 
@@ -45,7 +46,7 @@
 #[test]
 fn a_server_that_is_not_listed_is_removed() {
     let mut servers = two_servers();
-    servers.replace(Millis(2_000), vec![ready("a")], ListSource::Latest, None);
+    list(&mut servers, 2_000, &["a"], ListSource::Latest);
     assert_eq!((servers.len(), usable(&servers)), (1, "a".to_owned()));
 }
 
@@ -62,7 +63,7 @@
 #[test]
 fn a_draining_server_stays_so_until_it_starts_again() {
     let mut servers = two_servers();
-    assert!(servers.update(entry("b", true)));
+    assert!(servers.update(entry("b", true)).is_some());
     servers.update(ready("b"));
     assert_eq!(usable(&servers), "a");
     let restarted = EngineEntry {
@@ -79,12 +80,7 @@
 fn a_server_that_drains_is_not_used_because_a_restored_store_lists_it_as_ready() {
     let mut servers = two_servers();
     servers.update(entry("b", true));
-    servers.replace(
-        Millis(2_000),
-        vec![ready("a"), ready("b")],
-        ListSource::Copy,
-        None,
-    );
+    list(&mut servers, 2_000, &["a", "b"], ListSource::Copy);
     assert_eq!(usable(&servers), "a");
 }
 
@@ -93,21 +89,11 @@
 fn a_server_that_has_gone_is_not_used_because_a_restored_store_lists_it() {
     let mut servers = two_servers();
     servers.remove(Millis(1_500), &ready("b").id, None);
-    servers.replace(
-        Millis(2_000),
-        vec![ready("a"), ready("b")],
-        ListSource::Copy,
-        None,
-    );
+    list(&mut servers, 2_000, &["a", "b"], ListSource::Copy);
     assert_eq!(usable(&servers), "a");
-    servers.replace(
-        Millis(2_500),
-        vec![ready("a"), ready("b")],
-        ListSource::Latest,
-        None,
-    );
+    list(&mut servers, 2_500, &["a", "b"], ListSource::Latest);
     assert_eq!(usable(&servers), "a", "the entry is the same as in the copy");
-    assert!(servers.update(ready("b")), "the server has written it");
+    assert!(servers.update(ready("b")).is_some(), "the server has written it");
     assert_eq!(usable(&servers), "ab");
 }
 
@@ -115,17 +101,21 @@
 fn a_server_whose_entry_expired_is_used_again_when_it_is_listed() {
     let mut servers = two_servers();
     servers.remove(Millis(1_500), &ready("b").id, None);
-    servers.replace(
-        Millis(2_000),
-        vec![ready("a"), ready("b")],
-        ListSource::Latest,
-        None,
-    );
+    list(&mut servers, 2_000, &["a", "b"], ListSource::Latest);
     assert_eq!(usable(&servers), "ab");
 }
 
 #[test]
 fn an_entry_that_is_written_unchanged_changes_nothing() {
     let mut servers = two_servers();
-    assert!(!servers.update(ready("a")));
+    assert_eq!(servers.update(ready("a")), None);
+}
+
+/// Guards against a server that drains and whose entry says that it is ready: each of its writes would count as a
+/// change.
+#[test]
+fn the_same_entry_of_a_server_that_stays_draining_is_no_change() {
+    let mut servers = two_servers();
+    servers.update(entry("b", true));
+    assert_eq!(servers.update(ready("b")), None);
 }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -254,14 +254,8 @@
     }
 
     fn update_engine(&mut self, now: Millis, entry: EngineEntry) {
-        let EngineEntry {
-            id,
-            is_draining,
-            version,
-            ..
-        } = entry.clone();
-        if self.engines.update(entry) {
-            log::info!(engine:% = id, leaving = is_draining, version:% = version; "backend server changed");
+        if let Some(entry) = self.engines.update(entry) {
+            log::info!(engine:% = entry.id, leaving = entry.is_draining, version:% = entry.version; "backend server changed");
             self.update_engines(now);
         }
     }
