Look at prompt parts only while one is tracked, and derive what was stored twice

- Each request computed a digest of its organisation's name up to three times and searched its parts, with no part tracked; it returns at once now, as the check of whole requests does.
- A stream stored whether it had an event beside how many it had received.
- A complete answer that was never recorded as begun was so at two callers.
- A crash report looked up and inserted a suspect before it was known to be cleared, with two conditions for one.
- Ids for a log line were joined in two places.

--- a/crates/dispatch/src/poison_parts.rs
+++ b/crates/dispatch/src/poison_parts.rs
@@ -267,6 +267,12 @@
         })
     }
 
+    /// Returns whether no part is tracked.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
     /// Returns whether a server crashed under a request with one of these parts, and no answer on the part has
     /// begun since.
     #[must_use]
@@ -340,14 +346,17 @@
 
     fn insert_crash(&mut self, now: Millis, part: PartId, depth: u8, crash: Crash) {
         let begun_at = self.begun.get(&part).copied().unwrap_or_default();
-        if !self.suspects.contains_key(&part) && begun_at >= crash.at && begun_at > Millis::ZERO {
+        let cleared_until = match self.suspects.get(&part) {
+            Some(suspect) if suspect.block.is_some() => suspect.complete_at,
+            Some(suspect) => suspect.complete_at.max(suspect.begun_at).max(begun_at),
+            None => begun_at,
+        };
+        if crash.at <= cleared_until {
             return;
         }
         let suspect = self.suspects.entry(part).or_default();
         suspect.depth = suspect.depth.max(depth);
-        let is_cleared = crash.at <= suspect.complete_at
-            || (suspect.block.is_none() && crash.at <= suspect.begun_at.max(begun_at));
-        if is_cleared || !suspect.crashes.insert(crash) {
+        if !suspect.crashes.insert(crash) {
             return;
         }
         suspect.changed_at = now;
--- a/crates/gateway/src/control/poison_parts.rs
+++ b/crates/gateway/src/control/poison_parts.rs
@@ -5,8 +5,8 @@
 };
 use carawayseam_types::Millis;
 use carawayseam_wire::{self as wire, PeerMessage};
-use compact_str::{CompactString, ToCompactString};
 
+use crate::request_log::join;
 use crate::shared::{Shared, lock};
 
 /// Returns the announcement of what this host knows of parts, or `None` if there is nothing to announce.
@@ -45,7 +45,7 @@
     match event {
         PartEvent::Suspected { part, crashes } => {
             shared.metrics.count("prompt_parts", "suspected");
-            log::info!(part:% = part, crashes = format_crashes(&crashes).as_str(); "part of prompts suspected of crashing backend servers");
+            log::info!(part:% = part, crashes = join(&crashes).as_str(); "part of prompts suspected of crashing backend servers");
         }
         PartEvent::Blocked {
             part,
@@ -55,7 +55,7 @@
             shared.metrics.count("prompt_parts", "blocked");
             let organisation = organisation.map(|organisation| organisation.to_string());
             log::warn!(
-                part:% = part, crashes = format_crashes(&crashes).as_str(), organisation_key = organisation;
+                part:% = part, crashes = join(&crashes).as_str(), organisation_key = organisation;
                 "part of prompts blocked because it crashes backend servers"
             );
         }
@@ -66,12 +66,6 @@
     }
 }
 
-/// Returns the ids of crashes, for logs.
-fn format_crashes(crashes: &[CrashId]) -> CompactString {
-    let keys: Vec<CompactString> = crashes.iter().map(ToCompactString::to_compact_string).collect();
-    keys.join(",").into()
-}
-
 fn encode_crash(crash: PartCrash) -> wire::PartCrash {
     wire::PartCrash {
         part: crash.part.0,
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::Ordering;
 
 use carawayseam_types::{EngineId, HostId, Millis, OrganisationId, RequestRate};
+use compact_str::{CompactString, ToCompactString};
 use hyper::StatusCode;
 
 use crate::shared::{Assignment, Shared};
@@ -168,3 +169,9 @@
         "refused"
     );
 }
+
+/// Returns ids separated by commas, for one key of a log line.
+pub(crate) fn join(ids: impl IntoIterator<Item = impl ToCompactString>) -> CompactString {
+    let ids: Vec<CompactString> = ids.into_iter().map(|id| id.to_compact_string()).collect();
+    ids.join(",").into()
+}
--- a/crates/gateway/src/traffic/crashes.rs
+++ b/crates/gateway/src/traffic/crashes.rs
@@ -7,12 +7,13 @@
 use carawayseam_dispatch::engine::PromptPart;
 use carawayseam_dispatch::poison_parts::{Admission, BlockedPart, CrashId, OrganisationKey, PartId};
 use carawayseam_types::{Digest, Millis};
-use compact_str::{CompactString, ToCompactString, format_compact};
+use compact_str::ToCompactString;
 use tokio::time::sleep;
 
 use super::exchange::Exchange;
 use super::response::{Reason, Refusal};
 use super::stream::EVENTS_OF_BEGUN_ANSWER;
+use crate::request_log::join;
 use crate::shared::{Assignment, lock};
 use crate::sockets;
 
@@ -81,7 +82,7 @@
             }
             log::info!(
                 request = id.as_deref(), engine:% = engine, crash:% = crash, content:% = content, crashes = crashes,
-                parts = format_parts(&parts).as_str(), events = events;
+                parts = join(parts.iter().map(PartId::from)).as_str(), events = events;
                 "backend server crashed while it ran a request"
             );
         });
@@ -98,13 +99,13 @@
     /// Refuses the request if a part of its prompt is blocked, unless this is the part's trial.
     pub(super) fn admit_parts(&mut self) -> Result<(), Refusal> {
         let shared = Arc::clone(&self.shared);
+        let mut parts = lock(&shared.poison_parts);
+        if parts.is_empty() {
+            return Ok(());
+        }
         let owns = |part: PartId| shared.peers.owner(&part.to_compact_string()).is_none();
-        let admission = lock(&shared.poison_parts).admit(
-            shared.now(),
-            self.organisation_key(),
-            self.prompt_parts(),
-            owns,
-        );
+        let admission = parts.admit(shared.now(), self.organisation_key(), self.prompt_parts(), owns);
+        drop(parts);
         match admission {
             Admission::Allowed => Ok(()),
             Admission::Trial(part) => {
@@ -119,10 +120,10 @@
 
     /// Refuses the request if a part of its prompt was blocked after the request was admitted.
     pub(super) fn check_parts(&self) -> Result<(), Refusal> {
-        if self.is_part_trial {
+        let parts = lock(&self.shared.poison_parts);
+        if self.is_part_trial || parts.is_empty() {
             return Ok(());
         }
-        let parts = lock(&self.shared.poison_parts);
         match parts.blocked_part(self.shared.now(), self.organisation_key(), self.prompt_parts()) {
             Some(blocked) => Err(self.refuse_part(blocked)),
             None => Ok(()),
@@ -164,10 +165,14 @@
         }
     }
 
-    /// Records that a server completed an answer that it had begun at `begun_at`.
-    pub(super) fn record_complete(&self, begun_at: Millis) {
+    /// Records that a server completed an answer; `begun_at` is when it was recorded as begun, if it was.
+    pub(super) fn record_complete(&self, begun_at: Option<Millis>) {
+        if begun_at.is_none() {
+            self.record_begun();
+        }
         if !self.prompt_parts().is_empty() {
             let now = self.shared.now();
+            let begun_at = begun_at.unwrap_or(now);
             lock(&self.shared.poison_parts).record_complete(now, begun_at, self.prompt_parts());
         }
         self.clear_suspicion();
@@ -187,12 +192,3 @@
         }
     }
 }
-
-/// Returns the ids of a prompt's parts in order, for logs.
-fn format_parts(parts: &[PromptPart]) -> CompactString {
-    let ids: Vec<CompactString> = parts
-        .iter()
-        .map(|part| format_compact!("{:x}", part.id))
-        .collect();
-    ids.join(",").into()
-}
--- a/crates/gateway/src/traffic/plain.rs
+++ b/crates/gateway/src/traffic/plain.rs
@@ -53,8 +53,7 @@
         } else {
             slot.record_first_event();
             slot.end(AttemptEnd::Complete);
-            self.record_begun();
-            self.record_complete(self.shared.now());
+            self.record_complete(None);
         }
         self.return_connection(&assignment, connection, keep_alive);
         let retry = (is_failure && self.route_match.route.kind.is_retryable()).then(|| self.queue_retry());
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -47,7 +47,6 @@
     slot: Slot,
     assignment: Assignment,
     keep_alive_timeout: Option<Millis>,
-    had_event: bool,
     /// The number of all events from this server.
     received_events: u32,
     /// When so many events had been received that the server has begun to answer.
@@ -65,7 +64,6 @@
             slot: server_response.slot,
             assignment: server_response.assignment,
             keep_alive_timeout,
-            had_event: false,
             received_events: 0,
             begun_at: None,
             events: 0,
@@ -185,14 +183,14 @@
         let Some(engine_stream) = &mut self.engine_stream else {
             return;
         };
+        let is_first_event = engine_stream.received_events == 0;
         engine_stream.received_events += count;
         if engine_stream.begun_at.is_none() && engine_stream.received_events >= EVENTS_OF_BEGUN_ANSWER {
             engine_stream.begun_at = Some(now);
             self.exchange.record_begun();
         }
         engine_stream.slot.record_events(count);
-        if !engine_stream.had_event {
-            engine_stream.had_event = true;
+        if is_first_event {
             engine_stream.sampled_at = now;
             engine_stream.slot.record_first_event();
             return;
@@ -217,11 +215,7 @@
             Some(&engine_stream.assignment),
             &self.summary("complete"),
         );
-        if engine_stream.begun_at.is_none() {
-            self.exchange.record_begun();
-        }
-        self.exchange
-            .record_complete(engine_stream.begun_at.unwrap_or(now));
+        self.exchange.record_complete(engine_stream.begun_at);
         engine_stream.slot.end(AttemptEnd::Complete);
         self.exchange.return_connection(
             &engine_stream.assignment,
@@ -304,7 +298,7 @@
         let waited = exchange.shared.now().since(since);
         let may_resume = exchange.route_match.route.kind.is_retryable()
             && exchange.attempts < exchange.route_match.route.max_attempts;
-        let max_gap = if engine_stream.had_event {
+        let max_gap = if engine_stream.received_events > 0 {
             MAX_EVENT_GAP
         } else {
             engine_stream
