--- a/crates/types/src/clock.rs
+++ b/crates/types/src/clock.rs
@@ -15,6 +15,8 @@
 const MILLIS_PER_SECOND: u64 = 1_000;
 const MILLIS_PER_MINUTE: u64 = 60 * MILLIS_PER_SECOND;
 const MILLIS_PER_HOUR: u64 = 60 * MILLIS_PER_MINUTE;
+/// The time of the boot on [`Clock::boot`], so that earlier times can be represented.
+const TIME_BEFORE_BOOT: Millis = Millis(24 * MILLIS_PER_HOUR);
 
 /// A time span, or a point in time since the Unix epoch, in milliseconds.
 ///
@@ -147,10 +149,11 @@
         Self(Source::System)
     }
 
-    /// Creates a clock that reads the time since the host booted.
+    /// Creates a clock that reads the time since a day before the host booted.
     ///
-    /// It includes the time in which the host was suspended, and is not affected by
-    /// changes of the wall-clock time.
+    /// Peers report how long ago something happened, which may be before this host booted. The clock
+    /// includes the time in which the host was suspended, and is not affected by changes of the wall-clock
+    /// time.
     #[must_use]
     pub const fn boot() -> Self {
         Self(Source::Boot)
@@ -172,7 +175,7 @@
                     .unwrap_or(Duration::ZERO);
                 Millis(since_epoch.as_millis() as u64)
             }
-            Source::Boot => since_boot(),
+            Source::Boot => boot_time(),
             Source::Manual(now) => Millis(now.load(Ordering::SeqCst)),
         }
     }
@@ -185,9 +188,9 @@
     }
 }
 
-fn since_boot() -> Millis {
+fn boot_time() -> Millis {
     let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
     let secs = u64::try_from(time.tv_sec).unwrap_or_default();
     let millis = u64::try_from(time.tv_nsec).unwrap_or_default() / NANOS_PER_MILLI;
-    Millis::from_secs(secs) + Millis(millis)
+    TIME_BEFORE_BOOT + Millis::from_secs(secs) + Millis(millis)
 }
