Keep three methods of a rollout private, and name a test by what it bounds

Cause: `evidence`, `is_within_lead` and `is_healthy` of a rollout are called by its own methods only; the test of the size of an update spoke of facts, which the code calls records.

Change: visibility and a test's name; its assertion is the same.

--- a/crates/dispatch/src/rollouts/rollout.rs
+++ b/crates/dispatch/src/rollouts/rollout.rs
@@ -35,7 +35,7 @@
 }
 
 impl Rollout {
-    pub(super) fn evidence(&self) -> Evidence {
+    fn evidence(&self) -> Evidence {
         let mut sum = self.local;
         for peer in self.peers.values() {
             sum.new.add(peer.new);
@@ -48,13 +48,13 @@
         now.since(self.started_at)
     }
 
-    pub(super) fn is_within_lead(&self, now: Millis, lead: Millis) -> bool {
+    fn is_within_lead(&self, now: Millis, lead: Millis) -> bool {
         // In a very short rollout, half of the time is left for the canary responses.
         let lead = lead.min(Millis(self.order.within.0 / 2));
         self.elapsed(now) + lead >= self.order.within
     }
 
-    pub(super) fn is_healthy(&self) -> bool {
+    fn is_healthy(&self) -> bool {
         self.evidence().new.all >= MIN_RESPONSES && !self.shows_regression() && self.pace.allows_completion()
     }
 
--- a/crates/dispatch/tests/poison_parts_load.rs
+++ b/crates/dispatch/tests/poison_parts_load.rs
@@ -331,7 +331,7 @@
 
 /// Guards against updates that do not fit a datagram while many parts are suspected.
 #[test]
-fn an_update_has_a_bounded_number_of_facts() {
+fn an_update_has_a_bounded_number_of_records() {
     let mut parts = PoisonParts::default();
     for number in 0..400_u32 {
         let id = u64::from(Digest::of(&number.to_le_bytes()).0 as u32);
