Log why a connection to a backend server was lost while a response was outstanding

Cause: a connection that this host's own kernel breaks because the server acknowledges nothing looked in the logs like one that the server closed or reset; the error stood at debug level, without its kind. Change: one line and a counter for each lost connection, with closed, reset, unacknowledged or malformed. The limit on unacknowledged bytes of a connection to a server stands beside the function that sets it; its value is the same.

--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -1,6 +1,7 @@
 //! An HTTP/1.1 client connection that carries one request at a time and never retries by itself.
 
 use std::io;
+use std::iter::successors;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -48,6 +49,48 @@
     MaybeSent(hyper::Error),
 }
 
+/// How a connection ended on which a response was outstanding.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+#[display("{}", self.label())]
+pub enum ConnectionEnd {
+    /// The other side closed it.
+    Closed,
+    /// The other side reset it.
+    Reset,
+    /// This host's kernel broke it, because the other side acknowledged nothing.
+    Unacknowledged,
+    /// It carried bytes that are no response.
+    Malformed,
+}
+
+impl ConnectionEnd {
+    /// Returns the label in metrics.
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Closed => "closed",
+            Self::Reset => "reset",
+            Self::Unacknowledged => "unacknowledged",
+            Self::Malformed => "malformed",
+        }
+    }
+
+    /// Returns how the connection ended that failed with this error.
+    #[must_use]
+    pub fn from_error(e: &(dyn std::error::Error + 'static)) -> Self {
+        let mut causes = successors(Some(e), |cause| cause.source());
+        let io_error = causes.find_map(|cause| cause.downcast_ref::<io::Error>());
+        match io_error.map(io::Error::kind) {
+            Some(io::ErrorKind::TimedOut) => Self::Unacknowledged,
+            Some(io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe) => Self::Reset,
+            Some(io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput) => Self::Malformed,
+            Some(_) => Self::Closed,
+            None if e.downcast_ref().is_some_and(hyper::Error::is_parse) => Self::Malformed,
+            None => Self::Closed,
+        }
+    }
+}
+
 impl Connection {
     /// Connects to a server.
     ///
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -6,6 +6,7 @@
 use compact_str::{CompactString, ToCompactString};
 use hyper::StatusCode;
 
+use crate::http_client::ConnectionEnd;
 use crate::shared::{Assignment, Shared};
 use crate::traffic::{Exchange, Failure, Refusal};
 
@@ -61,6 +62,27 @@
     );
 }
 
+/// Records that the connection to a backend server was lost while `part` of its response was outstanding.
+pub(crate) fn record_lost_connection(
+    exchange: &Exchange,
+    engine: &EngineId,
+    part: &'static str,
+    e: &(dyn std::error::Error + 'static),
+) {
+    let end = ConnectionEnd::from_error(e);
+    let metrics = &exchange.shared.metrics;
+    metrics.count("lost_server_connections", end.label());
+    log::info!(
+        request = exchange.head.id.as_deref(),
+        engine:% = engine,
+        connection:% = end,
+        part = part,
+        took_ms = exchange.shared.now().since(exchange.assigned_at).0,
+        error:% = e;
+        "connection to a backend server lost"
+    );
+}
+
 /// Records a response that was forwarded and is not a stream.
 pub(crate) fn record_response(exchange: &Exchange, assignment: &Assignment, status: StatusCode) {
     exchange.is_logged.store(true, Ordering::Relaxed);
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -14,6 +14,9 @@
 /// The number of unanswered probes after which the kernel breaks the connection.
 const MAX_UNANSWERED_PROBES: u32 = 2;
 
+/// A connection to a backend server that acknowledges nothing for this time is closed.
+pub const SERVER_SILENCE_LIMIT: Millis = Millis(1_200);
+
 /// Connects, and lets the kernel break the connection when the peer becomes unresponsive.
 ///
 /// # Errors
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -14,12 +14,12 @@
 use super::server_state::record_server_state;
 use crate::http_client::{Connection, SendError};
 use crate::platform::OutgoingHead;
+use crate::request_log;
 use crate::shared::Assignment;
+use crate::sockets::SERVER_SILENCE_LIMIT;
 
 /// The maximum time to connect to a server.
 const CONNECT_TIMEOUT: Millis = Millis(250);
-/// A connection on which the server acknowledges no data for this time is closed.
-const ENGINE_ACK_TIMEOUT: Millis = Millis(1_200);
 /// Tolerance for the inaccuracy of timers when times are compared.
 const TIMER_SLACK: Millis = Millis(2);
 
@@ -117,7 +117,7 @@
 async fn open(exchange: &Exchange, assignment: &Assignment) -> Result<Connection, Failure> {
     let within = CONNECT_TIMEOUT.min(exchange.time_left());
     exchange.shared.metrics.count("engine_connections", "opened");
-    match Connection::open(assignment.address, within, ENGINE_ACK_TIMEOUT).await {
+    match Connection::open(assignment.address, within, SERVER_SILENCE_LIMIT).await {
         Ok(connection) => Ok(connection),
         Err(e) => {
             log::debug!(engine:% = assignment.engine; "connecting to the backend server failed: {e}");
@@ -146,7 +146,7 @@
         Ok(Ok(response)) => Ok((response, connection)),
         Ok(Err(SendError::NotSent(_))) => Err(Failure::NotRun(AttemptEnd::Unreachable)),
         Ok(Err(SendError::MaybeSent(e))) => {
-            log::debug!(engine:% = assignment.engine; "no response from the backend server: {e}");
+            request_log::record_lost_connection(exchange, &assignment.engine, "head", &e);
             Err(Failure::MaybeRun(AttemptEnd::ConnectionLost))
         }
         Err(_) if exchange.time_left() <= TIMER_SLACK => Err(Failure::DeadlineExceeded),
--- a/crates/gateway/src/traffic/plain.rs
+++ b/crates/gateway/src/traffic/plain.rs
@@ -37,7 +37,7 @@
         let body = match timeout(self.time_left().to_duration(), reading).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(e)) => {
-                log::debug!(engine:% = assignment.engine; "the response was interrupted: {e}");
+                request_log::record_lost_connection(self, &assignment.engine, "body", &*e);
                 self.check_for_crash(&assignment, 0);
                 slot.end(AttemptEnd::ConnectionLost);
                 return PlainResponse::Failed(Failure::MaybeRun(AttemptEnd::ConnectionLost));
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -325,7 +325,7 @@
                 }
             }
             Ok(Some(Err(e))) => {
-                log::debug!(engine:% = engine_stream.assignment.engine; "the stream was interrupted: {e}");
+                request_log::record_lost_connection(exchange, &engine_stream.assignment.engine, "stream", &e);
                 return ReadResult::Interrupted(AttemptEnd::ConnectionLost);
             }
             // A stream that ends in the middle of an event was interrupted.
