Let connections to servers outlive a pause of the server

What callers saw: a request that a sound server had accepted ended without an answer or with 502 while the server paused for a second or two; beside a change of the configuration the users count it as lost. Cause: TCP_USER_TIMEOUT of 1.2 s on connections to servers. It bounds unacknowledged bytes, a closed window, and, whatever their number, unanswered keep-alive probes, which go out each second. The class: a limit that is meant for dead peers is shorter than what a sound peer may take. Change: 4 s, twice the longest pause to be expected; the number of probes is derived from the same limit. Conclusion: a server that is gone for good is found after 4 s; requests that may be repeated leave it sooner by their own limits.

--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use carawayseam_types::Millis;
 use socket2::{SockRef, TcpKeepalive};
@@ -10,14 +9,13 @@
 use tokio::time::timeout;
 
 /// The idle time before the first keep-alive probe, and the interval between probes.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
-/// The number of unanswered probes after which the kernel breaks the connection.
-const MAX_UNANSWERED_PROBES: u32 = 2;
-
+const PROBE_INTERVAL: Millis = Millis(1_000);
 /// A connection to a backend server that acknowledges nothing for this time is closed.
-pub const SERVER_SILENCE_LIMIT: Millis = Millis(1_200);
+///
+/// A server may pause for a second or two and continue.
+pub const SERVER_SILENCE_LIMIT: Millis = Millis(4_000);
 
-/// Connects, and lets the kernel break the connection when the peer becomes unresponsive.
+/// Connects, and lets the kernel break the connection after `silence_limit` without an acknowledgement.
 ///
 /// # Errors
 ///
@@ -25,30 +23,34 @@
 pub async fn connect(
     address: SocketAddr,
     connect_timeout: Millis,
-    unacked_timeout: Millis,
+    silence_limit: Millis,
 ) -> io::Result<TcpStream> {
     match timeout(connect_timeout.to_duration(), TcpStream::connect(address)).await {
         Ok(stream) => {
             let stream = stream?;
-            detect_dead_peer(&stream, unacked_timeout)?;
+            detect_dead_peer(&stream, silence_limit)?;
             Ok(stream)
         }
         Err(_) => Err(io::ErrorKind::TimedOut.into()),
     }
 }
 
-/// Lets the kernel break a connection when sent bytes or keep-alive probes are not acknowledged.
+/// Lets the kernel break a connection whose peer acknowledges neither bytes nor keep-alive probes for
+/// `silence_limit`.
+///
+/// A user timeout also replaces the number of unanswered probes, so both are derived from the same limit.
 ///
 /// # Errors
 ///
 /// The operating system's error.
-pub fn detect_dead_peer(stream: &TcpStream, unacked_timeout: Millis) -> io::Result<()> {
+pub fn detect_dead_peer(stream: &TcpStream, silence_limit: Millis) -> io::Result<()> {
     let socket = SockRef::from(stream);
     socket.set_tcp_nodelay(true)?;
-    socket.set_tcp_user_timeout(Some(unacked_timeout.to_duration()))?;
+    socket.set_tcp_user_timeout(Some(silence_limit.to_duration()))?;
+    let unanswered = silence_limit.0.div_ceil(PROBE_INTERVAL.0).max(1);
     let probes = TcpKeepalive::new()
-        .with_time(PROBE_INTERVAL)
-        .with_interval(PROBE_INTERVAL)
-        .with_retries(MAX_UNANSWERED_PROBES);
+        .with_time(PROBE_INTERVAL.to_duration())
+        .with_interval(PROBE_INTERVAL.to_duration())
+        .with_retries(u32::try_from(unanswered).unwrap_or(u32::MAX));
     socket.set_tcp_keepalive(&probes)
 }
