Keep a silent attempt until another server has a slot for the request

What callers saw: a stream that may be resumed was broken off, or an idempotent request got 502, although its server was sound and only paused for a second or so. Cause: after 0.9 s without an event, or 2.5 objectives without a response, the connection to the server was closed first. Only then the retry budget, the queue and the next server were asked, and each of them may refuse. The class: a resource is given up before its replacement is certain. Change: a silent request stays at its server. Beside it a retry is taken from the budget and queued for another server; it leaves when that server has a slot. If the silent server continues first, the retry goes back to the budget. The silent server itself is no candidate, since it still has the request. The same for the head of a response and for the events of a stream, in one place. Conclusion: a request whose second server then fails as well still ends unanswered; that server's failure is then the reason.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -146,6 +146,11 @@
         granted.then(|| self.enqueue(now, job))
     }
 
+    /// Returns a retry to the budget of a backend that was enqueued and not sent.
+    pub fn refund_retry(&mut self, backend: &BackendName) {
+        self.budget(backend).refund();
+    }
+
     /// Enqueues a request again of which no byte was sent, so that it does not count as a retry.
     pub fn submit_unsent(&mut self, now: Millis, job: Job) -> (Ticket, Vec<Action>) {
         self.enqueue(now, job)
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -38,6 +38,8 @@
     pub parts: Vec<PromptPart>,
     /// Servers to which the request was already sent.
     pub tried: Vec<EngineId>,
+    /// The server that still has the request and must not get it again.
+    pub excluded: Option<EngineId>,
 }
 
 impl Job {
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -274,11 +274,11 @@
 
     /// Returns the best server with a free slot, or `None` if waiting for another server is better.
     fn choose(&self, now: Millis, job: &Job, candidates: &[Candidate], rng: &mut StdRng) -> Option<usize> {
-        let version_fits = |candidate: &&Candidate| {
+        let may_run = |candidate: &&Candidate| {
             let entry = &self.engines[candidate.ix].entry;
-            job.version.allows(&entry.version)
+            job.version.allows(&entry.version) && job.excluded.as_ref() != Some(&entry.id)
         };
-        let fitting = candidates.iter().filter(version_fits);
+        let fitting = candidates.iter().filter(may_run);
         let any_suits = fitting.clone().any(|candidate| candidate.suits(now, job));
         let scored: Vec<(f64, usize)> = fitting
             .filter(|candidate| candidate.free > 0)
--- a/crates/dispatch/src/retries.rs
+++ b/crates/dispatch/src/retries.rs
@@ -57,6 +57,11 @@
         }
         is_granted
     }
+
+    /// Returns a retry to the budget that was taken and not sent.
+    pub fn refund(&mut self) {
+        self.level = (self.level + 1.0).min(self.capacity);
+    }
 }
 
 fn capacity(bounds: RetryBounds, hosts: u32) -> f64 {
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -293,3 +293,32 @@
     let starts = (0..5).filter(|_| !started(&dispatcher.submit(Millis(1), plain()).1).is_empty());
     assert_eq!(starts.count(), 4);
 }
+
+/// Guards against a silent server that gets the request again that it still has.
+#[test]
+fn a_request_does_not_go_to_the_server_that_still_has_it() {
+    let mut dispatcher = dispatcher(&[("a", 2)]);
+    let elsewhere = Job {
+        excluded: Some(id("a")),
+        ..job(1, 0)
+    };
+    let (ticket, actions) = dispatcher.submit_unsent(Millis(1), elsewhere);
+    assert!(actions.is_empty());
+    let actions = dispatcher.set_engines(Millis(2), vec![engine("a", 2), engine("b", 1)]);
+    assert_eq!(started(&actions), [(ticket, "b")]);
+}
+
+/// Guards against retries that are charged although the silent server continued first.
+#[test]
+fn a_retry_that_was_not_sent_is_returned_to_the_budget() {
+    let mut dispatcher = dispatcher(&[("a", 100)]);
+    let mut granted = 0;
+    while let Some((ticket, _)) = dispatcher.submit_retry(Millis(1), job(1, 0)) {
+        dispatcher.record_end(Millis(1), ticket, AttemptEnd::Cancelled);
+        granted += 1;
+    }
+    assert!(granted > 0);
+    dispatcher.refund_retry(&job(1, 0).backend);
+    assert!(dispatcher.submit_retry(Millis(1), job(1, 0)).is_some());
+    assert!(dispatcher.submit_retry(Millis(1), job(1, 0)).is_none());
+}
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -42,6 +42,7 @@
         prompt: 500,
         parts: Vec::new(),
         tried: Vec::new(),
+        excluded: None,
     }
 }
 
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -7,11 +7,11 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderMap, HeaderName};
 use hyper::{Request, Response, StatusCode};
-use tokio::time::timeout;
 
-use super::exchange::Exchange;
+use super::exchange::{Exchange, Placement};
 use super::reservation::Slot;
 use super::server_state::record_server_state;
+use super::silence::Awaited;
 use crate::http_client::{Connection, SendError};
 use crate::platform::OutgoingHead;
 use crate::request_log;
@@ -21,7 +21,7 @@
 /// The maximum time to connect to a server.
 const CONNECT_TIMEOUT: Millis = Millis(250);
 /// Tolerance for the inaccuracy of timers when times are compared.
-const TIMER_SLACK: Millis = Millis(2);
+pub(super) const TIMER_SLACK: Millis = Millis(2);
 
 /// A server's response whose head has been received.
 #[derive(Debug)]
@@ -59,37 +59,60 @@
     }
 }
 
+/// Why an attempt returned no response to forward, and what follows.
+#[derive(Debug)]
+pub(super) enum AttemptError {
+    /// The attempt failed.
+    Failed(Failure),
+    /// The server was silent, and another server has a slot for the request.
+    Superseded(Placement),
+}
+
+impl AttemptError {
+    /// Returns how the attempt failed.
+    pub(super) const fn failure(&self) -> Failure {
+        match self {
+            Self::Failed(failure) => *failure,
+            Self::Superseded(_) => Failure::MaybeRun(AttemptEnd::Unresponsive),
+        }
+    }
+}
+
+impl From<Failure> for AttemptError {
+    fn from(failure: Failure) -> Self {
+        Self::Failed(failure)
+    }
+}
+
 /// Sends a request to its server and waits for the head of the response.
-pub(crate) async fn send(
+///
+/// `patience` is the time without a response after which another server is looked for.
+pub(super) async fn send(
     exchange: &Exchange,
     slot: Slot,
     assignment: Assignment,
     last_event_id: Option<u64>,
-    response_timeout: Option<Millis>,
-) -> Result<ServerResponse, Failure> {
+    patience: Option<Millis>,
+) -> Result<ServerResponse, AttemptError> {
     let on_reused = match exchange.take_idle_connection(&assignment) {
         Some(idle_connection) => {
-            send_on(
-                exchange,
-                idle_connection,
-                &assignment,
-                last_event_id,
-                response_timeout,
-            )
-            .await
+            send_on(exchange, idle_connection, &assignment, last_event_id, patience).await
         }
-        None => Err(Failure::NotRun(AttemptEnd::Unreachable)),
+        None => Err(Failure::NotRun(AttemptEnd::Unreachable).into()),
     };
     let sent = match on_reused {
         // There was no idle connection, or the server closed it before any byte was sent.
-        Err(Failure::NotRun(AttemptEnd::Unreachable)) => {
-            send_on_new_connection(exchange, &assignment, last_event_id, response_timeout).await
+        Err(AttemptError::Failed(Failure::NotRun(AttemptEnd::Unreachable))) => {
+            send_on_new_connection(exchange, &assignment, last_event_id, patience).await
         }
         other => other,
     };
     match sent {
-        Ok((response, connection)) => check_response(exchange, response, connection, slot, assignment),
-        Err(failure) => Err(end_failed(slot, failure)),
+        Ok((response, connection)) => Ok(check_response(exchange, response, connection, slot, assignment)?),
+        Err(e) => {
+            end_failed(slot, e.failure());
+            Err(e)
+        }
     }
 }
 
@@ -97,10 +120,10 @@
     exchange: &Exchange,
     assignment: &Assignment,
     last_event_id: Option<u64>,
-    response_timeout: Option<Millis>,
-) -> Result<(Response<Incoming>, Connection), Failure> {
+    patience: Option<Millis>,
+) -> Result<(Response<Incoming>, Connection), AttemptError> {
     let connection = open(exchange, assignment).await?;
-    send_on(exchange, connection, assignment, last_event_id, response_timeout).await
+    send_on(exchange, connection, assignment, last_event_id, patience).await
 }
 
 fn end_failed(mut slot: Slot, failure: Failure) -> Failure {
@@ -131,26 +154,29 @@
     mut connection: Connection,
     assignment: &Assignment,
     last_event_id: Option<u64>,
-    response_timeout: Option<Millis>,
-) -> Result<(Response<Incoming>, Connection), Failure> {
+    patience: Option<Millis>,
+) -> Result<(Response<Incoming>, Connection), AttemptError> {
     let time_left = exchange.time_left();
     if exchange.is_keyed() && !exchange.shared.may_use_keys() {
-        return Err(Failure::Stale);
+        return Err(Failure::Stale.into());
     }
     if time_left <= TIMER_SLACK {
-        return Err(Failure::NotRun(AttemptEnd::Cancelled));
+        return Err(Failure::NotRun(AttemptEnd::Cancelled).into());
     }
     let req = outgoing_request(exchange, assignment, time_left, last_event_id);
-    let within = response_timeout.map_or(time_left, |response_timeout| response_timeout.min(time_left));
-    match timeout(within.to_duration(), connection.send(req)).await {
-        Ok(Ok(response)) => Ok((response, connection)),
-        Ok(Err(SendError::NotSent(_))) => Err(Failure::NotRun(AttemptEnd::Unreachable)),
-        Ok(Err(SendError::MaybeSent(e))) => {
+    let response = connection.send(req);
+    match exchange
+        .await_server(&assignment.engine, patience, response)
+        .await
+    {
+        Awaited::Ready(Ok(response)) => Ok((response, connection)),
+        Awaited::Ready(Err(SendError::NotSent(_))) => Err(Failure::NotRun(AttemptEnd::Unreachable).into()),
+        Awaited::Ready(Err(SendError::MaybeSent(e))) => {
             request_log::record_lost_connection(exchange, &assignment.engine, "head", &e);
-            Err(Failure::MaybeRun(AttemptEnd::ConnectionLost))
+            Err(Failure::MaybeRun(AttemptEnd::ConnectionLost).into())
         }
-        Err(_) if exchange.time_left() <= TIMER_SLACK => Err(Failure::DeadlineExceeded),
-        Err(_) => Err(Failure::MaybeRun(AttemptEnd::Unresponsive)),
+        Awaited::Superseded(placement) => Err(AttemptError::Superseded(placement)),
+        Awaited::DeadlineExceeded => Err(Failure::DeadlineExceeded.into()),
     }
 }
 
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 
 use super::arrival::{self, OpenRequest, refuse_stale};
-use super::attempt::{self, Failure, ServerResponse};
+use super::attempt::{self, AttemptError, Failure, ServerResponse};
 use super::plain::PlainResponse;
 use super::quota::ReservedTokens;
 use super::rate_limits::{self, RateLimited};
@@ -92,6 +92,13 @@
     }
 }
 
+/// A server that a request is assigned to, and its slot there.
+#[derive(Debug)]
+pub(super) struct Placement {
+    pub(super) slot: Slot,
+    pub(super) assignment: Assignment,
+}
+
 /// A queued request's ticket, and the channel that receives the dispatcher's decision.
 pub(crate) type QueuedRequest = (Ticket, oneshot::Receiver<Decision>);
 
@@ -215,6 +222,7 @@
             prompt: prompt.map_or(0, |prompt| prompt.tokens),
             parts: prompt.map(|prompt| prompt.parts.clone()).unwrap_or_default(),
             tried: self.tried_engines.clone(),
+            excluded: None,
         }
     }
 
@@ -233,7 +241,31 @@
         queued: QueuedRequest,
         last_event_id: Option<u64>,
     ) -> Result<Result<ServerResponse, Failure>, Refusal> {
-        let (mut slot, assignment) = self.acquire_slot(queued).await?;
+        let placement = self.acquire_slot(queued, None).await?;
+        Ok(self.attempt_at(placement, last_event_id).await)
+    }
+
+    /// Sends the request to the server of a placement, and to others while a server is silent.
+    pub(super) async fn attempt_at(
+        &mut self,
+        mut placement: Placement,
+        last_event_id: Option<u64>,
+    ) -> Result<ServerResponse, Failure> {
+        loop {
+            match self.send_to(placement, last_event_id).await {
+                Ok(server_response) => return Ok(server_response),
+                Err(AttemptError::Failed(failure)) => return Err(failure),
+                Err(AttemptError::Superseded(next)) => placement = next,
+            }
+        }
+    }
+
+    async fn send_to(
+        &mut self,
+        placement: Placement,
+        last_event_id: Option<u64>,
+    ) -> Result<ServerResponse, AttemptError> {
+        let Placement { mut slot, assignment } = placement;
         self.assigned_at = self.shared.now();
         slot.assign(&self.backend, &assignment);
         request_log::record_assignment(self, &assignment, slot.rate_limit());
@@ -241,26 +273,33 @@
         let engine = assignment.engine.clone();
         let target = assignment.clone();
         let sent = attempt::send(self, slot, assignment, last_event_id, response_timeout).await;
-        match &sent {
-            Err(failure) if failure.is_unsent() => self.unsent_attempts += 1,
+        let failure = sent.as_ref().err().map(AttemptError::failure);
+        match failure {
+            Some(failure) if failure.is_unsent() => self.unsent_attempts += 1,
             _ => self.attempts += 1,
         }
-        if let Err(failure) = &sent {
-            request_log::record_attempt_failure(self, &engine, *failure);
+        if let Some(failure) = failure {
+            request_log::record_attempt_failure(self, &engine, failure);
         }
-        if matches!(sent, Err(Failure::MaybeRun(AttemptEnd::ConnectionLost))) {
+        if matches!(failure, Some(Failure::MaybeRun(AttemptEnd::ConnectionLost))) {
             self.check_for_crash(&target, 0);
         }
         self.may_have_run |= matches!(
-            &sent,
-            Ok(_) | Err(Failure::MaybeRun(_) | Failure::DeadlineExceeded)
+            failure,
+            None | Some(Failure::MaybeRun(_) | Failure::DeadlineExceeded)
         );
         self.tried_engines.push(engine);
-        Ok(sent)
+        sent
     }
 
     /// Waits for a server whose slot and rate limit no other host has used up in the meantime.
-    async fn acquire_slot(&self, mut queued: QueuedRequest) -> Result<(Slot, Assignment), Refusal> {
+    ///
+    /// `excluded` is the server that still has the request.
+    pub(super) async fn acquire_slot(
+        &self,
+        mut queued: QueuedRequest,
+        excluded: Option<&EngineId>,
+    ) -> Result<Placement, Refusal> {
         loop {
             let (ticket, rx) = queued;
             let mut slot = Slot::new(Arc::clone(&self.shared), ticket);
@@ -282,11 +321,14 @@
                         slot.refund_permit();
                         return Err(refusal);
                     }
-                    return Ok((slot, assignment));
+                    return Ok(Placement { slot, assignment });
                 }
                 Err(end) => slot.end(end),
             }
-            let job = self.job(self.queue_deadline());
+            let job = match excluded {
+                Some(engine) => self.job_elsewhere(engine),
+                None => self.job(self.queue_deadline()),
+            };
             queued = lock(&self.shared.dispatch).submit_unsent(self.shared.now(), job);
         }
     }
@@ -334,7 +376,7 @@
         }
     }
 
-    /// Returns the time without a response after which the request is retried on another server.
+    /// Returns the time without a response after which another server is looked for.
     fn response_timeout(&self, assignment: &Assignment) -> Option<Millis> {
         let kind = self.route_match.route.kind;
         let has_next = self.attempts + 1 < self.route_match.route.max_attempts;
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -13,6 +13,7 @@
 mod reservation;
 mod response;
 mod server_state;
+mod silence;
 mod slots;
 mod stream;
 
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -8,20 +8,20 @@
 use hyper::Response;
 use hyper::body::{Frame, Incoming};
 use hyper::header::CONTENT_LENGTH;
-use tokio::time::timeout;
 
 use super::attempt::{Failure, ServerResponse, keep_alive_timeout, remove_hop_headers};
 use super::events::{CompleteEvents, EventSplitter, MAX_EVENT_BYTES};
-use super::exchange::Exchange;
+use super::exchange::{Exchange, Placement};
 use super::reservation::Slot;
 use super::response::{BodyError, ResponseBody};
+use super::silence::Awaited;
 use crate::http_client::Connection;
 use crate::request_log::{self, StreamSummary};
 use crate::shared::{Assignment, lock};
 
 /// The number of events over which the mean time between events is sampled.
 const EVENTS_PER_SAMPLE: u32 = 12;
-/// The time without an event after which a resumable stream is resumed on another server.
+/// The time without an event after which another server is looked for to resume the stream.
 const MAX_EVENT_GAP: Millis = Millis(900);
 /// The corresponding timeout for the first event, as a multiple of the expected time plus a margin.
 const FIRST_EVENT_TIMEOUT_FACTOR: u64 = 3;
@@ -88,6 +88,8 @@
     Events(CompleteEvents),
     End,
     Interrupted(AttemptEnd),
+    /// The server was silent, and another server has a slot for the request.
+    Superseded(Placement),
     DeadlineExceeded,
 }
 
@@ -136,28 +138,36 @@
                     ));
                 }
                 ReadResult::Interrupted(end) => {
-                    if let Some(engine_stream) = self.engine_stream.take() {
-                        let failure = Failure::MaybeRun(end);
-                        request_log::record_attempt_failure(
-                            &self.exchange,
-                            &engine_stream.assignment.engine,
-                            failure,
-                        );
-                        if end == AttemptEnd::ConnectionLost {
-                            let events = engine_stream.received_events;
-                            self.exchange.check_for_crash(&engine_stream.assignment, events);
-                        }
-                        engine_stream.slot.end(end);
-                    }
-                    self.splitter.drop_partial();
-                    if let Err(cause) = self.resume().await {
+                    self.leave_server(end);
+                    if let Err(cause) = self.resume(None).await {
                         return Some(Err(self.abort(end, cause)));
                     }
                 }
+                ReadResult::Superseded(placement) => {
+                    self.leave_server(AttemptEnd::Unresponsive);
+                    if let Err(cause) = self.resume(Some(placement)).await {
+                        return Some(Err(self.abort(AttemptEnd::Unresponsive, cause)));
+                    }
+                }
             }
         }
     }
 
+    /// Closes the connection to a server whose stream was interrupted, and drops the event it was in.
+    fn leave_server(&mut self, end: AttemptEnd) {
+        self.splitter.drop_partial();
+        let Some(engine_stream) = self.engine_stream.take() else {
+            return;
+        };
+        let failure = Failure::MaybeRun(end);
+        request_log::record_attempt_failure(&self.exchange, &engine_stream.assignment.engine, failure);
+        if end == AttemptEnd::ConnectionLost {
+            let events = engine_stream.received_events;
+            self.exchange.check_for_crash(&engine_stream.assignment, events);
+        }
+        engine_stream.slot.end(end);
+    }
+
     fn summary(&self, outcome: &'static str) -> StreamSummary {
         StreamSummary {
             outcome,
@@ -225,30 +235,38 @@
     }
 
     /// Resumes the stream on another server after the last complete event.
-    async fn resume(&mut self) -> Result<(), Interrupted> {
+    ///
+    /// `placement` is the other server, if one was found already.
+    async fn resume(&mut self, placement: Option<Placement>) -> Result<(), Interrupted> {
         let exchange = &mut self.exchange;
         if !exchange.route_match.route.kind.is_retryable() {
             return Err(Interrupted::Lost);
         }
         let last_event_id = self.splitter.last_id().or(exchange.head.last_event_id);
         let mut failure = Failure::MaybeRun(AttemptEnd::ConnectionLost);
+        let mut sent = match placement {
+            Some(placement) => Some(exchange.attempt_at(placement, last_event_id).await),
+            None => None,
+        };
         loop {
-            let queued = exchange.requeue(failure).map_err(|_refusal| Interrupted::Lost)?;
-            match exchange.attempt(queued, last_event_id).await {
-                Ok(Ok(server_response)) if server_response.response.status().is_success() => {
+            match sent {
+                Some(Ok(server_response)) if server_response.response.status().is_success() => {
                     self.resumed += 1;
                     let keep_alive = keep_alive_timeout(server_response.response.headers());
                     let now = exchange.shared.now();
                     self.engine_stream = Some(EngineStream::new(server_response, keep_alive, now));
                     return Ok(());
                 }
-                Ok(Ok(server_response)) => {
+                Some(Ok(server_response)) => {
                     server_response.slot.end(AttemptEnd::Failed);
                     failure = Failure::MaybeRun(AttemptEnd::Failed);
                 }
-                Ok(Err(next)) => failure = next,
-                Err(_refusal) => return Err(Interrupted::Lost),
+                Some(Err(next)) => failure = next,
+                None => {}
             }
+            let queued = exchange.requeue(failure).map_err(|_refusal| Interrupted::Lost)?;
+            let attempt = exchange.attempt(queued, last_event_id).await;
+            sent = Some(attempt.map_err(|_refusal| Interrupted::Lost)?);
         }
     }
 
@@ -294,7 +312,6 @@
         .connection
         .set_read_limit(MAX_EVENT_BYTES.saturating_mul(2));
     loop {
-        let left = exchange.time_left();
         let waited = exchange.shared.now().since(since);
         let may_resume = exchange.route_match.route.kind.is_retryable()
             && exchange.attempts < exchange.route_match.route.max_attempts;
@@ -307,13 +324,18 @@
                 .times(FIRST_EVENT_TIMEOUT_FACTOR)
                 + FIRST_EVENT_TIMEOUT_MARGIN
         };
-        let read_timeout = if may_resume {
-            left.min(max_gap.since(waited))
-        } else {
-            left
+        let patience = may_resume.then(|| max_gap.since(waited));
+        let engine = engine_stream.assignment.engine.clone();
+        let frame = match exchange
+            .await_server(&engine, patience, engine_stream.body.frame())
+            .await
+        {
+            Awaited::Ready(frame) => frame,
+            Awaited::Superseded(placement) => return ReadResult::Superseded(placement),
+            Awaited::DeadlineExceeded => return ReadResult::DeadlineExceeded,
         };
-        match timeout(read_timeout.to_duration(), engine_stream.body.frame()).await {
-            Ok(Some(Ok(frame))) => {
+        match frame {
+            Some(Ok(frame)) => {
                 let events = frame.data_ref().and_then(|bytes| splitter.push(bytes));
                 match events {
                     Some(events) => return ReadResult::Events(events),
@@ -324,15 +346,13 @@
                     None => {}
                 }
             }
-            Ok(Some(Err(e))) => {
+            Some(Err(e)) => {
                 request_log::record_lost_connection(exchange, &engine_stream.assignment.engine, "stream", &e);
                 return ReadResult::Interrupted(AttemptEnd::ConnectionLost);
             }
             // A stream that ends in the middle of an event was interrupted.
-            Ok(None) if splitter.has_partial() => return ReadResult::Interrupted(AttemptEnd::ConnectionLost),
-            Ok(None) => return ReadResult::End,
-            Err(_) if exchange.time_left() == Millis::ZERO => return ReadResult::DeadlineExceeded,
-            Err(_) => return ReadResult::Interrupted(AttemptEnd::Unresponsive),
+            None if splitter.has_partial() => return ReadResult::Interrupted(AttemptEnd::ConnectionLost),
+            None => return ReadResult::End,
         }
     }
 }
