Send a silent server no further requests until it can be connected to

Cause: a silent attempt now stays at its server, so the server was no longer taken out of the choice while it paused, as the end of the attempt had done before. More requests were sent to it, and had to wait or to find another server in turn. Change: when a request begins to look for another server, the silent one is probed like an unreachable one and gets no further requests until a connection succeeds.

--- a/crates/dispatch/src/dispatcher/availability.rs
+++ b/crates/dispatch/src/dispatcher/availability.rs
@@ -75,6 +75,18 @@
             .collect()
     }
 
+    /// Records that a server is silent while it has a request.
+    ///
+    /// It gets no further requests until a connection attempt succeeds.
+    pub fn mark_silent(&mut self, now: Millis, engine: &EngineId) {
+        self.now = self.now.max(now);
+        for pool in self.pools.values_mut() {
+            if let Some(engine) = pool.engine_mut(engine) {
+                engine.mark_silent(now);
+            }
+        }
+    }
+
     /// Marks a server as reachable again.
     pub fn mark_reachable(&mut self, now: Millis, engine: &EngineId) -> Vec<Action> {
         self.now = self.now.max(now);
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -191,6 +191,11 @@
         is_due
     }
 
+    /// Records that the server is silent; it gets no requests until a connection attempt succeeds.
+    pub(crate) fn mark_silent(&mut self, now: Millis) {
+        self.probe_at.get_or_insert(now);
+    }
+
     /// Records that a connection was established.
     pub(crate) const fn mark_reachable(&mut self) {
         self.probe_at = None;
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -322,3 +322,17 @@
     assert!(dispatcher.submit_retry(Millis(1), job(1, 0)).is_some());
     assert!(dispatcher.submit_retry(Millis(1), job(1, 0)).is_none());
 }
+
+/// Guards against requests that are sent to a silent server while it still has others.
+#[test]
+fn a_silent_server_gets_no_requests_until_it_is_reachable() {
+    let mut dispatcher = dispatcher(&[("a", 3)]);
+    let (_, actions) = dispatcher.submit(Millis(1), job(1, 0));
+    assert_eq!(started(&actions).len(), 1);
+    dispatcher.mark_silent(Millis(2), &id("a"));
+    let (ticket, actions) = dispatcher.submit(Millis(3), job(3, 0));
+    assert!(actions.is_empty());
+    assert_eq!(dispatcher.due_probes(Millis(4)).len(), 1);
+    let actions = dispatcher.mark_reachable(Millis(5), &id("a"));
+    assert_eq!(started(&actions), [(ticket, "a")]);
+}
--- a/crates/gateway/src/traffic/silence.rs
+++ b/crates/gateway/src/traffic/silence.rs
@@ -65,7 +65,7 @@
 
     /// Queues the request for a server other than `engine` until one has a slot or `engine` sends something.
     async fn search_elsewhere<T>(&self, engine: &EngineId, event: impl Future<Output = T>) -> Search<T> {
-        let Some(queued) = self.queue_retry_elsewhere(engine) else {
+        let Some(queued) = self.queue_elsewhere(engine) else {
             return Search::NotFound;
         };
         let found = tokio::select! {
@@ -85,10 +85,14 @@
         found
     }
 
-    /// Queues the request for a server other than `engine` if the retry budget allows it.
-    fn queue_retry_elsewhere(&self, engine: &EngineId) -> Option<QueuedRequest> {
+    /// Lets the silent server get no further requests, and queues the request for another server if the retry
+    /// budget allows it.
+    fn queue_elsewhere(&self, engine: &EngineId) -> Option<QueuedRequest> {
         let job = self.job_elsewhere(engine);
-        lock(&self.shared.dispatch).submit_retry(self.shared.now(), job)
+        let now = self.shared.now();
+        let mut dispatch = lock(&self.shared.dispatch);
+        dispatch.dispatcher.mark_silent(now, engine);
+        dispatch.submit_retry(now, job)
     }
 
     /// Returns the job of a request that `engine` still has.
