Count the idle time of a connection to a server into the limit on its silence

Change: the limit is 6 s, and no connection is reused after more than 3 s. Conclusion: a server that is gone for good is found after 6 s.

--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -12,8 +12,8 @@
 const PROBE_INTERVAL: Millis = Millis(1_000);
 /// A connection to a backend server that acknowledges nothing for this time is closed.
 ///
-/// A server may pause for a second or two and continue.
-pub const SERVER_SILENCE_LIMIT: Millis = Millis(4_000);
+/// A server may pause for a second or two and continue, also after its connection was idle.
+pub const SERVER_SILENCE_LIMIT: Millis = Millis(6_000);
 
 /// Connects, and lets the kernel break the connection after `silence_limit` without an acknowledgement.
 ///
--- a/crates/gateway/src/traffic/connections.rs
+++ b/crates/gateway/src/traffic/connections.rs
@@ -13,6 +13,8 @@
 const MAX_IDLE_PER_ENGINE: usize = 16;
 /// The idle timeout of a connection whose server states none.
 const DEFAULT_IDLE_TIMEOUT: Millis = Millis(2_500);
+/// The maximum idle time. With a pause of the server after it, a connection stays below the limit on its silence.
+const MAX_IDLE_TIMEOUT: Millis = Millis(3_000);
 /// The share of a server's stated idle timeout that is used, since the server may have started its timer
 /// earlier.
 const KEEP_ALIVE_SHARE: f64 = 0.5;
@@ -50,7 +52,7 @@
         keep_alive: Option<Millis>,
     ) {
         let ttl = keep_alive.map_or(DEFAULT_IDLE_TIMEOUT, |keep_alive| {
-            Millis((keep_alive.0 as f64 * KEEP_ALIVE_SHARE) as u64)
+            Millis((keep_alive.0 as f64 * KEEP_ALIVE_SHARE) as u64).min(MAX_IDLE_TIMEOUT)
         });
         let mut idle = lock(&self.0);
         let stack = idle.entry((engine.clone(), address)).or_default();
