Add the messages that open a relayed connection

Cause: a host that is partitioned from all backend servers can serve its callers only through a peer.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,7 +1,7 @@
 //! Messages between the processes of carawayseam, encoded with `postcard`.
 //!
 //! Datagrams carry heartbeats and gossip updates; streams carry records and
-//! forwarded requests. Each message begins with the protocol version, and a
+//! forwarded requests, or begin a relayed connection. Each message begins with the protocol version, and a
 //! message of another version is rejected before it is decoded.
 //!
 //! ```
@@ -18,6 +18,7 @@
 mod digest;
 mod heartbeat;
 mod peers;
+mod relay;
 mod stream;
 
 pub use codec::{
@@ -29,4 +30,5 @@
     ItemChunk, ItemsPage, PaceCounts, PartAnswer, PartCrash, PeerMessage, PeerResponse, PermitOutcome,
     QuotaOutcome, QuotaRequest, ServerLimitUpdate, SlotOutcome, StoreChange, StoreChangeKind, StoreChanges,
 };
+pub use relay::{RelayRefusal, RelayRequest, RelayResponse};
 pub use stream::{ForwardFrame, ForwardedRequest, Head, Record, RecordKey, StreamReply, StreamRequest};
