Return the connection of a frame stream

Cause: a relayed connection begins with two frames and goes on with plain bytes.

Change: a frame stream gives its connection back, unless bytes after the last frame were already read.

--- a/crates/node/src/streams.rs
+++ b/crates/node/src/streams.rs
@@ -12,7 +12,7 @@
 use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::codec::{Framed, FramedParts, LengthDelimitedCodec};
 
 const CONNECT_TIMEOUT: Millis = Millis(500);
 const PULL_TIMEOUT: Millis = Millis(2_000);
@@ -98,6 +98,19 @@
             Err(_) => Err(StreamError::Timeout(limit)),
         }
     }
+
+    /// Returns the connection, for bytes that are no longer framed.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`WireError::Trailing`] if bytes after the last message were already read.
+    pub fn into_tcp(self) -> Result<TcpStream, StreamError> {
+        let FramedParts { io, read_buf, .. } = self.0.into_parts();
+        match read_buf.len() {
+            0 => Ok(io),
+            extra => Err(StreamError::Wire(WireError::Trailing { extra })),
+        }
+    }
 }
 
 /// Connects to a peer.
