Look up the backend servers that a host can relay to

Cause: a peer connects to a server of its own list only, and not to one that drains or that it does not reach.

Change: the dispatcher returns a server's address or why there is none. Load, pauses and limits stay with the host that sends the request.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -2,6 +2,7 @@
 
 mod availability;
 mod peers;
+mod relay;
 
 use std::collections::HashMap;
 
@@ -16,6 +17,8 @@
 use crate::pool::{Pool, SchedulingContext, Waiting};
 use crate::retries::{RetryBounds, RetryBudget};
 
+pub use relay::RelayTarget;
+
 /// Lower bound of the retry delay sent to a refused caller.
 const MIN_RETRY_AFTER: Millis = Millis(400);
 /// Upper bound of the retry delay sent to a refused caller, before jitter.
