Relay connections to backend servers for other hosts

Cause: a host that is partitioned from all backend servers refuses its callers, though peers reach the servers.

A side that breaks off, or the end of the process, resets the other side. A relayed connection counts as an open request. Requests do not use it yet.

--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -11,6 +11,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
@@ -102,7 +103,16 @@
         connect_timeout: Millis,
         unacked_timeout: Millis,
     ) -> io::Result<Self> {
-        let stream = sockets::connect(address, connect_timeout, unacked_timeout).await?;
+        Self::over(sockets::connect(address, connect_timeout, unacked_timeout).await?).await
+    }
+
+    /// Uses an established connection to a server.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error if the connection broke.
+    pub async fn over(stream: TcpStream) -> io::Result<Self> {
+        let address = stream.peer_addr()?;
         let read_budget = ReadBudget::default();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`platform`] | the interface that a deployment implements |
 //! | [`settings`] | the settings file |
 //! | [`http_client`], [`sockets`] | connections with time limits |
+//! | [`relay`] | connections to backend servers through a peer |
 //! | `traffic` | requests, from the head of a request to the end of its response |
 //! | `control` | the store, the peers and rollouts |
 
@@ -25,6 +26,7 @@
 mod process;
 mod read_limit;
 mod readiness;
+pub mod relay;
 mod request_log;
 pub mod settings;
 mod shared;
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -65,9 +65,19 @@
         *lock(&self.addresses) = addresses;
     }
 
+    /// Returns the address of another host for datagrams and relayed connections, if it is known.
+    pub(crate) fn address(&self, host: &HostId) -> Option<SocketAddr> {
+        lock(&self.addresses).get(host).copied()
+    }
+
+    /// Returns whether a host can receive requests now.
+    pub(crate) fn is_reachable(&self, host: &HostId) -> bool {
+        lock(&self.group).reachable.contains(host)
+    }
+
     /// Sends a message to a host if its address is known; delivery is not guaranteed.
     pub(crate) fn send(&self, host: &HostId, message: &PeerMessage) {
-        let Some(address) = lock(&self.addresses).get(host).copied() else {
+        let Some(address) = self.address(host) else {
             log::debug!("the address of {host} is not known");
             return;
         };
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -30,6 +30,7 @@
 use crate::peer_link::PeerLink;
 use crate::platform::Platform;
 use crate::readiness;
+use crate::relay;
 use crate::settings::Settings;
 use crate::shared::{DispatchState, Phase, Shared, StoreHistory, lock};
 use crate::traffic::{self, IdleConnections};
@@ -84,6 +85,9 @@
     let callers = traffic
         .block_on(TcpListener::bind(shared.settings.callers))
         .wrap_err("cannot listen for callers")?;
+    let relayed = traffic
+        .block_on(TcpListener::bind(shared.settings.peers))
+        .wrap_err("cannot listen for relayed connections")?;
     let (stop, stopped) = oneshot::channel();
     let control_shared = Arc::clone(&shared);
     let file = file.to_owned();
@@ -97,10 +101,12 @@
     let control = control.wrap_err("cannot start the control thread")?;
     traffic.block_on(async {
         let server = tokio::spawn(traffic::serve(Arc::clone(&shared), callers));
+        let relay = tokio::spawn(relay::serve(Arc::clone(&shared), relayed));
         if stopped.await.is_err() {
             log::error!("the control thread ended unexpectedly");
         }
         server.abort();
+        relay.abort();
     });
     traffic.shutdown_background();
     match control.join() {
--- /dev/null
+++ b/crates/gateway/src/relay/server.rs
@@ -0,0 +1,179 @@
+//! Accepts connections from peers, and connects them to backend servers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use carawayseam_dispatch::dispatcher::RelayTarget;
+use carawayseam_node::{FrameStream, StreamError};
+use carawayseam_types::Millis;
+use carawayseam_wire::{RelayRefusal, RelayRequest, RelayResponse};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::sleep;
+
+use super::copy::copy;
+use crate::shared::{Phase, Shared, lock};
+use crate::sockets;
+use crate::traffic::ACCEPT_PAUSE;
+
+/// The maximum number of relayed connections at a time.
+const MAX_RELAYED: usize = 512;
+/// The number of connections, in addition to these, that are accepted and refused with a reason.
+const MAX_REFUSING: usize = 64;
+/// The maximum time from the accepting of a connection to the complete request.
+const REQUEST_TIME_LIMIT: Millis = Millis(1_000);
+/// The maximum time for connecting to a backend server.
+const MAX_CONNECT_TIMEOUT: Millis = Millis(250);
+/// A connection on which a backend server acknowledges no data for this time is closed.
+const ENGINE_ACK_TIMEOUT: Millis = Millis(1_200);
+/// The same for the origin, whose window stays closed as long as its caller does not read.
+const ORIGIN_ACK_TIMEOUT: Millis = Millis::from_secs(30);
+
+/// The counter of relayed connections.
+const COUNTER: &str = "relayed";
+
+/// Counts a relayed connection as an open request until it is dropped.
+#[derive(Debug)]
+struct OpenConnection<'a>(&'a Shared);
+
+impl<'a> OpenConnection<'a> {
+    fn new(shared: &'a Shared) -> Self {
+        shared.open_requests.fetch_add(1, Ordering::Relaxed);
+        Self(shared)
+    }
+}
+
+impl Drop for OpenConnection<'_> {
+    fn drop(&mut self) {
+        self.0.open_requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Serves peers until the process stops accepting connections.
+pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+    let permits = Arc::new(Semaphore::new(MAX_RELAYED + MAX_REFUSING));
+    let mut phase = shared.phase.subscribe();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = phase.wait_for(|phase| *phase == Phase::NotAccepting) => return,
+        };
+        match (accepted, Arc::clone(&permits).try_acquire_owned()) {
+            (Ok((stream, from)), Ok(permit)) => {
+                let is_full = permits.available_permits() < MAX_REFUSING;
+                tokio::spawn(serve_connection(
+                    Arc::clone(&shared),
+                    stream,
+                    from,
+                    is_full,
+                    permit,
+                ));
+            }
+            (Ok((_, from)), Err(_)) => {
+                shared.metrics.count(COUNTER, "too-many");
+                log::debug!(from:% = from; "a peer's connection was closed: too many are open");
+            }
+            (Err(e), _) => {
+                log::error!(error:% = e; "accepting a peer's connection failed");
+                sleep(ACCEPT_PAUSE.to_duration()).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(
+    shared: Arc<Shared>,
+    stream: TcpStream,
+    from: SocketAddr,
+    is_full: bool,
+    _permit: OwnedSemaphorePermit,
+) {
+    if let Err(e) = sockets::detect_dead_peer(&stream, ORIGIN_ACK_TIMEOUT) {
+        log::debug!(from:% = from; "a peer's connection cannot be set up: {e}");
+        return;
+    }
+    let mut frames = FrameStream::new(stream);
+    let req = match frames.receive_within::<RelayRequest>(REQUEST_TIME_LIMIT).await {
+        Ok(req) => req,
+        Err(e) => {
+            shared.metrics.count(COUNTER, "unreadable");
+            log::debug!(from:% = from; "no request for a relayed connection: {e}");
+            return;
+        }
+    };
+    let _open = OpenConnection::new(&shared);
+    let connected = match select_server(&shared, &req, is_full) {
+        Ok(address) => connect(&req, address).await,
+        Err(response) => Err(response),
+    };
+    let outcome = match connected {
+        Ok(server) => relay(&shared, &req, frames, server).await,
+        Err(response) => {
+            count_failure(&shared, response);
+            log::debug!(origin:% = req.host, engine:% = req.engine; "connection not relayed: {response:?}");
+            frames.send(&response).await
+        }
+    };
+    if let Err(e) = outcome {
+        log::debug!(origin:% = req.host, engine:% = req.engine; "the response to a peer was not sent: {e}");
+    }
+}
+
+fn count_failure(shared: &Shared, response: RelayResponse) {
+    let label = match response {
+        RelayResponse::Connected => return,
+        RelayResponse::Unreachable => "unreachable",
+        RelayResponse::Refused(RelayRefusal::UnknownServer) => "unknown-server",
+        RelayResponse::Refused(RelayRefusal::Draining) => "draining",
+        RelayResponse::Refused(RelayRefusal::Stopping) => "stopping",
+        RelayResponse::Refused(RelayRefusal::TooMany) => "too-many",
+        RelayResponse::Refused(RelayRefusal::UnknownHost) => "unknown-host",
+    };
+    shared.metrics.count(COUNTER, label);
+}
+
+/// Returns the address of the requested server, or the response if this host does not connect to it.
+fn select_server(shared: &Shared, req: &RelayRequest, is_full: bool) -> Result<SocketAddr, RelayResponse> {
+    let refuse = |refusal| Err(RelayResponse::Refused(refusal));
+    let target = lock(&shared.dispatch).dispatcher.relay_target(&req.engine);
+    match target {
+        _ if shared.phase() != Phase::Serving => refuse(RelayRefusal::Stopping),
+        _ if shared.peers.address(&req.host).is_none() => refuse(RelayRefusal::UnknownHost),
+        _ if is_full => refuse(RelayRefusal::TooMany),
+        RelayTarget::Unknown => refuse(RelayRefusal::UnknownServer),
+        RelayTarget::Draining => refuse(RelayRefusal::Draining),
+        RelayTarget::Unreachable => Err(RelayResponse::Unreachable),
+        RelayTarget::Address(address) => Ok(address),
+    }
+}
+
+async fn connect(req: &RelayRequest, address: SocketAddr) -> Result<TcpStream, RelayResponse> {
+    let within = req.connect_timeout.min(MAX_CONNECT_TIMEOUT);
+    let connected = sockets::connect(address, within, ENGINE_ACK_TIMEOUT).await;
+    connected.map_err(|e| {
+        log::debug!(origin:% = req.host, engine:% = req.engine; "connecting to the backend server failed: {e}");
+        RelayResponse::Unreachable
+    })
+}
+
+/// Tells the origin that the server is connected, and copies bytes until the connection ends.
+async fn relay(
+    shared: &Shared,
+    req: &RelayRequest,
+    mut frames: FrameStream,
+    server: TcpStream,
+) -> Result<(), StreamError> {
+    frames.send(&RelayResponse::Connected).await?;
+    let origin = frames.into_tcp()?;
+    shared.metrics.count(COUNTER, "opened");
+    log::debug!(origin:% = req.host, engine:% = req.engine; "relayed connection opened");
+    match copy(origin, server, || shared.peers.is_reachable(&req.host)).await {
+        Ok(()) => log::debug!(origin:% = req.host, engine:% = req.engine; "relayed connection ended"),
+        Err(e) => {
+            shared.metrics.count(COUNTER, "broken");
+            log::debug!(origin:% = req.host, engine:% = req.engine; "relayed connection broke: {e}");
+        }
+    }
+    Ok(())
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -27,9 +27,10 @@
     /// An additional address that serves metrics; without it, only the admin address does.
     #[serde(default)]
     pub metrics: Option<SocketAddr>,
-    /// The address on which datagrams from peers are received.
+    /// The address on which datagrams from peers are received, and by TCP connections that this host
+    /// relays to backend servers.
     pub peers: SocketAddr,
-    /// The address that peers send datagrams to, if it differs from `peers` because of an address
+    /// The address that peers send datagrams and connect to, if it differs from `peers` because of an address
     /// translation or relay.
     #[serde(default)]
     pub peers_announced: Option<SocketAddr>,
