--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -10,11 +10,8 @@
 use tokio::time::{Instant, timeout};
 
 use crate::shared::Shared;
-use crate::sockets;
+use crate::sockets::{self, SERVER_SILENCE_LIMIT};
 
-/// A connection on which the peer acknowledges no data for this time is closed. It exceeds the limit of
-/// the peer's connection to the backend server, which reads what the peer passes on.
-const PEER_ACK_TIMEOUT: Millis = Millis(1_500);
 /// The time for the peer's response after its attempt to connect has timed out.
 const RESPONSE_MARGIN: Millis = Millis(20);
 
@@ -86,7 +83,7 @@
     connect_timeout: Millis,
 ) -> Result<TcpStream, RelayError> {
     let started_at = Instant::now();
-    let stream = sockets::connect(address, connect_timeout, PEER_ACK_TIMEOUT)
+    let stream = sockets::connect(address, connect_timeout, SERVER_SILENCE_LIMIT)
         .await
         .map_err(RelayError::PeerUnreachable)?;
     let elapsed = Millis(started_at.elapsed().as_millis() as u64);
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -14,7 +14,7 @@
 
 use super::copy::copy;
 use crate::shared::{Phase, Shared, lock};
-use crate::sockets;
+use crate::sockets::{self, SERVER_SILENCE_LIMIT};
 use crate::traffic::ACCEPT_PAUSE;
 
 /// The maximum number of relayed connections at a time.
@@ -25,9 +25,8 @@
 const REQUEST_TIME_LIMIT: Millis = Millis(1_000);
 /// The maximum time for connecting to a backend server.
 const MAX_CONNECT_TIMEOUT: Millis = Millis(250);
-/// A connection on which a backend server acknowledges no data for this time is closed.
-const ENGINE_ACK_TIMEOUT: Millis = Millis(1_200);
-/// The same for the origin, whose window stays closed as long as its caller does not read.
+/// A connection on which the origin acknowledges no data for this time is closed. This exceeds the limit for a
+/// backend server: the origin's window stays closed as long as its caller does not read.
 const ORIGIN_ACK_TIMEOUT: Millis = Millis::from_secs(30);
 
 /// The counter of relayed connections.
@@ -150,7 +149,7 @@
 
 async fn connect(req: &RelayRequest, address: SocketAddr) -> Result<TcpStream, RelayResponse> {
     let within = req.connect_timeout.min(MAX_CONNECT_TIMEOUT);
-    let connected = sockets::connect(address, within, ENGINE_ACK_TIMEOUT).await;
+    let connected = sockets::connect(address, within, SERVER_SILENCE_LIMIT).await;
     connected.map_err(|e| {
         log::debug!(origin:% = req.host, engine:% = req.engine; "connecting to the backend server failed: {e}");
         RelayResponse::Unreachable
