Choose peers as relays to servers that this host does not reach

Cause: a host that was cut from the servers of a backend, but not from its peers, sent them no requests and refused its callers after half a second of waiting, while the servers had room.

Change: a server is reached directly, or lost with the peers that confirmed in the last second that they reach it. A lost server with such a peer takes requests, after those that are reached directly; `Action::Start` names the peer. Peers of the own zone come first, then those of the server's zone, then others, at random within each. Peers are asked at most each 350 ms and only about lost servers, four in a round, 20 while no peer is known that reaches any of them. Half of a round refreshes known relays, the rest goes through the peers in turn, in another order on each host.

Measured: 15 new tests in `crates/dispatch/tests/reach.rs` and all others of the crate pass; without relays `a_waiting_request_starts_through_a_peer_that_reaches_the_server` cannot be written, as nothing names a peer.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -2,11 +2,12 @@
 
 mod availability;
 mod peers;
+mod reach;
 mod relay;
 
 use std::collections::HashMap;
 
-use carawayseam_types::{BackendName, EngineId, Millis, Tier, ZoneId};
+use carawayseam_types::{BackendName, EngineId, HostId, Millis, Tier, ZoneId};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -15,6 +16,7 @@
 use crate::job::{Action, Job, Ticket};
 use crate::peer_loads::PeerLoads;
 use crate::pool::{Pool, SchedulingContext, Waiting};
+use crate::reach::ReachRounds;
 use crate::retries::{RetryBounds, RetryBudget};
 
 pub use relay::RelayTarget;
@@ -36,6 +38,8 @@
 struct Running {
     backend: BackendName,
     engine: EngineId,
+    /// Peer through which the request was sent; `None` if it was sent directly.
+    via: Option<HostId>,
     tier: Tier,
     started: Millis,
     /// Prompt tokens that the server reads before the first event, including those of this request.
@@ -62,6 +66,7 @@
     peers: PeerLoads,
     draining_servers: DrainingServers,
     last_dispatch_at: Millis,
+    reach_rounds: ReachRounds,
 }
 
 impl Dispatcher {
@@ -82,6 +87,7 @@
             peers: PeerLoads::default(),
             draining_servers: DrainingServers::default(),
             last_dispatch_at: Millis::ZERO,
+            reach_rounds: ReachRounds::default(),
         }
     }
 
@@ -293,6 +299,9 @@
             self.waiting_backends.remove(&waiting.ticket);
             pool.record_start(self.now, waiting.job.tier);
             let engine = &mut pool.engines[ix];
+            let via = engine
+                .reach
+                .choose_relay(self.now, &self.zone, &engine.entry.zone, &mut self.rng);
             let peer_tokens_ahead = self.peers.load_on(engine.key).prompt_ahead;
             let job = waiting.job;
             let own_tokens = f64::from(job.prompt.saturating_sub(engine.cached_tokens(&job.parts)));
@@ -306,6 +315,7 @@
             let running = Running {
                 backend: backend.clone(),
                 engine: engine.entry.id.clone(),
+                via: via.clone(),
                 tier: job.tier,
                 started: self.now,
                 tokens_ahead,
@@ -318,6 +328,7 @@
                 ticket: waiting.ticket,
                 engine: engine.entry.id.clone(),
                 address: engine.entry.address,
+                via,
                 version: engine.entry.version.clone(),
                 started: engine.entry.started,
                 expected: Millis(expected as u64),
@@ -337,7 +348,7 @@
         let Some(reopens_at) = pool.reopens_at(now) else {
             return;
         };
-        let interval = pool.limited_start_interval(self.host_count);
+        let interval = pool.limited_start_interval(now, self.host_count);
         for Waiting { ticket, .. } in pool.take_unservable(now, reopens_at, interval) {
             self.waiting_backends.remove(&ticket);
             let jitter_factor = self.rng.random_range(1.0..MAX_RETRY_JITTER_FACTOR);
@@ -353,7 +364,7 @@
     fn refuse_expired(&mut self, actions: &mut Vec<Action>) {
         let now = self.now;
         for pool in self.pools.values_mut() {
-            let retry_after = retry_after(pool);
+            let retry_after = retry_after(now, pool);
             pool.waiting.retain(|waiting| {
                 let is_kept = now < waiting.job.queue_deadline;
                 if !is_kept {
@@ -370,8 +381,8 @@
 }
 
 /// Returns the time in which the queue of a pool should drain, assuming 32 events per request.
-fn retry_after(pool: &Pool) -> Millis {
-    let working = pool.engines.iter().filter(|engine| engine.can_work());
+fn retry_after(now: Millis, pool: &Pool) -> Millis {
+    let working = pool.engines.iter().filter(|engine| engine.can_work(now));
     let slots: u32 = working.map(|engine| engine.entry.slots).sum();
     let request_ms = pool.baseline.event * 32.0;
     let wait_ms = pool.waiting.len() as f64 * request_ms / f64::from(slots.max(1));
--- a/crates/dispatch/src/dispatcher/availability.rs
+++ b/crates/dispatch/src/dispatcher/availability.rs
@@ -69,7 +69,7 @@
         let engines = self.pools.values_mut().flat_map(|pool| &mut pool.engines);
         engines
             .filter_map(|engine| {
-                let is_due = engine.take_probe(now);
+                let is_due = engine.reach.take_probe(now);
                 is_due.then(|| (engine.entry.id.clone(), engine.entry.address))
             })
             .collect()
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/reach.rs
@@ -0,0 +1,85 @@
+//! Servers that this host reaches only through peers.
+
+use std::collections::{BTreeMap, HashSet};
+
+use carawayseam_types::{EngineId, EngineKey, HostId, Millis, ZoneId};
+
+use super::Dispatcher;
+use crate::job::Action;
+use crate::reach::ReachQuery;
+
+impl Dispatcher {
+    /// Returns the servers to ask peers about, if a round is due and servers are lost.
+    pub fn reach_queries(&mut self, now: Millis) -> Option<ReachQuery> {
+        self.now = self.now.max(now);
+        if !self.reach_rounds.is_due(now) {
+            return None;
+        }
+        let engines = self.pools.values().flat_map(|pool| &pool.engines);
+        let lost = engines.filter(|engine| engine.reach.needs_relays() && !engine.entry.is_draining);
+        let mut keys = Vec::new();
+        let mut expiries: BTreeMap<&HostId, Millis> = BTreeMap::new();
+        for engine in lost {
+            keys.push(engine.key);
+            for relay in engine.reach.live_relays(now) {
+                let until = expiries.entry(&relay.host).or_insert(relay.until);
+                *until = (*until).max(relay.until);
+            }
+        }
+        if keys.is_empty() {
+            return None;
+        }
+        keys.sort_unstable();
+        let mut relays: Vec<(Millis, &HostId)> =
+            expiries.into_iter().map(|(host, until)| (until, host)).collect();
+        relays.sort_unstable();
+        let is_urgent = relays.is_empty();
+        let mut query = self.reach_rounds.begin(now, &keys, is_urgent);
+        query.relays = relays.into_iter().map(|(_, host)| host.clone()).collect();
+        Some(query)
+    }
+
+    /// Returns those of the servers that this host reaches directly and that accept requests.
+    #[must_use]
+    pub fn reached_directly(&self, keys: &[EngineKey]) -> Vec<EngineKey> {
+        let keys: HashSet<EngineKey> = keys.iter().copied().collect();
+        let engines = self.pools.values().flat_map(|pool| &pool.engines);
+        let reached = engines.filter(|engine| {
+            keys.contains(&engine.key) && engine.reach.is_direct() && !engine.entry.is_draining
+        });
+        reached.map(|engine| engine.key).collect()
+    }
+
+    /// Records that a peer reaches servers directly, and starts the requests that wait for them.
+    pub fn record_relays(
+        &mut self,
+        now: Millis,
+        host: &HostId,
+        zone: &ZoneId,
+        keys: &[EngineKey],
+    ) -> Vec<Action> {
+        self.now = self.now.max(now);
+        let keys: HashSet<EngineKey> = keys.iter().copied().collect();
+        let mut is_of_use = false;
+        for engine in self.pools.values_mut().flat_map(|pool| &mut pool.engines) {
+            if keys.contains(&engine.key) {
+                is_of_use |= engine.reach.confirm_relay(now, host, zone);
+            }
+        }
+        if is_of_use {
+            self.dispatch_all_waiting()
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Forgets a peer as relay to a server until it confirms again that it reaches the server.
+    pub fn drop_relay(&mut self, now: Millis, engine: &EngineId, host: &HostId) {
+        self.now = self.now.max(now);
+        for pool in self.pools.values_mut() {
+            if let Some(engine) = pool.engine_mut(engine) {
+                engine.reach.drop_relay(host);
+            }
+        }
+    }
+}
--- a/crates/dispatch/src/dispatcher/relay.rs
+++ b/crates/dispatch/src/dispatcher/relay.rs
@@ -30,7 +30,7 @@
         match engines.find(|known| known.entry.id == *engine) {
             None => RelayTarget::Unknown,
             Some(known) if known.entry.is_draining => RelayTarget::Draining,
-            Some(known) if !known.can_work() => RelayTarget::Unreachable,
+            Some(known) if !known.reach.is_direct() => RelayTarget::Unreachable,
             Some(known) => RelayTarget::Address(known.entry.address),
         }
     }
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -5,14 +5,13 @@
 
 use carawayseam_types::{BackendName, EngineId, EngineKey, Millis, RequestRate, VersionId, ZoneId};
 
+use crate::reach::Reach;
 use crate::speed::Speed;
 
 /// Weight of one outcome in the exponential average of failures.
 const OUTCOME_WEIGHT: f64 = 0.2;
 /// Time without outcomes after which the failure share has halved.
 const FAILURES_HALF_LIFE_MS: f64 = 2_500.0;
-/// Interval between connection attempts to an unreachable server.
-const PROBE_INTERVAL: Millis = Millis(350);
 /// Pause of a server whose address turned out to belong to another server.
 const MISDIRECTED_PAUSE: Millis = Millis::from_secs(2);
 /// Pause of a server for which the slot owner reports no free slot.
@@ -121,8 +120,7 @@
     limited_until: Millis,
     /// The server's rate limit while it has no room, for the requests of all hosts together.
     limit: Option<RequestRate>,
-    /// Time of the next connection attempt; `None` while the server is reachable.
-    probe_at: Option<Millis>,
+    pub(crate) reach: Reach,
     /// Prompt parts that the server has read, by id, with the time of their last use.
     parts: HashMap<u64, Millis>,
 }
@@ -141,18 +139,18 @@
             closed_until: Millis::ZERO,
             limited_until: Millis::ZERO,
             limit: None,
-            probe_at: None,
+            reach: Reach::Direct,
             parts: HashMap::new(),
         }
     }
 
     pub(crate) fn takes_work(&self, now: Millis) -> bool {
-        self.can_work() && now >= self.paused_until && self.closed_until(now).is_none()
+        self.can_work(now) && now >= self.paused_until && self.closed_until(now).is_none()
     }
 
     /// Returns whether the server is reachable and not draining, even if it is paused or closed.
-    pub(crate) const fn can_work(&self) -> bool {
-        !self.entry.is_draining && self.probe_at.is_none()
+    pub(crate) fn can_work(&self, now: Millis) -> bool {
+        !self.entry.is_draining && self.reach.is_usable(now)
     }
 
     /// Closes the server to this host until `until`, or later if it was already closed for longer.
@@ -182,23 +180,14 @@
         Some(self.closed_until.max(self.limited_until)).filter(|until| now < *until)
     }
 
-    /// Returns whether a connection attempt is due, and schedules the next one if so.
-    pub(crate) fn take_probe(&mut self, now: Millis) -> bool {
-        let is_due = self.probe_at.is_some_and(|at| now >= at);
-        if is_due {
-            self.probe_at = Some(now + PROBE_INTERVAL);
-        }
-        is_due
-    }
-
     /// Records that the server is silent; it gets no requests until a connection attempt succeeds.
     pub(crate) fn mark_silent(&mut self, now: Millis) {
-        self.probe_at.get_or_insert(now);
+        self.reach.lose(now, false);
     }
 
     /// Records that a connection was established.
-    pub(crate) const fn mark_reachable(&mut self) {
-        self.probe_at = None;
+    pub(crate) fn mark_reachable(&mut self) {
+        self.reach = Reach::Direct;
     }
 
     pub(crate) fn on_end(&mut self, now: Millis, end: AttemptEnd) {
@@ -206,7 +195,8 @@
             AttemptEnd::NoSlot => self.paused_until = now + NO_SLOT_PAUSE,
             AttemptEnd::Rejected => self.paused_until = now + REJECTED_PAUSE,
             AttemptEnd::Misdirected => self.paused_until = now + MISDIRECTED_PAUSE,
-            AttemptEnd::Unreachable | AttemptEnd::Unresponsive => self.probe_at = Some(now),
+            AttemptEnd::Unreachable => self.reach.lose(now, true),
+            AttemptEnd::Unresponsive => self.reach.lose(now, false),
             _ => {}
         }
         if !matches!(
@@ -249,6 +239,6 @@
         self.parts.clear();
         self.failures = 0.0;
         self.paused_until = Millis::ZERO;
-        self.probe_at = None;
+        self.reach = Reach::Direct;
     }
 }
--- a/crates/dispatch/src/group.rs
+++ b/crates/dispatch/src/group.rs
@@ -56,6 +56,13 @@
     }
 }
 
+/// Returns the peers of a host in an order that differs between hosts.
+pub(crate) fn order_for<'a>(host: &HostId, mut peers: Vec<&'a HostId>) -> Vec<&'a HostId> {
+    let name = Digest::of(host.as_str().as_bytes());
+    peers.sort_by_cached_key(|peer| weight(peer, name));
+    peers
+}
+
 /// Returns the rank of a host for a name: it differs between names and is the same at all hosts.
 fn weight(host: &HostId, name: Digest) -> Digest {
     let host = Digest::of(host.as_str().as_bytes());
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use carawayseam_types::{BackendName, EngineId, Millis, Tier, VersionId};
+use carawayseam_types::{BackendName, EngineId, HostId, Millis, Tier, VersionId};
 
 use crate::engine::PromptPart;
 use crate::rollouts::VersionRule;
@@ -67,6 +67,8 @@
         engine: EngineId,
         /// Address of the server.
         address: SocketAddr,
+        /// Peer through which the request is sent; `None` if it is sent directly.
+        via: Option<HostId>,
         /// Version of the server.
         version: VersionId,
         /// Start time of the server, if known.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 //! | [`engine`] | this host's state of one backend server |
 //! | [`group`] | the reachable hosts, and which of them own shared tasks |
 //! | [`peers`] | the other hosts' heartbeats, and which of them are live |
+//! | [`reach`] | which servers this host reaches directly, through a peer, or not at all |
 //! | [`hosts`] | the known hosts and their addresses |
 //! | [`history`] | the store's latest changes, for peers that follow the store through this host |
 //! | [`known_servers`] | the backend servers that the store lists, or listed lately |
@@ -61,6 +62,7 @@
 pub mod poison_parts;
 mod pool;
 pub mod quota;
+pub mod reach;
 pub mod retries;
 pub mod rollouts;
 mod rotation;
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -13,6 +13,9 @@
 
 /// Score penalty of a server in another availability zone.
 const OTHER_ZONE_PENALTY_MS: f64 = 25.0;
+/// Score penalty of a server that is reached through a peer, so that directly reached servers of all zones
+/// come first.
+const RELAY_PENALTY_MS: f64 = 40.0;
 /// Score penalty of a server that fails every request; it grows with the square of the failure share.
 const FAILURE_PENALTY_MS: f64 = 3_000.0;
 /// Score penalty of a server that the request was already sent to.
@@ -145,7 +148,7 @@
 
     /// Returns when the first server reopens, or `None` unless all working servers are closed to this host.
     pub(crate) fn reopens_at(&self, now: Millis) -> Option<Millis> {
-        let working = self.engines.iter().filter(|engine| engine.can_work());
+        let working = self.engines.iter().filter(|engine| engine.can_work(now));
         let closed = working.map(|engine| engine.closed_until(now));
         // A single open server turns the result into `None`.
         let closed: Option<Vec<Millis>> = closed.collect();
@@ -155,8 +158,8 @@
     /// Returns this host's share of the interval between two requests that the servers' rate limits admit.
     ///
     /// Returns `None` if a server that can work has no limit.
-    pub(crate) fn limited_start_interval(&self, host_count: u32) -> Option<Millis> {
-        let working = self.engines.iter().filter(|engine| engine.can_work());
+    pub(crate) fn limited_start_interval(&self, now: Millis, host_count: u32) -> Option<Millis> {
+        let working = self.engines.iter().filter(|engine| engine.can_work(now));
         let limits: Option<Vec<RequestRate>> = working.map(Engine::limit).collect();
         let per_second: f64 = limits?.into_iter().map(RequestRate::per_second).sum();
         let interval_ms = f64::from(host_count.max(1)) * 1_000.0 / per_second;
@@ -262,6 +265,11 @@
                     } else {
                         OTHER_ZONE_PENALTY_MS
                     },
+                    relay_penalty_ms: if engine.reach.is_direct() {
+                        0.0
+                    } else {
+                        RELAY_PENALTY_MS
+                    },
                 }
             })
             .collect()
@@ -308,7 +316,7 @@
         }
         // Each running request slows the others slightly, so otherwise equal servers share the load.
         score += candidate.used / f64::from(engine.entry.slots.max(1)) * pace.base;
-        score += candidate.zone_penalty_ms + candidate.failure_penalty_ms;
+        score += candidate.zone_penalty_ms + candidate.relay_penalty_ms + candidate.failure_penalty_ms;
         if job.tried.contains(&engine.entry.id) {
             score += TRIED_PENALTY_MS;
         }
@@ -328,6 +336,7 @@
     free: u32,
     failure_penalty_ms: f64,
     zone_penalty_ms: f64,
+    relay_penalty_ms: f64,
 }
 
 impl Candidate {
--- /dev/null
+++ b/crates/dispatch/tests/reach.rs
@@ -0,0 +1,243 @@
+//! Backend servers that a host does not reach, or reaches through peers only.
+
+mod support;
+
+use carawayseam_dispatch::reach::ReachQuery;
+use carawayseam_dispatch::{Action, AttemptEnd, Dispatcher, EngineEntry, Ticket};
+use carawayseam_types::{EngineKey, HostId, Millis, ZoneId};
+use support::{BOUNDS, dispatcher, engine, id, job, started};
+
+/// Interval between two rounds in which peers are asked, and between two probes of a server.
+const ROUND_MS: u64 = 350;
+
+fn host(name: &str) -> HostId {
+    name.parse().expect("a valid name")
+}
+
+fn zone(name: &str) -> ZoneId {
+    name.parse().expect("a valid name")
+}
+
+fn key(name: &str) -> EngineKey {
+    EngineKey::from(&id(name))
+}
+
+fn keys(names: &[&str]) -> Vec<EngineKey> {
+    names.iter().map(|name| key(name)).collect()
+}
+
+/// Returns the peer through which a request was started; the outer value is `None` if it was not started.
+fn via(actions: &[Action], ticket: Ticket) -> Option<Option<String>> {
+    actions.iter().find_map(|action| match action {
+        Action::Start {
+            ticket: started, via, ..
+        } if *started == ticket => Some(via.as_ref().map(|host| host.as_str().to_owned())),
+        _ => None,
+    })
+}
+
+/// Sends one request to each server of the dispatcher, none of which can be connected to.
+fn lose_all(dispatcher: &mut Dispatcher, now: u64, servers: usize) {
+    for _ in 0..servers {
+        let (ticket, actions) = dispatcher.submit(Millis(now), job(now, 0));
+        if started(&actions).is_empty() {
+            dispatcher.withdraw(ticket);
+        }
+        dispatcher.record_end(Millis(now), ticket, AttemptEnd::Unreachable);
+    }
+}
+
+#[test]
+fn a_waiting_request_starts_through_a_peer_that_reaches_the_server() {
+    let mut local = dispatcher(&[("a", 4)]);
+    lose_all(&mut local, 1, 1);
+    let (ticket, actions) = local.submit(Millis(2), job(2, 0));
+    assert!(actions.is_empty(), "nobody is known to reach the server");
+    let actions = local.record_relays(Millis(5), &host("h-2"), &zone("zone-a"), &keys(&["a", "other"]));
+    assert_eq!(via(&actions, ticket), Some(Some("h-2".to_owned())));
+    let (direct, _) = local.submit(Millis(1_005), job(1_005, 0));
+    assert!(
+        local.tick(Millis(1_006)).is_empty(),
+        "the confirmation has expired"
+    );
+    let actions = local.mark_reachable(Millis(1_010), &id("a"));
+    assert_eq!(via(&actions, direct), Some(None));
+}
+
+#[test]
+fn a_server_that_is_reached_directly_goes_before_one_reached_through_a_peer() {
+    let mut local = dispatcher(&[("a", 40), ("b", 40)]);
+    let (ticket, actions) = local.submit(Millis(1), job(1, 0));
+    let lost = started(&actions)[0].1.to_owned();
+    local.record_end(Millis(2), ticket, AttemptEnd::Unreachable);
+    local.mark_reachable(Millis(3), &id(if lost == "a" { "b" } else { "a" }));
+    let actions = local.record_relays(Millis(3), &host("h-2"), &zone("zone-a"), &keys(&[&lost]));
+    assert!(actions.is_empty());
+    for now in 4..24 {
+        let (ticket, actions) = local.submit(Millis(now), job(now, 0));
+        assert_eq!(via(&actions, ticket), Some(None));
+        local.record_end(Millis(now), ticket, AttemptEnd::Complete);
+    }
+}
+
+/// Returns the relays that 60 requests were sent through, of a host in zone-a to a server in zone-b.
+fn relays_used(confirmed: &[(&str, &str)]) -> Vec<String> {
+    let mut local = Dispatcher::new(zone("zone-a"), BOUNDS, 7);
+    let entry = EngineEntry {
+        zone: zone("zone-b"),
+        ..engine("a", 100)
+    };
+    local.set_engines(Millis(0), vec![entry]);
+    lose_all(&mut local, 1, 1);
+    for (name, relay_zone) in confirmed {
+        local.record_relays(Millis(2), &host(name), &zone(relay_zone), &keys(&["a"]));
+    }
+    let mut used = Vec::new();
+    for now in 3..63 {
+        let (ticket, actions) = local.submit(Millis(now), job(now, 0));
+        let relay = via(&actions, ticket).expect("the request starts");
+        used.push(relay.expect("the request is sent through a peer"));
+        local.record_end(Millis(now), ticket, AttemptEnd::Complete);
+    }
+    used.sort_unstable();
+    used.dedup();
+    used
+}
+
+macro_rules! relay_choice {
+    ($($name:ident: $confirmed:expr => $used:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            assert_eq!(relays_used(&$confirmed), $used);
+        }
+    )*};
+}
+
+relay_choice! {
+    peers_of_the_own_zone_come_first:
+        [("c-1", "zone-c"), ("b-1", "zone-b"), ("a-1", "zone-a"), ("a-2", "zone-a")] => ["a-1", "a-2"];
+    peers_of_the_servers_zone_come_second:
+        [("c-1", "zone-c"), ("b-1", "zone-b"), ("b-2", "zone-b")] => ["b-1", "b-2"];
+    other_peers_come_last:
+        [("c-1", "zone-c"), ("d-1", "zone-d")] => ["c-1", "d-1"];
+}
+
+#[test]
+fn a_relay_that_failed_is_not_used_until_it_confirms_again() {
+    let mut local = dispatcher(&[("a", 4)]);
+    lose_all(&mut local, 1, 1);
+    local.record_relays(Millis(2), &host("h-2"), &zone("zone-a"), &keys(&["a"]));
+    local.drop_relay(Millis(3), &id("a"), &host("h-2"));
+    let (ticket, actions) = local.submit(Millis(4), job(4, 0));
+    assert!(actions.is_empty());
+    let actions = local.record_relays(Millis(5), &host("h-2"), &zone("zone-a"), &keys(&["a"]));
+    assert_eq!(via(&actions, ticket), Some(Some("h-2".to_owned())));
+}
+
+#[test]
+fn peers_are_asked_only_about_lost_servers_and_once_a_round() {
+    let mut local = dispatcher(&[("a", 4), ("b", 4)]);
+    assert_eq!(local.reach_queries(Millis(1)), None);
+    let (ticket, actions) = local.submit(Millis(1), job(1, 0));
+    let lost = key(started(&actions)[0].1);
+    local.record_end(Millis(2), ticket, AttemptEnd::Unreachable);
+    let query = local.reach_queries(Millis(3)).expect("a server is lost");
+    assert_eq!(query.engines, [lost]);
+    assert_eq!(local.reach_queries(Millis(2 + ROUND_MS)), None);
+    assert!(local.reach_queries(Millis(3 + ROUND_MS)).is_some());
+    for name in ["a", "b"] {
+        local.mark_reachable(Millis(4 + ROUND_MS), &id(name));
+    }
+    assert_eq!(local.reach_queries(Millis(5_000)), None);
+}
+
+#[test]
+fn queries_rotate_through_the_lost_servers() {
+    let names: Vec<String> = (0..600).map(|number| format!("s-{number}")).collect();
+    let entries: Vec<(&str, u32)> = names.iter().map(|name| (name.as_str(), 1)).collect();
+    let mut local = dispatcher(&entries);
+    lose_all(&mut local, 1, 600);
+    let mut asked = Vec::new();
+    for round in 1..=3 {
+        let query = local
+            .reach_queries(Millis(round * ROUND_MS))
+            .expect("servers are lost");
+        assert!(query.engines.len() * 5 <= 1_300, "the query fits one datagram");
+        asked.extend(query.engines);
+    }
+    asked.sort_unstable();
+    asked.dedup();
+    assert_eq!(asked.len(), 600);
+}
+
+#[test]
+fn a_host_confirms_only_listed_servers_that_it_reaches_directly() {
+    let mut local = dispatcher(&[("a", 4), ("b", 4), ("c", 4)]);
+    let mut draining = engine("c", 4);
+    draining.is_draining = true;
+    local.set_engines(Millis(1), vec![engine("a", 4), engine("b", 4), draining]);
+    let (ticket, actions) = local.submit(Millis(1), job(1, 0));
+    let lost = started(&actions)[0].1.to_owned();
+    local.record_end(Millis(2), ticket, AttemptEnd::Unreachable);
+    local.record_relays(Millis(3), &host("h-2"), &zone("zone-a"), &keys(&[&lost]));
+    let reached = local.reached_directly(&keys(&["a", "b", "c", "unknown"]));
+    let direct = if lost == "a" { "b" } else { "a" };
+    assert_eq!(reached, [key(direct)]);
+}
+
+fn peers(count: usize, zones: usize) -> Vec<(HostId, ZoneId)> {
+    let peers = (0..count).map(|number| {
+        let peer_zone = zone(&format!("zone-{}", number % zones));
+        (host(&format!("h-{number}")), peer_zone)
+    });
+    peers.collect()
+}
+
+fn query(round: u64, relays: Vec<HostId>) -> ReachQuery {
+    ReachQuery {
+        engines: keys(&["a"]),
+        round,
+        relays,
+        is_urgent: false,
+    }
+}
+
+#[test]
+fn each_round_asks_two_peers_of_the_own_zone_and_two_of_others_until_all_were_asked() {
+    let fleet = peers(118, 3);
+    let mut asked = Vec::new();
+    for round in 0..40 {
+        let selected = query(round, Vec::new()).select_peers(&host("h-0"), &zone("zone-0"), &fleet);
+        assert_eq!(selected.len(), 4);
+        let near = selected.iter().filter(|peer| {
+            let entry = fleet.iter().find(|(listed, _)| listed == *peer);
+            entry.is_some_and(|(_, peer_zone)| *peer_zone == zone("zone-0"))
+        });
+        assert_eq!(near.count(), 2);
+        asked.extend(selected);
+    }
+    asked.sort_unstable();
+    asked.dedup();
+    assert_eq!(asked.len(), 117, "every peer was asked");
+}
+
+macro_rules! peer_selection {
+    ($($name:ident: $peers:expr, $relays:expr => $count:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let relays = $relays.iter().map(|name| host(name)).collect::<Vec<_>>();
+            let selected = query(1, relays.clone()).select_peers(&host("h-0"), &zone("zone-0"), &$peers);
+            assert_eq!(selected.len(), $count, "{selected:?}");
+            assert!(relays.iter().take(2).all(|relay| selected.contains(relay)), "{selected:?}");
+            assert!(!selected.contains(&host("h-0")), "{selected:?}");
+        }
+    )*};
+}
+
+peer_selection! {
+    no_peers_leave_nobody_to_ask: peers(1, 1), [] as [&str; 0] => 0;
+    peers_of_one_zone_fill_the_round: peers(30, 1), [] as [&str; 0] => 4;
+    peers_of_other_zones_fill_the_round: peers(30, 30), [] as [&str; 0] => 4;
+    two_peers_are_asked_once_each: peers(3, 3), [] as [&str; 0] => 2;
+    known_relays_are_asked_again: peers(33, 3), ["h-5", "h-6", "h-7"] => 4;
+}
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -13,7 +13,7 @@
 use carawayseam_dispatch::rollouts::Rollouts;
 use carawayseam_dispatch::server_limits::{ServerLimit, ServerLimits};
 use carawayseam_dispatch::{Action, AttemptEnd, Catalog, Dispatcher, Job, Ticket};
-use carawayseam_types::{Clock, EngineId, Millis, RequestRate, StoreEra, StoreRevision, VersionId};
+use carawayseam_types::{Clock, EngineId, HostId, Millis, RequestRate, StoreEra, StoreRevision, VersionId};
 use compact_str::CompactString;
 use tokio::sync::{oneshot, watch};
 
@@ -56,6 +56,8 @@
 pub(crate) struct Assignment {
     pub(crate) engine: EngineId,
     pub(crate) address: SocketAddr,
+    /// The peer through which the request is sent; `None` if it is sent directly.
+    pub(crate) via: Option<HostId>,
     pub(crate) version: VersionId,
     /// The start time that the server reports, if known.
     pub(crate) started: Option<u64>,
@@ -181,6 +183,7 @@
                     ticket,
                     engine,
                     address,
+                    via,
                     version,
                     started,
                     expected,
@@ -190,6 +193,7 @@
                     let assignment = Assignment {
                         engine,
                         address,
+                        via,
                         version,
                         started,
                         expected_first_event: expected,
