Keep failures of this host's own links apart from those of a server

Cause: attempts that ended because this host was cut off counted as failures of the server, so that it got fewer requests after its links had come back, and a peer that failed as relay would have counted against the server.

Change: `AttemptEnd` gains `RelayFailed` and `LinkLost`, which are no evidence against a server. A peer is forgotten as relay after an end that it may have caused. `mark_reachable` drops the failures by unestablished connections and silence, if a connection attempt had failed meanwhile: a server that accepts connections and stays silent keeps them, and peers are not asked about it.

Measured: 11 new tests in `crates/dispatch/tests/reach.rs` pass. With the failures kept, `failures_during_a_partition_are_forgotten_when_the_server_is_reached_again` and `a_silent_server_counts_as_cut_after_a_failed_probe` fail.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -228,7 +228,10 @@
         let Some(pool) = self.pools.get_mut(&running.backend) else {
             return actions;
         };
-        if matches!(end, AttemptEnd::NoSlot | AttemptEnd::RateLimited) {
+        if matches!(
+            end,
+            AttemptEnd::NoSlot | AttemptEnd::RateLimited | AttemptEnd::RelayFailed
+        ) {
             pool.discard_start(running.tier);
         }
         if let Some(engine) = pool.engine_mut(&running.engine) {
@@ -236,7 +239,7 @@
             if running.is_first_event_due {
                 engine.prompt_ahead = (engine.prompt_ahead - running.own_tokens).max(0.0);
             }
-            engine.on_end(now, end);
+            engine.on_end(now, end, running.via.as_ref());
         }
         self.dispatch_waiting(&running.backend, &mut actions);
         actions
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use carawayseam_types::{BackendName, EngineId, EngineKey, Millis, RequestRate, VersionId, ZoneId};
+use carawayseam_types::{BackendName, EngineId, EngineKey, HostId, Millis, RequestRate, VersionId, ZoneId};
 
 use crate::reach::Reach;
 use crate::speed::Speed;
@@ -72,16 +72,41 @@
     /// The server stopped responding.
     #[display("silent")]
     Unresponsive,
+    /// A peer could not reach the server for this host; nothing was sent.
+    #[display("relay failed")]
+    RelayFailed,
+    /// The connection was lost, and the server lives but is not reached by this host.
+    #[display("link lost")]
+    LinkLost,
     /// The caller disconnected or the deadline of the request passed.
     #[display("cancelled")]
     Cancelled,
 }
 
 impl AttemptEnd {
-    const fn is_failure(self) -> bool {
+    /// Returns whether the attempt failed, or `None` if its end is no evidence for or against the server.
+    const fn outcome(self) -> Option<bool> {
+        match self {
+            Self::Cancelled | Self::NoSlot | Self::RateLimited | Self::RelayFailed | Self::LinkLost => None,
+            Self::Unreachable | Self::ConnectionLost | Self::Failed | Self::Unresponsive => Some(true),
+            Self::Complete | Self::Rejected | Self::Misdirected => Some(false),
+        }
+    }
+
+    /// Returns whether a failed link of this host may be the cause of this end.
+    const fn may_come_from_link(self) -> bool {
+        matches!(self, Self::Unreachable | Self::Unresponsive)
+    }
+
+    /// Returns whether a peer that carried the attempt may be the cause of this end.
+    pub(crate) const fn may_come_from_relay(self) -> bool {
         matches!(
             self,
-            Self::Unreachable | Self::ConnectionLost | Self::Failed | Self::Unresponsive
+            Self::RelayFailed
+                | Self::LinkLost
+                | Self::Unreachable
+                | Self::ConnectionLost
+                | Self::Unresponsive
         )
     }
 }
@@ -112,6 +137,8 @@
     pub(crate) prompt_ahead: f64,
     pub(crate) speed: Speed,
     failures: f64,
+    /// The part of the failures that may come from this host's own links.
+    link_failures: f64,
     failures_updated_at: Millis,
     paused_until: Millis,
     /// Time until which the server asked this host to send no requests.
@@ -134,6 +161,7 @@
             prompt_ahead: 0.0,
             speed: Speed::default(),
             failures: 0.0,
+            link_failures: 0.0,
             failures_updated_at: Millis::ZERO,
             paused_until: Millis::ZERO,
             closed_until: Millis::ZERO,
@@ -186,32 +214,57 @@
     }
 
     /// Records that a connection was established.
+    ///
+    /// If connecting had failed before, what failed meanwhile is no evidence against the server. A server that
+    /// accepts connections but does not respond keeps its failures.
     pub(crate) fn mark_reachable(&mut self) {
+        if self.reach.needs_relays() {
+            self.link_failures = 0.0;
+        }
         self.reach = Reach::Direct;
     }
 
-    pub(crate) fn on_end(&mut self, now: Millis, end: AttemptEnd) {
+    /// Records the end of an attempt that was sent directly, or through `relay`.
+    pub(crate) fn on_end(&mut self, now: Millis, end: AttemptEnd, relay: Option<&HostId>) {
+        let is_direct = relay.is_none();
         match end {
             AttemptEnd::NoSlot => self.paused_until = now + NO_SLOT_PAUSE,
             AttemptEnd::Rejected => self.paused_until = now + REJECTED_PAUSE,
             AttemptEnd::Misdirected => self.paused_until = now + MISDIRECTED_PAUSE,
-            AttemptEnd::Unreachable => self.reach.lose(now, true),
-            AttemptEnd::Unresponsive => self.reach.lose(now, false),
+            AttemptEnd::Unreachable | AttemptEnd::LinkLost if is_direct => self.reach.lose(now, true),
+            AttemptEnd::Unresponsive if is_direct => self.reach.lose(now, false),
             _ => {}
         }
-        if !matches!(
-            end,
-            AttemptEnd::Cancelled | AttemptEnd::NoSlot | AttemptEnd::RateLimited
-        ) {
-            let outcome = if end.is_failure() { 1.0 } else { 0.0 };
-            self.failures = self.failure_share(now) * (1.0 - OUTCOME_WEIGHT) + outcome * OUTCOME_WEIGHT;
-            self.failures_updated_at = now;
+        if let Some(host) = relay.filter(|_| end.may_come_from_relay()) {
+            self.reach.drop_relay(host);
         }
+        match end.outcome() {
+            // The peer did not connect: this host knows nothing of the server.
+            Some(_) if !is_direct && end == AttemptEnd::Unreachable => {}
+            Some(is_failure) => self.record_outcome(now, is_failure, is_direct && end.may_come_from_link()),
+            None => {}
+        }
+    }
+
+    fn record_outcome(&mut self, now: Millis, is_failure: bool, may_come_from_link: bool) {
+        let decay = self.failures_decay(now) * (1.0 - OUTCOME_WEIGHT);
+        self.failures *= decay;
+        self.link_failures *= decay;
+        match (is_failure, may_come_from_link) {
+            (true, true) => self.link_failures += OUTCOME_WEIGHT,
+            (true, false) => self.failures += OUTCOME_WEIGHT,
+            (false, _) => {}
+        }
+        self.failures_updated_at = now;
     }
 
     /// Returns the share of recent attempts that failed.
     pub(crate) fn failure_share(&self, now: Millis) -> f64 {
-        self.failures * 0.5_f64.powf(now.since(self.failures_updated_at).0 as f64 / FAILURES_HALF_LIFE_MS)
+        (self.failures + self.link_failures) * self.failures_decay(now)
+    }
+
+    fn failures_decay(&self, now: Millis) -> f64 {
+        0.5_f64.powf(now.since(self.failures_updated_at).0 as f64 / FAILURES_HALF_LIFE_MS)
     }
 
     /// Returns the prompt tokens that the server need not read again: those of the parts before the first
@@ -238,6 +291,7 @@
     pub(crate) fn restart(&mut self) {
         self.parts.clear();
         self.failures = 0.0;
+        self.link_failures = 0.0;
         self.paused_until = Millis::ZERO;
         self.reach = Reach::Direct;
     }
--- a/crates/dispatch/src/reach.rs
+++ b/crates/dispatch/src/reach.rs
@@ -38,6 +38,8 @@
     Lost {
         /// Time of the next connection attempt.
         probe_at: Millis,
+        /// Whether a connection attempt was begun.
+        is_probed: bool,
         /// Whether a connection attempt failed, so that the server is not just slow to respond.
         is_confirmed: bool,
         relays: Vec<Relay>,
@@ -79,6 +81,7 @@
             Self::Direct => {
                 *self = Self::Lost {
                     probe_at: now,
+                    is_probed: false,
                     is_confirmed,
                     relays: Vec::new(),
                 };
@@ -92,8 +95,16 @@
     /// Returns whether a connection attempt is due, and schedules the next one if so.
     pub(crate) fn take_probe(&mut self, now: Millis) -> bool {
         match self {
-            Self::Lost { probe_at, .. } if now >= *probe_at => {
+            Self::Lost {
+                probe_at,
+                is_probed,
+                is_confirmed,
+                ..
+            } if now >= *probe_at => {
                 *probe_at = now + PROBE_INTERVAL;
+                // The connection attempt before this one failed.
+                *is_confirmed |= *is_probed;
+                *is_probed = true;
                 true
             }
             _ => false,
--- a/crates/dispatch/tests/reach.rs
+++ b/crates/dispatch/tests/reach.rs
@@ -241,3 +241,93 @@
     two_peers_are_asked_once_each: peers(3, 3), [] as [&str; 0] => 2;
     known_relays_are_asked_again: peers(33, 3), ["h-5", "h-6", "h-7"] => 4;
 }
+
+fn failure_share(dispatcher: &Dispatcher, now: u64, name: &str) -> f64 {
+    let dump = dispatcher.dump(Millis(now));
+    let entry = dump.iter().find(|entry| entry.engine == id(name));
+    entry.expect("the server is listed").failure_share
+}
+
+/// Ends one attempt at server `a`, sent directly or through a peer, and returns the dispatcher.
+fn after_end(end: AttemptEnd, is_relayed: bool) -> Dispatcher {
+    let mut local = dispatcher(&[("a", 4)]);
+    if is_relayed {
+        let (ticket, _) = local.submit(Millis(2), job(2, 0));
+        local.record_end(Millis(2), ticket, AttemptEnd::LinkLost);
+        local.record_relays(Millis(2), &host("h-2"), &zone("zone-a"), &keys(&["a"]));
+    }
+    let (ticket, actions) = local.submit(Millis(3), job(3, 0));
+    assert_eq!(via(&actions, ticket).map(|via| via.is_some()), Some(is_relayed));
+    local.record_end(Millis(4), ticket, end);
+    local
+}
+
+macro_rules! attempt_ends {
+    ($($name:ident: $end:ident, relayed $is_relayed:expr => failed $is_failure:expr, takes work $takes_work:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let local = after_end(AttemptEnd::$end, $is_relayed);
+            assert_eq!(failure_share(&local, 4, "a") > 0.0, $is_failure);
+            assert_eq!(local.dump(Millis(4))[0].takes_work, $takes_work);
+        }
+    )*};
+}
+
+attempt_ends! {
+    a_lost_link_is_no_failure_of_the_server: LinkLost, relayed false => failed false, takes work false;
+    a_connection_that_was_not_established_counts: Unreachable, relayed false => failed true, takes work false;
+    a_peer_that_could_not_connect_is_no_failure: RelayFailed, relayed true => failed false, takes work false;
+    a_connection_not_established_by_a_peer_is_no_failure: Unreachable, relayed true => failed false, takes work false;
+    a_relayed_response_keeps_the_relay: Complete, relayed true => failed false, takes work true;
+    a_relayed_error_of_the_server_counts: Failed, relayed true => failed true, takes work true;
+    a_relay_is_not_used_again_after_a_silent_attempt: Unresponsive, relayed true => failed true, takes work false;
+}
+
+#[test]
+fn failures_during_a_partition_are_forgotten_when_the_server_is_reached_again() {
+    let mut local = dispatcher(&[("a", 4)]);
+    lose_all(&mut local, 1, 1);
+    assert!(failure_share(&local, 2, "a") > 0.1);
+    local.mark_reachable(Millis(3), &id("a"));
+    assert!(failure_share(&local, 3, "a") <= 0.0);
+}
+
+#[test]
+fn errors_of_the_server_are_kept_when_it_is_reached_again() {
+    let mut local = dispatcher(&[("a", 4)]);
+    let (ticket, _) = local.submit(Millis(1), job(1, 0));
+    local.record_end(Millis(1), ticket, AttemptEnd::Failed);
+    let before = failure_share(&local, 1, "a");
+    lose_all(&mut local, 1, 1);
+    local.mark_reachable(Millis(1), &id("a"));
+    let after = failure_share(&local, 1, "a");
+    assert!(after > before / 2.0, "{after} after {before}");
+}
+
+/// A server that accepts connections but does not respond would otherwise get requests after each probe.
+#[test]
+fn a_server_that_accepts_connections_but_is_silent_keeps_its_failures() {
+    let mut local = dispatcher(&[("a", 4)]);
+    let (ticket, _) = local.submit(Millis(1), job(1, 0));
+    local.record_end(Millis(1), ticket, AttemptEnd::Unresponsive);
+    assert_eq!(
+        local.reach_queries(Millis(2)),
+        None,
+        "no connection has failed yet"
+    );
+    assert_eq!(local.due_probes(Millis(2)).len(), 1);
+    local.mark_reachable(Millis(3), &id("a"));
+    assert!(failure_share(&local, 3, "a") > 0.1);
+}
+
+#[test]
+fn a_silent_server_counts_as_cut_after_a_failed_probe() {
+    let mut local = dispatcher(&[("a", 4)]);
+    let (ticket, _) = local.submit(Millis(1), job(1, 0));
+    local.record_end(Millis(1), ticket, AttemptEnd::Unresponsive);
+    assert_eq!(local.due_probes(Millis(2)).len(), 1);
+    assert_eq!(local.due_probes(Millis(2 + ROUND_MS)).len(), 1);
+    assert!(local.reach_queries(Millis(3 + ROUND_MS)).is_some());
+    local.mark_reachable(Millis(4 + ROUND_MS), &id("a"));
+    assert!(failure_share(&local, 4 + ROUND_MS, "a") <= 0.0);
+}
--- a/crates/gateway/src/traffic/reservation.rs
+++ b/crates/gateway/src/traffic/reservation.rs
@@ -165,6 +165,8 @@
             | AttemptEnd::NoSlot
             | AttemptEnd::RateLimited
             | AttemptEnd::Misdirected
+            | AttemptEnd::RelayFailed
+            | AttemptEnd::LinkLost
             | AttemptEnd::Cancelled => return,
         };
         lock(&self.shared.rollouts).record_response(&assigned.backend, &assigned.version, is_bad);
