--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -109,10 +109,11 @@
         }
         for (backend, pool) in &mut self.pools {
             let listed = by_backend.remove(backend).unwrap_or_default();
-            sync_engines(pool, listed);
+            sync_engines(self.now, pool, listed);
         }
         for (backend, listed) in by_backend {
-            sync_engines(self.pools.entry(backend).or_insert_with(Pool::new), listed);
+            let pool = self.pools.entry(backend).or_insert_with(Pool::new);
+            sync_engines(self.now, pool, listed);
         }
         self.dispatch_all_waiting()
     }
@@ -191,6 +192,9 @@
         let Some(pool) = self.pools.get_mut(&running.backend) else {
             return;
         };
+        if running.via.is_none() {
+            pool.record_response(now);
+        }
         let mut baseline = pool.baseline;
         if let Some(engine) = pool.engine_mut(&running.engine) {
             engine.prompt_ahead = (engine.prompt_ahead - running.own_tokens).max(0.0);
@@ -211,6 +215,9 @@
         let Some(pool) = self.pools.get_mut(&running.backend) else {
             return;
         };
+        if running.via.is_none() {
+            pool.record_response(now);
+        }
         let mut baseline = pool.baseline;
         if let Some(engine) = pool.engine_mut(&running.engine) {
             engine.speed.on_events(now, mean_ms, &mut baseline);
@@ -239,7 +246,15 @@
             if running.is_first_event_due {
                 engine.prompt_ahead = (engine.prompt_ahead - running.own_tokens).max(0.0);
             }
+            let was_direct = engine.reach.is_direct();
             engine.on_end(now, end, running.via.as_ref());
+            let lost = (was_direct && !engine.reach.is_direct()).then_some(engine.key);
+            if let Some(key) = lost {
+                pool.record_loss(now, key);
+            }
+        }
+        if running.via.is_none() && end.is_from_server() {
+            pool.record_response(now);
         }
         self.dispatch_waiting(&running.backend, &mut actions);
         actions
@@ -259,6 +274,9 @@
     pub fn tick(&mut self, now: Millis) -> Vec<Action> {
         self.now = self.now.max(now);
         self.peers.expire(self.now);
+        for pool in self.pools.values_mut() {
+            pool.update_reach(self.now);
+        }
         let mut actions = self.dispatch_all_waiting();
         self.refuse_expired(&mut actions);
         actions
@@ -393,18 +411,22 @@
 }
 
 /// Updates the servers of a pool to match the listed entries.
-fn sync_engines(pool: &mut Pool, listed: Vec<EngineEntry>) {
+fn sync_engines(now: Millis, pool: &mut Pool, listed: Vec<EngineEntry>) {
     pool.engines
         .retain(|engine| listed.iter().any(|entry| entry.id == engine.entry.id));
+    // A new start of a server says nothing about this host's links; if it is the only server, that may have
+    // been down.
+    let is_cut = pool.is_lost() && listed.len() > 1;
     for entry in listed {
         match pool.engine_mut(&entry.id) {
             Some(engine) => {
                 if engine.entry.started != entry.started {
-                    engine.restart();
+                    engine.restart(now, is_cut);
                 }
                 engine.entry = entry;
             }
-            None => pool.engines.push(Engine::new(entry)),
+            None => pool.engines.push(Engine::new(now, entry, is_cut)),
         }
     }
+    pool.update_reach(now);
 }
--- a/crates/dispatch/src/dispatcher/availability.rs
+++ b/crates/dispatch/src/dispatcher/availability.rs
@@ -66,13 +66,8 @@
 
     /// Returns the unreachable servers that are due for another connection attempt.
     pub fn due_probes(&mut self, now: Millis) -> Vec<(EngineId, SocketAddr)> {
-        let engines = self.pools.values_mut().flat_map(|pool| &mut pool.engines);
-        engines
-            .filter_map(|engine| {
-                let is_due = engine.reach.take_probe(now);
-                is_due.then(|| (engine.entry.id.clone(), engine.entry.address))
-            })
-            .collect()
+        let pools = self.pools.values_mut();
+        pools.flat_map(|pool| pool.take_probes(now)).collect()
     }
 
     /// Records that a server is silent while it has a request.
@@ -91,9 +86,7 @@
     pub fn mark_reachable(&mut self, now: Millis, engine: &EngineId) -> Vec<Action> {
         self.now = self.now.max(now);
         for pool in self.pools.values_mut() {
-            if let Some(engine) = pool.engine_mut(engine) {
-                engine.mark_reachable();
-            }
+            pool.mark_reachable(now, engine);
         }
         self.dispatch_all_waiting()
     }
--- a/crates/dispatch/src/dispatcher/reach.rs
+++ b/crates/dispatch/src/dispatcher/reach.rs
@@ -2,11 +2,11 @@
 
 use std::collections::{BTreeMap, HashSet};
 
-use carawayseam_types::{EngineId, EngineKey, HostId, Millis, ZoneId};
+use carawayseam_types::{BackendName, EngineId, EngineKey, HostId, Millis, ZoneId};
 
 use super::Dispatcher;
 use crate::job::Action;
-use crate::reach::ReachQuery;
+use crate::reach::{ReachChange, ReachQuery};
 
 impl Dispatcher {
     /// Returns the servers to ask peers about, if a round is due and servers are lost.
@@ -33,7 +33,7 @@
         let mut relays: Vec<(Millis, &HostId)> =
             expiries.into_iter().map(|(host, until)| (until, host)).collect();
         relays.sort_unstable();
-        let is_urgent = relays.is_empty();
+        let is_urgent = self.pools.values().any(|pool| pool.is_relay_search_urgent(now));
         let mut query = self.reach_rounds.begin(now, &keys, is_urgent);
         query.relays = relays.into_iter().map(|(_, host)| host.clone()).collect();
         Some(query)
@@ -73,6 +73,43 @@
         }
     }
 
+    /// Records that this host could not connect to a server for a peer.
+    pub fn mark_unreachable(&mut self, now: Millis, engine: &EngineId) {
+        self.now = self.now.max(now);
+        for pool in self.pools.values_mut() {
+            let known = pool.engine_mut(engine).filter(|engine| engine.reach.is_direct());
+            let Some(key) = known.map(|engine| {
+                engine.reach.lose(now, true);
+                engine.key
+            }) else {
+                continue;
+            };
+            pool.record_loss(now, key);
+        }
+    }
+
+    /// Returns whether no server of a backend is reached, directly or through a peer, though some are listed.
+    #[must_use]
+    pub fn reaches_none(&self, backend: &BackendName) -> bool {
+        let pool = self.pools.get(backend);
+        pool.is_some_and(|pool| pool.reaches_none(self.now))
+    }
+
+    /// Returns the backends whose reach has changed since the last call.
+    pub fn take_reach_changes(&mut self) -> Vec<ReachChange> {
+        let now = self.now;
+        let pools = self.pools.iter_mut();
+        let changes = pools.filter_map(|(backend, pool)| {
+            let (kind, servers) = pool.take_reach_change(now)?;
+            Some(ReachChange {
+                backend: backend.clone(),
+                kind,
+                servers,
+            })
+        });
+        changes.collect()
+    }
+
     /// Forgets a peer as relay to a server until it confirms again that it reaches the server.
     pub fn drop_relay(&mut self, now: Millis, engine: &EngineId, host: &HostId) {
         self.now = self.now.max(now);
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -98,6 +98,14 @@
         matches!(self, Self::Unreachable | Self::Unresponsive)
     }
 
+    /// Returns whether the server itself sent a response.
+    pub(crate) const fn is_from_server(self) -> bool {
+        matches!(
+            self,
+            Self::Complete | Self::Failed | Self::Rejected | Self::Misdirected
+        )
+    }
+
     /// Returns whether a peer that carried the attempt may be the cause of this end.
     pub(crate) const fn may_come_from_relay(self) -> bool {
         matches!(
@@ -153,7 +161,12 @@
 }
 
 impl Engine {
-    pub(crate) fn new(entry: EngineEntry) -> Self {
+    /// Creates the state of a listed server; if this host is cut from the backend, the server is probed first.
+    pub(crate) fn new(now: Millis, entry: EngineEntry, is_cut: bool) -> Self {
+        let mut reach = Reach::Direct;
+        if is_cut {
+            reach.lose(now, true);
+        }
         Self {
             key: EngineKey::from(&entry.id),
             entry,
@@ -167,7 +180,7 @@
             closed_until: Millis::ZERO,
             limited_until: Millis::ZERO,
             limit: None,
-            reach: Reach::Direct,
+            reach,
             parts: HashMap::new(),
         }
     }
@@ -285,14 +298,19 @@
         }
     }
 
-    /// Resets the cached parts, failures and pauses after a restart of the server.
+    /// Resets the cached parts, failures and pauses after a restart of the server, and its reach unless this
+    /// host is cut from the backend.
     ///
     /// `closed_until` stays: the entry of the new start may arrive before the requested closure ends.
-    pub(crate) fn restart(&mut self) {
+    pub(crate) fn restart(&mut self, now: Millis, is_cut: bool) {
         self.parts.clear();
         self.failures = 0.0;
         self.link_failures = 0.0;
         self.paused_until = Millis::ZERO;
-        self.reach = Reach::Direct;
+        if is_cut {
+            self.reach.schedule_probe(now);
+        } else {
+            self.reach = Reach::Direct;
+        }
     }
 }
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -1,5 +1,7 @@
 //! The servers of one backend and the requests waiting for them.
 
+mod reach;
+
 use std::collections::BTreeMap;
 
 use carawayseam_types::{EngineId, Millis, RequestRate, Tier, ZoneId};
@@ -10,6 +12,7 @@
 use crate::job::{Job, Ticket};
 use crate::peer_loads::PeerLoads;
 use crate::speed::Pace;
+use reach::BackendReach;
 
 /// Score penalty of a server in another availability zone.
 const OTHER_ZONE_PENALTY_MS: f64 = 25.0;
@@ -87,6 +90,7 @@
     starts: BTreeMap<Tier, StartRate>,
     /// When the next refused caller should retry, if rate limits leave no room.
     next_return: Millis,
+    reach: BackendReach,
 }
 
 /// Exponentially decaying rate at which requests of a tier start.
@@ -120,6 +124,7 @@
             baseline: Pace::ASSUMED,
             starts: BTreeMap::new(),
             next_return: Millis::ZERO,
+            reach: BackendReach::default(),
         }
     }
 
--- a/crates/dispatch/src/reach.rs
+++ b/crates/dispatch/src/reach.rs
@@ -1,6 +1,6 @@
 //! Whether this host reaches a backend server directly, through a peer, or not at all.
 
-use carawayseam_types::{EngineKey, HostId, Millis, ZoneId};
+use carawayseam_types::{BackendName, EngineKey, HostId, Millis, ZoneId};
 use rand::RngExt;
 use rand::rngs::StdRng;
 
@@ -92,6 +92,21 @@
         }
     }
 
+    /// Returns when the next connection attempt is due.
+    pub(crate) const fn probe_at(&self) -> Option<Millis> {
+        match self {
+            Self::Direct => None,
+            Self::Lost { probe_at, .. } => Some(*probe_at),
+        }
+    }
+
+    /// Sets the time of the next connection attempt.
+    pub(crate) const fn schedule_probe(&mut self, at: Millis) {
+        if let Self::Lost { probe_at, .. } = self {
+            *probe_at = at;
+        }
+    }
+
     /// Returns whether a connection attempt is due, and schedules the next one if so.
     pub(crate) fn take_probe(&mut self, now: Millis) -> bool {
         match self {
@@ -151,6 +166,31 @@
     }
 }
 
+/// How the reach of a backend changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub enum ReachKind {
+    /// No server is reached, neither directly nor through a peer.
+    #[display("lost")]
+    Lost,
+    /// Servers are reached through peers only.
+    #[display("relayed")]
+    Relayed,
+    /// A server is reached directly again.
+    #[display("regained")]
+    Regained,
+}
+
+/// A change in how this host reaches the servers of a backend.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReachChange {
+    /// Backend whose servers were lost or regained.
+    pub backend: BackendName,
+    /// How they are reached now.
+    pub kind: ReachKind,
+    /// Number of servers that are lost, reached through peers or reached directly again.
+    pub servers: usize,
+}
+
 /// A question to peers: which of these servers do they reach directly?
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReachQuery {
@@ -160,7 +200,7 @@
     pub round: u64,
     /// Peers that are known to reach some of the servers, the first to expire first.
     pub relays: Vec<HostId>,
-    /// Whether a backend is lost and no peer is known to reach any of its servers.
+    /// Whether a backend was lost lately and no peer is known to reach any of its servers.
     pub is_urgent: bool,
 }
 
--- a/crates/dispatch/tests/reach.rs
+++ b/crates/dispatch/tests/reach.rs
@@ -1,52 +1,18 @@
 //! Backend servers that a host does not reach, or reaches through peers only.
 
+#[path = "support/partitions.rs"]
+mod partitions;
 mod support;
 
 use carawayseam_dispatch::reach::ReachQuery;
-use carawayseam_dispatch::{Action, AttemptEnd, Dispatcher, EngineEntry, Ticket};
-use carawayseam_types::{EngineKey, HostId, Millis, ZoneId};
+use carawayseam_dispatch::{AttemptEnd, Dispatcher, EngineEntry};
+use carawayseam_types::{HostId, Millis, ZoneId};
+use partitions::{Sent, host, key, keys, lose_all, sent, zone};
 use support::{BOUNDS, dispatcher, engine, id, job, started};
 
 /// Interval between two rounds in which peers are asked, and between two probes of a server.
 const ROUND_MS: u64 = 350;
 
-fn host(name: &str) -> HostId {
-    name.parse().expect("a valid name")
-}
-
-fn zone(name: &str) -> ZoneId {
-    name.parse().expect("a valid name")
-}
-
-fn key(name: &str) -> EngineKey {
-    EngineKey::from(&id(name))
-}
-
-fn keys(names: &[&str]) -> Vec<EngineKey> {
-    names.iter().map(|name| key(name)).collect()
-}
-
-/// Returns the peer through which a request was started; the outer value is `None` if it was not started.
-fn via(actions: &[Action], ticket: Ticket) -> Option<Option<String>> {
-    actions.iter().find_map(|action| match action {
-        Action::Start {
-            ticket: started, via, ..
-        } if *started == ticket => Some(via.as_ref().map(|host| host.as_str().to_owned())),
-        _ => None,
-    })
-}
-
-/// Sends one request to each server of the dispatcher, none of which can be connected to.
-fn lose_all(dispatcher: &mut Dispatcher, now: u64, servers: usize) {
-    for _ in 0..servers {
-        let (ticket, actions) = dispatcher.submit(Millis(now), job(now, 0));
-        if started(&actions).is_empty() {
-            dispatcher.withdraw(ticket);
-        }
-        dispatcher.record_end(Millis(now), ticket, AttemptEnd::Unreachable);
-    }
-}
-
 #[test]
 fn a_waiting_request_starts_through_a_peer_that_reaches_the_server() {
     let mut local = dispatcher(&[("a", 4)]);
@@ -54,14 +20,14 @@
     let (ticket, actions) = local.submit(Millis(2), job(2, 0));
     assert!(actions.is_empty(), "nobody is known to reach the server");
     let actions = local.record_relays(Millis(5), &host("h-2"), &zone("zone-a"), &keys(&["a", "other"]));
-    assert_eq!(via(&actions, ticket), Some(Some("h-2".to_owned())));
+    assert_eq!(sent(&actions, ticket), Sent::Through(host("h-2")));
     let (direct, _) = local.submit(Millis(1_005), job(1_005, 0));
     assert!(
         local.tick(Millis(1_006)).is_empty(),
         "the confirmation has expired"
     );
     let actions = local.mark_reachable(Millis(1_010), &id("a"));
-    assert_eq!(via(&actions, direct), Some(None));
+    assert_eq!(sent(&actions, direct), Sent::Directly);
 }
 
 #[test]
@@ -75,7 +41,7 @@
     assert!(actions.is_empty());
     for now in 4..24 {
         let (ticket, actions) = local.submit(Millis(now), job(now, 0));
-        assert_eq!(via(&actions, ticket), Some(None));
+        assert_eq!(sent(&actions, ticket), Sent::Directly);
         local.record_end(Millis(now), ticket, AttemptEnd::Complete);
     }
 }
@@ -95,10 +61,12 @@
     let mut used = Vec::new();
     for now in 3..63 {
         let (ticket, actions) = local.submit(Millis(now), job(now, 0));
-        let relay = via(&actions, ticket).expect("the request starts");
-        used.push(relay.expect("the request is sent through a peer"));
+        if let Sent::Through(relay) = sent(&actions, ticket) {
+            used.push(relay.as_str().to_owned());
+        }
         local.record_end(Millis(now), ticket, AttemptEnd::Complete);
     }
+    assert_eq!(used.len(), 60, "each request was sent through a peer");
     used.sort_unstable();
     used.dedup();
     used
@@ -131,7 +99,7 @@
     let (ticket, actions) = local.submit(Millis(4), job(4, 0));
     assert!(actions.is_empty());
     let actions = local.record_relays(Millis(5), &host("h-2"), &zone("zone-a"), &keys(&["a"]));
-    assert_eq!(via(&actions, ticket), Some(Some("h-2".to_owned())));
+    assert_eq!(sent(&actions, ticket), Sent::Through(host("h-2")));
 }
 
 #[test]
@@ -257,7 +225,8 @@
         local.record_relays(Millis(2), &host("h-2"), &zone("zone-a"), &keys(&["a"]));
     }
     let (ticket, actions) = local.submit(Millis(3), job(3, 0));
-    assert_eq!(via(&actions, ticket).map(|via| via.is_some()), Some(is_relayed));
+    let is_through_peer = matches!(sent(&actions, ticket), Sent::Through(_));
+    assert_eq!(is_through_peer, is_relayed);
     local.record_end(Millis(4), ticket, end);
     local
 }
