Ask known relays again only while few stay confirmed

Cause: half of each round went to relays that were known already.

Change: relays are asked again when fewer than two to a backend stay confirmed beyond the round, counted for each backend on its own; otherwise peers are asked in turn.

--- a/crates/dispatch/src/dispatcher/reach.rs
+++ b/crates/dispatch/src/dispatcher/reach.rs
@@ -6,7 +6,7 @@
 
 use super::Dispatcher;
 use crate::job::Action;
-use crate::reach::{ReachChange, ReachQuery};
+use crate::reach::{self, ReachChange, ReachQuery};
 
 impl Dispatcher {
     /// Returns the servers to ask peers about, if a round is due and servers are lost.
@@ -15,28 +15,31 @@
         if !self.reach_rounds.is_due(now) {
             return None;
         }
-        let engines = self.pools.values().flat_map(|pool| &pool.engines);
-        let lost = engines.filter(|engine| engine.reach.needs_relays() && !engine.entry.is_draining);
         let mut keys = Vec::new();
-        let mut expiries: BTreeMap<&HostId, Millis> = BTreeMap::new();
-        for engine in lost {
-            keys.push(engine.key);
-            for relay in engine.reach.live_relays(now) {
-                let until = expiries.entry(&relay.host).or_insert(relay.until);
-                *until = (*until).max(relay.until);
+        let mut relays = Vec::new();
+        for pool in self.pools.values() {
+            let engines = pool.engines.iter();
+            let lost = engines.filter(|engine| engine.reach.needs_relays() && !engine.entry.is_draining);
+            let mut expiries: BTreeMap<&HostId, Millis> = BTreeMap::new();
+            for engine in lost {
+                keys.push(engine.key);
+                for relay in engine.reach.live_relays(now) {
+                    let until = expiries.entry(&relay.host).or_insert(relay.until);
+                    *until = (*until).max(relay.until);
+                }
             }
+            relays.extend(reach::relays_to_refresh(now, &expiries));
         }
         if keys.is_empty() {
             return None;
         }
+        // The order must not depend on that of the pools, or the rotation would skip servers.
         keys.sort_unstable();
-        let mut relays: Vec<(Millis, &HostId)> =
-            expiries.into_iter().map(|(host, until)| (until, host)).collect();
         relays.sort_unstable();
+        relays.dedup_by_key(|(_, host)| *host);
+        let relays = relays.into_iter().map(|(_, host)| host.clone()).collect();
         let is_urgent = self.pools.values().any(|pool| pool.is_relay_search_urgent(now));
-        let mut query = self.reach_rounds.begin(now, &keys, is_urgent);
-        query.relays = relays.into_iter().map(|(_, host)| host.clone()).collect();
-        Some(query)
+        Some(self.reach_rounds.begin(now, &keys, relays, is_urgent))
     }
 
     /// Returns those of the servers that this host reaches directly and that accept requests.
--- a/crates/dispatch/src/reach.rs
+++ b/crates/dispatch/src/reach.rs
@@ -1,5 +1,7 @@
 //! Whether this host reaches a backend server directly, through a peer, or not at all.
 
+use std::collections::BTreeMap;
+
 use carawayseam_types::{BackendName, EngineKey, HostId, Millis, ZoneId};
 use rand::RngExt;
 use rand::rngs::StdRng;
@@ -17,6 +19,11 @@
 const MAX_QUERY_ENGINES: usize = 240;
 /// Number of peers asked in one round.
 const PEERS_PER_ROUND: usize = 4;
+/// Number of relays to a backend from which on none is asked again before its turn, so that requests are
+/// spread over peers.
+const ENOUGH_RELAYS: usize = 2;
+/// Time from the begin of a round after which the confirmations of the next round have arrived.
+const NEXT_ROUND_SPAN: Millis = Millis(450);
 /// Number of peers asked in one round while no peer is known to reach any server of a lost backend.
 const PEERS_PER_URGENT_ROUND: usize = 20;
 
@@ -198,7 +205,7 @@
     pub engines: Vec<EngineKey>,
     /// Number of this round.
     pub round: u64,
-    /// Peers that are known to reach some of the servers, the first to expire first.
+    /// Relays to ask again, because few others stay confirmed until the next round; the first to expire first.
     pub relays: Vec<HostId>,
     /// Whether a backend was lost lately and no peer is known to reach any of its servers.
     pub is_urgent: bool,
@@ -207,8 +214,8 @@
 impl ReachQuery {
     /// Returns the peers to ask.
     ///
-    /// Half of them are known relays, whose confirmations are refreshed. The others are taken in turn, in
-    /// an order that differs between hosts, half of them from the host's own zone.
+    /// They are taken in turn, half of them from the host's own zone, in an order that differs between hosts.
+    /// Up to half of them are relays to be asked again.
     #[must_use]
     pub fn select_peers(&self, host: &HostId, zone: &ZoneId, peers: &[(HostId, ZoneId)]) -> Vec<HostId> {
         let limit = if self.is_urgent {
@@ -244,6 +251,20 @@
     hosts.iter().cycle().skip(start).take(count).copied()
 }
 
+/// Returns the relays to ask again, of all those to one backend, each with the time of its expiry.
+pub(crate) fn relays_to_refresh<'a>(
+    now: Millis,
+    relays: &BTreeMap<&'a HostId, Millis>,
+) -> Vec<(Millis, &'a HostId)> {
+    let expiring = relays.iter().filter(|(_, until)| **until < now + NEXT_ROUND_SPAN);
+    let expiring: Vec<_> = expiring.map(|(host, until)| (*until, *host)).collect();
+    if relays.len() - expiring.len() < ENOUGH_RELAYS {
+        expiring
+    } else {
+        Vec::new()
+    }
+}
+
 /// The rounds in which peers are asked which servers they reach.
 #[derive(Debug, Default)]
 pub(crate) struct ReachRounds {
@@ -257,14 +278,20 @@
         now >= self.next_at
     }
 
-    /// Begins a round and returns the query without relays for up to `MAX_QUERY_ENGINES` of the servers.
-    pub(crate) fn begin(&mut self, now: Millis, lost: &[EngineKey], is_urgent: bool) -> ReachQuery {
+    /// Begins a round and returns the query for up to `MAX_QUERY_ENGINES` of the servers.
+    pub(crate) fn begin(
+        &mut self,
+        now: Millis,
+        lost: &[EngineKey],
+        relays: Vec<HostId>,
+        is_urgent: bool,
+    ) -> ReachQuery {
         self.next_at = now + QUERY_INTERVAL;
         self.number += 1;
         ReachQuery {
             engines: self.rotation.take(lost, MAX_QUERY_ENGINES),
             round: self.number,
-            relays: Vec::new(),
+            relays,
             is_urgent,
         }
     }
