Simulate fleets of which hosts are cut from backend servers

Cause: no test without network played hosts that are cut from servers but not from their peers and callers.

Change: fleets of 4, 33 and 118 hosts on a manual clock, of which some, most, a zone or all but one are cut from one or both backends, with connections that hang or are reset. The tests bound what callers of cut hosts get, the share of each relay, the messages of a cut host, and the time after which requests go directly again.

--- a/crates/dispatch/tests/reach.rs
+++ b/crates/dispatch/tests/reach.rs
@@ -1,5 +1,7 @@
 //! Backend servers that a host does not reach, or reaches through peers only.
 
+#[path = "support/fleet.rs"]
+mod fleet;
 #[path = "support/partitions.rs"]
 mod partitions;
 mod support;
@@ -7,11 +9,24 @@
 use carawayseam_dispatch::reach::ReachQuery;
 use carawayseam_dispatch::{AttemptEnd, Dispatcher, EngineEntry};
 use carawayseam_types::{HostId, Millis, ZoneId};
+use fleet::{BACKENDS, CUT_MS, Cut, END_MS, Fleet, Form, HEAL_MS};
 use partitions::{Sent, host, key, keys, lose_all, sent, zone};
 use support::{BOUNDS, dispatcher, engine, id, job, started};
 
 /// Interval between two rounds in which peers are asked, and between two probes of a server.
 const ROUND_MS: u64 = 350;
+/// Time after the cut from which callers of cut hosts are served nearly as well as others.
+const SETTLED_MS: u64 = CUT_MS + 3_000;
+/// Time after the end of the cut from which requests are sent directly.
+const DIRECT_AGAIN_MS: u64 = HEAL_MS + 1_000;
+/// Share of the requests at the best host that a cut host serves at least.
+const MIN_SERVED_SHARE: f64 = 2.0 / 3.0;
+/// Factor by which the requests that a peer carries may exceed the mean of the peers that are not cut.
+const MAX_CARRIED_RATIO: f64 = 3.0;
+/// Limit of queries and answers of one cut host in a second while it searches for relays.
+const MAX_MESSAGES: u32 = 120;
+/// Limit of queries and answers of one cut host in a second once it has found relays.
+const MAX_SETTLED_MESSAGES: u32 = 24;
 
 #[test]
 fn a_waiting_request_starts_through_a_peer_that_reaches_the_server() {
@@ -300,3 +315,84 @@
     local.mark_reachable(Millis(4 + ROUND_MS), &id("a"));
     assert!(failure_share(&local, 4 + ROUND_MS, "a") <= 0.0);
 }
+
+fn check_fleet(hosts: usize, servers: usize, cut: Cut) {
+    for (form, backends_cut) in [
+        (Form::Silent, 1),
+        (Form::Silent, BACKENDS),
+        (Form::Reset, BACKENDS),
+    ] {
+        let what = format!("{hosts} hosts, {servers} servers, {cut:?} cut from {backends_cut}, {form:?}");
+        let mut fleet = Fleet::new(hosts, servers, cut, form, backends_cut);
+        fleet.run();
+        let served: Vec<u32> = (0..hosts)
+            .map(|host| fleet.served_between(host, SETTLED_MS, HEAL_MS))
+            .collect();
+        let best = served.iter().copied().max().unwrap_or_default();
+        let worst = served.iter().copied().min().unwrap_or_default();
+        assert!(best > 0, "{what}");
+        let share = f64::from(worst) / f64::from(best);
+        assert!(
+            share >= MIN_SERVED_SHARE,
+            "{what}: the worst host served {worst} requests, the best {best}"
+        );
+        check_spread(&fleet, &what);
+        check_messages(&fleet, &what);
+        let late = fleet.relayed_between(DIRECT_AGAIN_MS, END_MS);
+        assert_eq!(late, 0, "{what}: requests sent through peers after the cut");
+    }
+}
+
+fn check_spread(fleet: &Fleet, what: &str) {
+    let carried = fleet.carried();
+    let mean = f64::from(carried.iter().sum::<u32>()) / carried.len() as f64;
+    let most = f64::from(carried.into_iter().max().unwrap_or_default());
+    assert!(mean > 0.0, "{what}: no request was sent through a peer");
+    assert!(
+        most <= mean * MAX_CARRIED_RATIO,
+        "{what}: one peer carried {most} requests, the mean is {mean}"
+    );
+}
+
+fn check_messages(fleet: &Fleet, what: &str) {
+    for host in 0..fleet.host_count() {
+        let messages = |second: u64| fleet.messages(host, second);
+        let before = (0..CUT_MS / 1_000).map(messages).sum::<u32>();
+        assert_eq!(before, 0, "{what}: messages while nobody is cut");
+        let after = (DIRECT_AGAIN_MS / 1_000 + 1..END_MS / 1_000)
+            .map(messages)
+            .sum::<u32>();
+        assert_eq!(after, 0, "{what}: messages after the cut");
+        let most = (CUT_MS / 1_000..SETTLED_MS / 1_000).map(messages).max();
+        assert!(most <= Some(MAX_MESSAGES), "{what}: {most:?} messages");
+        let most = (SETTLED_MS / 1_000 + 1..HEAL_MS / 1_000).map(messages).max();
+        assert!(
+            most <= Some(MAX_SETTLED_MESSAGES),
+            "{what}: {most:?} messages when settled"
+        );
+    }
+}
+
+macro_rules! partitions {
+    ($($name:ident: $hosts:expr, $servers:expr, $cut:ident;)*) => {$(
+        #[test]
+        fn $name() {
+            check_fleet($hosts, $servers, Cut::$cut);
+        }
+    )*};
+}
+
+partitions! {
+    some_of_4_hosts: 4, 6, Some;
+    most_of_4_hosts: 4, 6, Most;
+    a_zone_of_4_hosts: 4, 6, Zone;
+    all_but_one_of_4_hosts: 4, 6, AllButOne;
+    some_of_33_hosts: 33, 24, Some;
+    most_of_33_hosts: 33, 24, Most;
+    a_zone_of_33_hosts: 33, 24, Zone;
+    all_but_one_of_33_hosts: 33, 24, AllButOne;
+    some_of_118_hosts: 118, 80, Some;
+    most_of_118_hosts: 118, 80, Most;
+    a_zone_of_118_hosts: 118, 80, Zone;
+    all_but_one_of_118_hosts: 118, 80, AllButOne;
+}
