Ask peers less often about servers that nobody reaches

Cause: every host asked four peers each 350 ms about a crashed server for as long as it was listed.

Change: after eight rounds without a confirmation, peers are asked about a server in one of eight rounds, unless its whole backend is lost.

--- a/crates/dispatch/src/dispatcher/reach.rs
+++ b/crates/dispatch/src/dispatcher/reach.rs
@@ -15,11 +15,20 @@
         if !self.reach_rounds.is_due(now) {
             return None;
         }
+        let mut engines = self.pools.values().flat_map(|pool| &pool.engines);
+        if !engines.any(|engine| engine.reach.needs_relays()) {
+            return None;
+        }
+        self.reach_rounds.begin(now);
         let mut keys = Vec::new();
         let mut relays = Vec::new();
-        for pool in self.pools.values() {
-            let engines = pool.engines.iter();
-            let lost = engines.filter(|engine| engine.reach.needs_relays() && !engine.entry.is_draining);
+        for pool in self.pools.values_mut() {
+            let is_lost = pool.is_lost();
+            let engines = pool.engines.iter_mut();
+            let lost = engines.filter_map(|engine| {
+                let is_due = engine.reach.take_question(now) || (is_lost && engine.reach.needs_relays());
+                (is_due && !engine.entry.is_draining).then_some(&*engine)
+            });
             let mut expiries: BTreeMap<&HostId, Millis> = BTreeMap::new();
             for engine in lost {
                 keys.push(engine.key);
@@ -39,7 +48,7 @@
         relays.dedup_by_key(|(_, host)| *host);
         let relays = relays.into_iter().map(|(_, host)| host.clone()).collect();
         let is_urgent = self.pools.values().any(|pool| pool.is_relay_search_urgent(now));
-        Some(self.reach_rounds.begin(now, &keys, relays, is_urgent))
+        Some(self.reach_rounds.query(&keys, relays, is_urgent))
     }
 
     /// Returns those of the servers that this host reaches directly and that accept requests.
--- a/crates/dispatch/src/reach.rs
+++ b/crates/dispatch/src/reach.rs
@@ -17,6 +17,10 @@
 const QUERY_INTERVAL: Millis = Millis(350);
 /// Maximum number of servers in one query, which has to fit one datagram of 1,400 bytes.
 const MAX_QUERY_ENGINES: usize = 240;
+/// Number of rounds in which peers are asked about a server that none of them confirms.
+const EAGER_ROUNDS: u64 = 8;
+/// After these, peers are asked in one of so many rounds.
+const LATER_ROUND_STRIDE: u64 = 8;
 /// Number of peers asked in one round.
 const PEERS_PER_ROUND: usize = 4;
 /// Number of relays to a backend from which on none is asked again before its turn, so that requests are
@@ -49,6 +53,8 @@
         is_probed: bool,
         /// Whether a connection attempt failed, so that the server is not just slow to respond.
         is_confirmed: bool,
+        /// Number of rounds since a peer was known to reach the server.
+        unanswered: u64,
         relays: Vec<Relay>,
     },
 }
@@ -63,7 +69,26 @@
         self.is_direct() || self.live_relays(now).next().is_some()
     }
 
-    /// Returns whether peers are asked for the server.
+    /// Returns whether peers are asked about the server in this round.
+    ///
+    /// Nobody reaches a server that has crashed, so a server that peers do not confirm is asked about less
+    /// often.
+    pub(crate) fn take_question(&mut self, now: Millis) -> bool {
+        let has_relay = self.live_relays(now).next().is_some();
+        match self {
+            Self::Lost {
+                is_confirmed: true,
+                unanswered,
+                ..
+            } => {
+                *unanswered = if has_relay { 0 } else { *unanswered + 1 };
+                *unanswered <= EAGER_ROUNDS || unanswered.is_multiple_of(LATER_ROUND_STRIDE)
+            }
+            _ => false,
+        }
+    }
+
+    /// Returns whether peers are asked about the server.
     pub(crate) const fn needs_relays(&self) -> bool {
         matches!(
             self,
@@ -90,6 +115,7 @@
                     probe_at: now,
                     is_probed: false,
                     is_confirmed,
+                    unanswered: 0,
                     relays: Vec::new(),
                 };
             }
@@ -278,16 +304,13 @@
         now >= self.next_at
     }
 
-    /// Begins a round and returns the query for up to `MAX_QUERY_ENGINES` of the servers.
-    pub(crate) fn begin(
-        &mut self,
-        now: Millis,
-        lost: &[EngineKey],
-        relays: Vec<HostId>,
-        is_urgent: bool,
-    ) -> ReachQuery {
+    pub(crate) fn begin(&mut self, now: Millis) {
         self.next_at = now + QUERY_INTERVAL;
         self.number += 1;
+    }
+
+    /// Returns this round's query for up to `MAX_QUERY_ENGINES` of the servers.
+    pub(crate) fn query(&mut self, lost: &[EngineKey], relays: Vec<HostId>, is_urgent: bool) -> ReachQuery {
         ReachQuery {
             engines: self.rotation.take(lost, MAX_QUERY_ENGINES),
             round: self.number,
--- a/crates/dispatch/tests/reach.rs
+++ b/crates/dispatch/tests/reach.rs
@@ -134,6 +134,27 @@
     assert_eq!(local.reach_queries(Millis(5_000)), None);
 }
 
+/// Each host would otherwise ask all others about a crashed server for as long as it is listed.
+#[test]
+fn peers_are_asked_less_often_about_a_server_that_nobody_reaches() {
+    let mut local = dispatcher(&[("a", 4), ("b", 4)]);
+    let (ticket, actions) = local.submit(Millis(1), job(1, 0));
+    let lost = started(&actions)[0].1.to_owned();
+    local.record_end(Millis(1), ticket, AttemptEnd::Unreachable);
+    let asked = |local: &mut Dispatcher, rounds: std::ops::Range<u64>| {
+        // A host ticks several times in a round.
+        let ticks = (rounds.start * ROUND_MS..rounds.end * ROUND_MS).step_by(50);
+        ticks
+            .filter(|now| local.reach_queries(Millis(*now)).is_some())
+            .count()
+    };
+    assert_eq!(asked(&mut local, 1..9), 8);
+    assert_eq!(asked(&mut local, 9..41), 4);
+    let now = 41 * ROUND_MS;
+    local.record_relays(Millis(now), &host("h-2"), &zone("zone-a"), &keys(&[&lost]));
+    assert_eq!(asked(&mut local, 41..49), 8, "a peer reaches it again");
+}
+
 #[test]
 fn queries_rotate_through_the_lost_servers() {
     let names: Vec<String> = (0..600).map(|number| format!("s-{number}")).collect();
