Tell silent servers from lost ones when a whole backend seems lost

Cause: as soon as one server of a backend could not be connected to, silent ones counted as cut off as well: peers were asked about them, and their failures were forgotten after the next probe.

Measured: `a_crashed_server_does_not_excuse_silent_ones` failed before, with 5 servers asked about in place of 1, and passes.

--- a/crates/dispatch/src/pool/reach.rs
+++ b/crates/dispatch/src/pool/reach.rs
@@ -112,14 +112,20 @@
     }
 
     fn lose_all(&mut self, now: Millis) {
-        let is_confirmed = self.engines.iter().any(|engine| engine.reach.needs_relays());
+        let losses = &self.reach.losses;
+        let is_confirmed = self
+            .engines
+            .iter()
+            .any(|engine| engine.reach.needs_relays() && losses.iter().any(|(lost, _)| *lost == engine.key));
         let has_direct = self.listed().any(|engine| engine.reach.is_direct());
         for engine in &mut self.engines {
             if has_direct {
                 // The servers that were reached until now are probed first.
                 engine.reach.schedule_probe(now + LATER_PROBE_DELAY);
             }
-            engine.reach.lose(now, is_confirmed);
+            if engine.reach.is_direct() {
+                engine.reach.lose(now, is_confirmed);
+            }
         }
         self.reach.lost = Some(LostBackend {
             next_probe_at: now,
--- a/crates/dispatch/tests/lost_backends.rs
+++ b/crates/dispatch/tests/lost_backends.rs
@@ -245,3 +245,31 @@
     local.mark_unreachable(Millis(1), &id("a"));
     assert_eq!(local.reached_directly(&keys(&["a", "b"])), keys(&["b"]));
 }
+
+/// A server that is silent is otherwise taken for one that is cut off, because another one has crashed.
+#[test]
+fn a_crashed_server_does_not_excuse_silent_ones() {
+    let mut local = dispatcher(&[("a", 1), ("b", 1), ("c", 1), ("d", 1), ("e", 1)]);
+    lose_all(&mut local, 1, 1);
+    let mut silent = Vec::new();
+    for now in 2_000..2_003 {
+        let (ticket, actions) = local.submit(Millis(now), job(now, 0));
+        silent.push(started(&actions)[0].1.to_owned());
+        local.record_end(Millis(now), ticket, AttemptEnd::Unresponsive);
+    }
+    assert_eq!(take_change(&mut local), Some((ReachKind::Lost, 5)));
+    let query = local
+        .reach_queries(Millis(2_004))
+        .expect("the crashed server is lost");
+    assert_eq!(query.engines.len(), 1);
+    for (probed, _) in local.due_probes(Millis(2_005)) {
+        local.mark_reachable(Millis(2_006), &probed);
+    }
+    for (probed, _) in local.due_probes(Millis(2_007)) {
+        local.mark_reachable(Millis(2_008), &probed);
+    }
+    for entry in local.dump(Millis(2_009)) {
+        let is_silent = silent.contains(&entry.engine.as_str().to_owned());
+        assert_eq!(entry.failure_share > 0.1, is_silent, "{}", entry.engine);
+    }
+}
