Let peers check a server before a lost connection counts as its crash

What callers saw: nothing at first. Cause: a server that accepts no connection of this host counted as crashed, and each lost connection counted against its version. The class: a host's own failure is taken as evidence against others. Change: before a lost connection is recorded, up to three peers connect to the server for this host. If one can, the link is lost: no crash, no failure of the server, nothing against its version. Without any peer it stays as it was; with peers of which none can say, it is no crash. The attempt's slot ends with the check.

--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -47,7 +47,6 @@
 /// # Errors
 ///
 /// [`RelayError`] shows whether another peer or another server may help.
-#[expect(dead_code, reason = "attempts use it in the next change")]
 pub(crate) async fn connect(
     shared: &Shared,
     peer: &HostId,
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -23,7 +23,6 @@
 mod copy;
 mod server;
 
-#[expect(unused_imports, reason = "attempts use it in the next change")]
 pub(crate) use client::connect;
 pub use client::{RelayError, connect_at};
 pub(crate) use server::serve;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -57,7 +57,6 @@
     pub(crate) engine: EngineId,
     pub(crate) address: SocketAddr,
     /// The peer through which the request is sent; `None` if it is sent directly.
-    #[expect(dead_code, reason = "connections through peers follow")]
     pub(crate) via: Option<HostId>,
     pub(crate) version: VersionId,
     /// The start time that the server reports, if known.
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -110,7 +110,7 @@
     match sent {
         Ok((response, connection)) => Ok(check_response(exchange, response, connection, slot, assignment)?),
         Err(e) => {
-            end_failed(slot, e.failure());
+            end_failed(exchange, slot, &assignment, e.failure());
             Err(e)
         }
     }
@@ -126,11 +126,13 @@
     send_on(exchange, connection, assignment, last_event_id, patience).await
 }
 
-fn end_failed(mut slot: Slot, failure: Failure) -> Failure {
+/// Ends a failed attempt; what a lost connection says about the server is checked first.
+fn end_failed(exchange: &Exchange, mut slot: Slot, assignment: &Assignment, failure: Failure) -> Failure {
     if failure.is_unsent() {
         slot.refund_permit();
     }
     match failure {
+        Failure::MaybeRun(AttemptEnd::ConnectionLost) => exchange.end_lost(slot, assignment, 0),
         Failure::NotRun(end) | Failure::MaybeRun(end) => slot.end(end),
         Failure::Stale | Failure::DeadlineExceeded => slot.end(AttemptEnd::Cancelled),
     }
@@ -232,7 +234,7 @@
         _ => None,
     };
     match failure {
-        Some(failure) => Err(end_failed(slot, failure)),
+        Some(failure) => Err(end_failed(exchange, slot, &assignment, failure)),
         None => Ok(ServerResponse {
             response,
             connection,
--- a/crates/gateway/src/traffic/crashes.rs
+++ b/crates/gateway/src/traffic/crashes.rs
@@ -3,18 +3,21 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use carawayseam_dispatch::AttemptEnd;
 use carawayseam_dispatch::crash_check::{CrashCheck, CrashVerdict};
 use carawayseam_dispatch::engine::PromptPart;
 use carawayseam_dispatch::poison_parts::{Admission, BlockedPart, CrashId, OrganisationKey, PartId};
 use carawayseam_types::{Digest, Millis};
-use compact_str::ToCompactString;
+use compact_str::{CompactString, ToCompactString};
 use tokio::time::sleep;
 
 use super::exchange::Exchange;
+use super::reservation::Slot;
 use super::response::{Reason, Refusal};
 use super::stream::EVENTS_OF_BEGUN_ANSWER;
+use crate::relay::{self, RelayError};
 use crate::request_log::join;
-use crate::shared::{Assignment, lock};
+use crate::shared::{Assignment, Shared, lock};
 use crate::sockets;
 
 /// The retry delay for a request that crashes servers; an early retry would be rejected again.
@@ -23,6 +26,10 @@
 const CRASH_CHECK_TIMEOUT: Millis = Millis(250);
 /// Estimated size of the hashed content in addition to the body.
 const CONTENT_OVERHEAD_BYTES: usize = 256;
+/// The maximum number of peers that are asked to connect to a server that may have crashed.
+const MAX_CRASH_WITNESSES: usize = 3;
+/// The maximum time for a peer to connect to a server that may have crashed.
+const RELAY_CHECK_TIMEOUT: Millis = Millis(300);
 
 impl Exchange {
     /// Returns the digest that identifies the request if it is sent again under another id.
@@ -56,35 +63,34 @@
         lock(&self.shared.poison).clear(content);
     }
 
-    /// Checks whether the server that lost the response still accepts connections; if not, records a crash
-    /// caused by this request.
+    /// Ends an attempt whose connection was lost, after checking whether the server or this host's link failed.
     ///
-    /// `events` is the number of events that the server sent before.
-    pub(super) fn check_for_crash(&self, assignment: &Assignment, events: u32) {
+    /// A crash is recorded as caused by this request; `events` is the number of events that the server sent before.
+    pub(super) fn end_lost(&self, slot: Slot, assignment: &Assignment, events: u32) {
         let shared = Arc::clone(&self.shared);
-        let (engine, address) = (assignment.engine.clone(), assignment.address);
-        let crash = CrashId::new(&assignment.engine, assignment.started);
-        let content = self.content();
-        let parts = self.prompt_parts().to_vec();
-        let organisation = self.organisation_key();
-        let id = self.head.id.clone();
+        let assignment = assignment.clone();
+        let request = LostRequest {
+            id: self.head.id.clone(),
+            content: self.content(),
+            parts: self.prompt_parts().to_vec(),
+            organisation: self.organisation_key(),
+            events,
+        };
         tokio::spawn(async move {
-            if !has_crashed(address).await {
-                shared.metrics.count("engine_crash_checks", "server-alive");
-                log::info!(request = id.as_deref(), engine:% = engine; "backend server lost a response and still accepts connections");
-                return;
-            }
-            shared.metrics.count("engine_crash_checks", "crashed");
-            let now = shared.now();
-            let crashes = lock(&shared.poison).record_crash(now, content, &engine);
-            if events < EVENTS_OF_BEGUN_ANSWER {
-                lock(&shared.poison_parts).record_crash(now, crash, organisation, &parts);
+            let cause = find_cause(&shared, &assignment).await;
+            shared.metrics.count("engine_crash_checks", cause.label());
+            let end = match cause {
+                LossCause::Crash => {
+                    record_crash(&shared, &assignment, &request);
+                    AttemptEnd::ConnectionLost
+                }
+                LossCause::Connection => AttemptEnd::ConnectionLost,
+                LossCause::Link => AttemptEnd::LinkLost,
+            };
+            if cause != LossCause::Crash {
+                log::info!(request = request.id.as_deref(), engine:% = assignment.engine, cause = cause.label(); "backend server lost a response and still accepts connections");
             }
-            log::info!(
-                request = id.as_deref(), engine:% = engine, crash:% = crash, content:% = content, crashes = crashes,
-                parts = join(parts.iter().map(PartId::from)).as_str(), events = events;
-                "backend server crashed while it ran a request"
-            );
+            slot.end(end);
         });
     }
 
@@ -179,6 +185,80 @@
     }
 }
 
+/// A request whose response was lost.
+#[derive(Debug)]
+struct LostRequest {
+    id: Option<CompactString>,
+    content: Digest,
+    parts: Vec<PromptPart>,
+    organisation: Option<OrganisationKey>,
+    /// The number of events that the server had sent.
+    events: u32,
+}
+
+/// Why a response was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LossCause {
+    /// The server crashed.
+    Crash,
+    /// The server lost the connection and lives.
+    Connection,
+    /// This host does not reach the server, which lives.
+    Link,
+}
+
+impl LossCause {
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Crash => "crashed",
+            Self::Connection => "server-alive",
+            Self::Link => "link-lost",
+        }
+    }
+}
+
+fn record_crash(shared: &Shared, assignment: &Assignment, request: &LostRequest) {
+    let now = shared.now();
+    let engine = &assignment.engine;
+    let crash = CrashId::new(engine, assignment.started);
+    let crashes = lock(&shared.poison).record_crash(now, request.content, engine);
+    if request.events < EVENTS_OF_BEGUN_ANSWER {
+        let mut parts = lock(&shared.poison_parts);
+        parts.record_crash(now, crash, request.organisation, &request.parts);
+    }
+    log::info!(
+        request = request.id.as_deref(), engine:% = engine, crash:% = crash, content:% = request.content, crashes = crashes,
+        parts = join(request.parts.iter().map(PartId::from)).as_str(), events = request.events;
+        "backend server crashed while it ran a request"
+    );
+}
+
+/// Returns why a server's response was lost.
+///
+/// A server that this host cannot connect to has crashed only if its peers cannot connect to it either.
+async fn find_cause(shared: &Shared, assignment: &Assignment) -> LossCause {
+    match assignment.via {
+        None if !has_crashed(assignment.address).await => return LossCause::Connection,
+        _ => {}
+    }
+    let peers = shared.peers.reachable_peers(MAX_CRASH_WITNESSES);
+    for peer in &peers {
+        match relay::connect(shared, peer, &assignment.engine, RELAY_CHECK_TIMEOUT).await {
+            Ok(_connection) => return LossCause::Link,
+            Err(RelayError::ServerUnreachable) => return LossCause::Crash,
+            Err(e) => {
+                log::debug!(engine:% = assignment.engine, peer:% = peer; "a peer could not check a server: {e}")
+            }
+        }
+    }
+    // Without a peer that could check it, a host that has peers may have lost its own links.
+    if peers.is_empty() {
+        LossCause::Crash
+    } else {
+        LossCause::Link
+    }
+}
+
 /// Returns whether a server that lost a response has crashed.
 async fn has_crashed(address: SocketAddr) -> bool {
     let mut check = CrashCheck::default();
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -271,7 +271,6 @@
         request_log::record_assignment(self, &assignment, slot.rate_limit());
         let response_timeout = self.response_timeout(&assignment);
         let engine = assignment.engine.clone();
-        let target = assignment.clone();
         let sent = attempt::send(self, slot, assignment, last_event_id, response_timeout).await;
         let failure = sent.as_ref().err().map(AttemptError::failure);
         match failure {
@@ -281,9 +280,6 @@
         if let Some(failure) = failure {
             request_log::record_attempt_failure(self, &engine, failure);
         }
-        if matches!(failure, Some(Failure::MaybeRun(AttemptEnd::ConnectionLost))) {
-            self.check_for_crash(&target, 0);
-        }
         self.may_have_run |= matches!(
             failure,
             None | Some(Failure::MaybeRun(_) | Failure::DeadlineExceeded)
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -161,11 +161,16 @@
         };
         let failure = Failure::MaybeRun(end);
         request_log::record_attempt_failure(&self.exchange, &engine_stream.assignment.engine, failure);
-        if end == AttemptEnd::ConnectionLost {
-            let events = engine_stream.received_events;
-            self.exchange.check_for_crash(&engine_stream.assignment, events);
+        let EngineStream {
+            slot,
+            assignment,
+            received_events,
+            ..
+        } = engine_stream;
+        match end {
+            AttemptEnd::ConnectionLost => self.exchange.end_lost(slot, &assignment, received_events),
+            end => slot.end(end),
         }
-        engine_stream.slot.end(end);
     }
 
     fn summary(&self, outcome: &'static str) -> StreamSummary {
