Reach servers through peers from a host that is partitioned from them

What callers saw: at a host that had lost its links to all servers nearly every request was refused as busy (0 of 42 and 1 of 135 first attempts served in the users' record, 493 of 497 and 445 of 446 at the others), though peers reached the servers and the host reached its peers. Cause: a missing capability. A host served only what it could connect to itself. Change: a host asks peers which of its lost servers they reach, and sends requests there over connections that a peer carries. All decisions stay at the host: queue, slot, permit, quota, deadline, retries, resumption. A connection through a peer carries one request and is not reused; a peer that fails counts as not sent. A lost connection closes the idle ones to that server, a silent server is checked also for requests that may not move, and a refusal for want of reach has its own reason. Lines and counters for reach and for each relayed request.

--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod ownership;
 mod peers;
 mod poison_parts;
+mod reach;
 mod registration;
 mod rollout_pace;
 mod rollouts;
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -12,7 +12,7 @@
 
 use super::state::{ControlState, Event, GetAnnouncement};
 use super::updates::{self, ChunkRange};
-use super::{ownership, poison_parts, rollout_pace, server_limits, store_copy};
+use super::{ownership, poison_parts, reach, rollout_pace, server_limits, store_copy};
 use crate::shared::Shared;
 
 /// The interval between heartbeats.
@@ -126,6 +126,11 @@
                     };
                     updates::send_chunk(&shared, &host, request_id, &range);
                 }
+                Ok(PeerMessage::ReachRequest {
+                    host,
+                    request_id,
+                    engines,
+                }) => reach::respond(&shared, &host, request_id, &engines),
                 Ok(PeerMessage::Response { request_id, response }) => {
                     shared.peers.deliver(request_id, response);
                 }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -21,7 +21,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::configuration::{LaterConfiguration, MAX_LAG};
-use super::poison_parts;
+use super::{poison_parts, reach};
 use crate::platform::{Item, RolloutOrder, RolloutStatus};
 use crate::shared::{Shared, lock};
 use crate::sockets;
@@ -307,6 +307,7 @@
             self.update_group(now);
         }
         self.probe_engines(now);
+        self.find_relays(now);
         self.decide_rollouts(now);
         self.request_later_configuration(now);
         poison_parts::decide(&self.shared, now);
@@ -332,6 +333,24 @@
     }
 }
 
+impl ControlState {
+    /// Asks peers about the servers that this host does not reach, if that is due.
+    fn find_relays(&self, now: Millis) {
+        let (query, changes) = {
+            let dispatcher = &mut lock(&self.shared.dispatch).dispatcher;
+            (dispatcher.reach_queries(now), dispatcher.take_reach_changes())
+        };
+        reach::record_changes(&self.shared, changes);
+        if let Some(query) = query {
+            let reachable = self.group.reachable.iter();
+            let peers: Vec<(HostId, ZoneId)> = reachable
+                .filter_map(|host| Some((host.clone(), self.zones.get(host)?.clone())))
+                .collect();
+            reach::ask_peers(&self.shared, &query, &peers);
+        }
+    }
+}
+
 async fn probe_engine(shared: Arc<Shared>, engine: EngineId, address: SocketAddr) {
     let reached = sockets::connect(address, PROBE_TIMEOUT, PROBE_TIMEOUT).await;
     if reached.is_ok() {
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -103,7 +103,7 @@
     };
     let _open = OpenConnection::new(&shared);
     let connected = match select_server(&shared, &req, is_full) {
-        Ok(address) => connect(&req, address).await,
+        Ok(address) => connect(&shared, &req, address).await,
         Err(response) => Err(response),
     };
     let outcome = match connected {
@@ -147,11 +147,17 @@
     }
 }
 
-async fn connect(req: &RelayRequest, address: SocketAddr) -> Result<TcpStream, RelayResponse> {
+async fn connect(
+    shared: &Shared,
+    req: &RelayRequest,
+    address: SocketAddr,
+) -> Result<TcpStream, RelayResponse> {
     let within = req.connect_timeout.min(MAX_CONNECT_TIMEOUT);
     let connected = sockets::connect(address, within, SERVER_SILENCE_LIMIT).await;
     connected.map_err(|e| {
         log::debug!(origin:% = req.host, engine:% = req.engine; "connecting to the backend server failed: {e}");
+        let now = shared.now();
+        lock(&shared.dispatch).dispatcher.mark_unreachable(now, &req.engine);
         RelayResponse::Unreachable
     })
 }
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -7,6 +7,7 @@
 use hyper::StatusCode;
 
 use crate::http_client::ConnectionEnd;
+use crate::relay::RelayError;
 use crate::shared::{Assignment, Shared};
 use crate::traffic::{Exchange, Failure, Refusal};
 
@@ -62,6 +63,27 @@
     );
 }
 
+/// Records that a request goes to a backend server through a peer, or why it does not.
+pub(crate) fn record_relay(
+    exchange: &Exchange,
+    engine: &EngineId,
+    peer: &HostId,
+    failure: Option<&RelayError>,
+) {
+    let metrics = &exchange.shared.metrics;
+    let request = exchange.head.id.as_deref();
+    if let Some(e) = failure {
+        metrics.count("requests_through_peers", "failed");
+        log::info!(request = request, engine:% = engine, peer:% = peer, reason:% = e; "no connection through a peer");
+        return;
+    }
+    metrics.count("requests_through_peers", "sent");
+    log::info!(
+        request = request, engine:% = engine, peer:% = peer, reason = "this host does not reach the backend server";
+        "request sent through a peer"
+    );
+}
+
 /// Records that the connection to a backend server was lost while `part` of its response was outstanding.
 pub(crate) fn record_lost_connection(
     exchange: &Exchange,
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use carawayseam_dispatch::AttemptEnd;
-use carawayseam_types::Millis;
+use carawayseam_types::{HostId, Millis};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderMap, HeaderName};
@@ -11,15 +11,20 @@
 use super::exchange::{Exchange, Placement};
 use super::reservation::Slot;
 use super::server_state::record_server_state;
-use super::silence::Awaited;
+use super::silence::{Awaited, Patience};
 use crate::http_client::{Connection, SendError};
 use crate::platform::OutgoingHead;
+use crate::relay;
 use crate::request_log;
 use crate::shared::Assignment;
 use crate::sockets::SERVER_SILENCE_LIMIT;
 
 /// The maximum time to connect to a server.
 const CONNECT_TIMEOUT: Millis = Millis(250);
+/// The maximum time to connect to a server through a peer.
+const RELAY_CONNECT_TIMEOUT: Millis = Millis(300);
+/// The part of the remaining time that the way through a peer may take.
+const RELAY_MARGIN: Millis = Millis(10);
 /// Tolerance for the inaccuracy of timers when times are compared.
 pub(super) const TIMER_SLACK: Millis = Millis(2);
 
@@ -54,7 +59,17 @@
     pub(crate) const fn is_unsent(self) -> bool {
         matches!(
             self,
-            Self::NotRun(AttemptEnd::Unreachable | AttemptEnd::Cancelled) | Self::Stale
+            Self::NotRun(AttemptEnd::Unreachable | AttemptEnd::RelayFailed | AttemptEnd::Cancelled)
+                | Self::Stale
+        )
+    }
+
+    /// Returns whether a failed link of this host may be the cause.
+    pub(super) const fn may_come_from_link(self) -> bool {
+        matches!(
+            self,
+            Self::NotRun(AttemptEnd::Unreachable)
+                | Self::MaybeRun(AttemptEnd::ConnectionLost | AttemptEnd::Unresponsive)
         )
     }
 }
@@ -86,13 +101,12 @@
 
 /// Sends a request to its server and waits for the head of the response.
 ///
-/// `patience` is the time without a response after which another server is looked for.
 pub(super) async fn send(
     exchange: &Exchange,
     slot: Slot,
     assignment: Assignment,
     last_event_id: Option<u64>,
-    patience: Option<Millis>,
+    patience: Patience,
 ) -> Result<ServerResponse, AttemptError> {
     let on_reused = match exchange.take_idle_connection(&assignment) {
         Some(idle_connection) => {
@@ -120,7 +134,7 @@
     exchange: &Exchange,
     assignment: &Assignment,
     last_event_id: Option<u64>,
-    patience: Option<Millis>,
+    patience: Patience,
 ) -> Result<(Response<Incoming>, Connection), AttemptError> {
     let connection = open(exchange, assignment).await?;
     send_on(exchange, connection, assignment, last_event_id, patience).await
@@ -131,6 +145,9 @@
     if failure.is_unsent() {
         slot.refund_permit();
     }
+    if failure.may_come_from_link() {
+        exchange.close_idle_connections(assignment);
+    }
     match failure {
         Failure::MaybeRun(AttemptEnd::ConnectionLost) => exchange.end_lost(slot, assignment, 0),
         Failure::NotRun(end) | Failure::MaybeRun(end) => slot.end(end),
@@ -140,6 +157,33 @@
 }
 
 async fn open(exchange: &Exchange, assignment: &Assignment) -> Result<Connection, Failure> {
+    match &assignment.via {
+        None => open_directly(exchange, assignment).await,
+        Some(peer) => open_through(exchange, assignment, peer).await,
+    }
+}
+
+/// Connects to the server through a peer; the connection carries this request only.
+async fn open_through(
+    exchange: &Exchange,
+    assignment: &Assignment,
+    peer: &HostId,
+) -> Result<Connection, Failure> {
+    let shared = &exchange.shared;
+    let within = RELAY_CONNECT_TIMEOUT.min(exchange.time_left());
+    let opened = relay::connect(shared, peer, &assignment.engine, within).await;
+    request_log::record_relay(exchange, &assignment.engine, peer, opened.as_ref().err());
+    let stream = match opened {
+        Ok(stream) => stream,
+        Err(_logged) => return Err(Failure::NotRun(AttemptEnd::RelayFailed)),
+    };
+    Connection::over(stream).await.map_err(|e| {
+        log::debug!(engine:% = assignment.engine, peer:% = peer; "the connection through a peer broke: {e}");
+        Failure::NotRun(AttemptEnd::RelayFailed)
+    })
+}
+
+async fn open_directly(exchange: &Exchange, assignment: &Assignment) -> Result<Connection, Failure> {
     let within = CONNECT_TIMEOUT.min(exchange.time_left());
     exchange.shared.metrics.count("engine_connections", "opened");
     match Connection::open(assignment.address, within, SERVER_SILENCE_LIMIT).await {
@@ -156,7 +200,7 @@
     mut connection: Connection,
     assignment: &Assignment,
     last_event_id: Option<u64>,
-    patience: Option<Millis>,
+    patience: Patience,
 ) -> Result<(Response<Incoming>, Connection), AttemptError> {
     let time_left = exchange.time_left();
     if exchange.is_keyed() && !exchange.shared.may_use_keys() {
@@ -192,8 +236,9 @@
     *req.method_mut() = exchange.method.clone();
     *req.uri_mut() = exchange.uri.clone();
     *req.headers_mut() = exchange.request_headers.clone();
+    let relay_margin = assignment.via.as_ref().map_or(Millis::ZERO, |_| RELAY_MARGIN);
     let outgoing = OutgoingHead {
-        time_left,
+        time_left: time_left - relay_margin,
         engine: &assignment.engine,
         organisation: exchange.organisation_name(),
         last_event_id,
--- a/crates/gateway/src/traffic/connections.rs
+++ b/crates/gateway/src/traffic/connections.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Closes all idle connections to a server whose links may have failed.
+    pub(crate) fn close_all(&self, engine: &EngineId, address: SocketAddr) {
+        lock(&self.0).remove(&(engine.clone(), address));
+    }
+
     /// Closes expired connections, and those to servers that are no longer listed.
     pub(crate) fn sweep(&self, now: Millis, is_listed: impl Fn(&EngineId) -> bool) {
         let mut idle = lock(&self.0);
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -21,6 +21,7 @@
 use super::rate_limits::{self, RateLimited};
 use super::reservation::Slot;
 use super::response::{Reason, Refusal, ResponseBody};
+use super::silence::Patience;
 use super::slots;
 use super::stream;
 use crate::http_client::Connection;
@@ -138,7 +139,11 @@
         self.route_match.tier()
     }
 
+    /// Takes an idle connection to the assigned server; a connection through a peer carries one request only.
     pub(crate) fn take_idle_connection(&self, assignment: &Assignment) -> Option<Connection> {
+        if assignment.via.is_some() {
+            return None;
+        }
         let now = self.shared.now();
         self.shared
             .connections
@@ -151,6 +156,9 @@
         connection: Connection,
         keep_alive: Option<Millis>,
     ) {
+        if assignment.via.is_some() {
+            return;
+        }
         let now = self.shared.now();
         let Assignment { engine, address, .. } = assignment;
         self.shared
@@ -158,6 +166,14 @@
             .put(now, engine, *address, connection, keep_alive);
     }
 
+    /// Closes the idle connections to a server, since they may have failed with the one that did.
+    pub(super) fn close_idle_connections(&self, assignment: &Assignment) {
+        if assignment.via.is_none() {
+            let Assignment { engine, address, .. } = assignment;
+            self.shared.connections.close_all(engine, *address);
+        }
+    }
+
     async fn serve(mut self) -> Response<ResponseBody> {
         match self.try_serve().await {
             Ok(Outcome::PlainResponse(response)) => response,
@@ -269,9 +285,9 @@
         self.assigned_at = self.shared.now();
         slot.assign(&self.backend, &assignment);
         request_log::record_assignment(self, &assignment, slot.rate_limit());
-        let response_timeout = self.response_timeout(&assignment);
+        let patience = self.patience(&assignment);
         let engine = assignment.engine.clone();
-        let sent = attempt::send(self, slot, assignment, last_event_id, response_timeout).await;
+        let sent = attempt::send(self, slot, assignment, last_event_id, patience).await;
         let failure = sent.as_ref().err().map(AttemptError::failure);
         match failure {
             Some(failure) if failure.is_unsent() => self.unsent_attempts += 1,
@@ -365,27 +381,24 @@
 
     /// Returns the refusal of a queued request, which depends on whether an earlier attempt may have run it.
     fn queue_refusal(&self, retry_after: Millis) -> Refusal {
-        if self.may_have_run {
-            Refusal::new(Reason::ResponseLost)
-        } else {
-            Refusal::with_retry_after(Reason::Busy, retry_after)
+        let reaches_none = lock(&self.shared.dispatch).dispatcher.reaches_none(&self.backend);
+        match reaches_none {
+            _ if self.may_have_run => Refusal::new(Reason::ResponseLost),
+            true => Refusal::with_retry_after(Reason::Unreachable, retry_after),
+            false => Refusal::with_retry_after(Reason::Busy, retry_after),
         }
     }
 
-    /// Returns the time without a response after which another server is looked for.
-    fn response_timeout(&self, assignment: &Assignment) -> Option<Millis> {
-        let kind = self.route_match.route.kind;
-        let has_next = self.attempts + 1 < self.route_match.route.max_attempts;
-        match kind {
-            _ if !has_next || !kind.is_retryable() => None,
-            kind if kind.is_stream() => Some(
-                assignment.expected_first_event.times(FIRST_EVENT_TIMEOUT_FACTOR)
-                    + FIRST_EVENT_TIMEOUT_MARGIN,
-            ),
-            _ => Some(Millis(
-                (self.route_match.route.objective.0 as f64 * PLAIN_TIMEOUT_OBJECTIVES) as u64,
-            )),
-        }
+    /// Returns how long the server may be silent before its response.
+    fn patience(&self, assignment: &Assignment) -> Patience {
+        let route = &self.route_match.route;
+        let has_next = self.attempts + 1 < route.max_attempts;
+        let limit = if route.kind.is_stream() {
+            assignment.expected_first_event.times(FIRST_EVENT_TIMEOUT_FACTOR) + FIRST_EVENT_TIMEOUT_MARGIN
+        } else {
+            Millis((route.objective.0 as f64 * PLAIN_TIMEOUT_OBJECTIVES) as u64)
+        };
+        Patience::new(limit, has_next && route.kind.is_retryable())
     }
 
     /// Queues the request again after a failed attempt, or returns the final refusal.
@@ -394,7 +407,7 @@
             Failure::DeadlineExceeded => return Err(Refusal::new(Reason::DeadlineExceeded)),
             _ if self.may_have_run => Refusal::new(Reason::ResponseLost),
             Failure::Stale => return Err(refuse_stale(&self.shared)),
-            Failure::NotRun(AttemptEnd::Unreachable) => {
+            Failure::NotRun(AttemptEnd::Unreachable | AttemptEnd::RelayFailed) => {
                 Refusal::with_retry_after(Reason::Unreachable, RETRY_AFTER_REJECTED)
             }
             _ => Refusal::with_retry_after(Reason::Rejected, RETRY_AFTER_REJECTED),
@@ -402,7 +415,9 @@
         let now = self.shared.now();
         match failure {
             _ if now >= self.deadline => Err(refusal),
-            Failure::NotRun(AttemptEnd::Unreachable) if self.unsent_attempts < MAX_UNSENT_ATTEMPTS => {
+            Failure::NotRun(AttemptEnd::Unreachable | AttemptEnd::RelayFailed)
+                if self.unsent_attempts < MAX_UNSENT_ATTEMPTS =>
+            {
                 let job = self.job(self.deadline);
                 Ok(lock(&self.shared.dispatch).submit_unsent(now, job))
             }
--- a/crates/gateway/src/traffic/plain.rs
+++ b/crates/gateway/src/traffic/plain.rs
@@ -38,6 +38,7 @@
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(e)) => {
                 request_log::record_lost_connection(self, &assignment.engine, "body", &*e);
+                self.close_idle_connections(&assignment);
                 self.end_lost(slot, &assignment, 0);
                 return PlainResponse::Failed(Failure::MaybeRun(AttemptEnd::ConnectionLost));
             }
--- a/crates/gateway/src/traffic/silence.rs
+++ b/crates/gateway/src/traffic/silence.rs
@@ -16,6 +16,30 @@
 /// The pause before another server is looked for again.
 const SEARCH_INTERVAL: Millis = Millis(300);
 
+/// How much longer a server may be silent if its request cannot move, since only its check follows.
+const FIXED_REQUEST_FACTOR: u64 = 2;
+
+/// How long a server may be silent, and what follows.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Patience {
+    /// The time without anything from the server.
+    pub(super) limit: Millis,
+    /// Whether another server may take the request over.
+    pub(super) may_move: bool,
+}
+
+impl Patience {
+    /// Creates the patience with a server; a request that may not move has more.
+    pub(super) const fn new(limit: Millis, may_move: bool) -> Self {
+        let limit = if may_move {
+            limit
+        } else {
+            limit.times(FIXED_REQUEST_FACTOR)
+        };
+        Self { limit, may_move }
+    }
+}
+
 /// The result of waiting for a server that may be silent.
 pub(super) enum Awaited<T> {
     /// The server sent something.
@@ -38,27 +62,33 @@
 impl Exchange {
     /// Waits for `event` from the server that has the request, at most until the deadline.
     ///
-    /// After `patience` without it another server is looked for, and again at intervals.
+    /// A server that exhausts the patience is checked before it gets other requests. If the request may move, another
+    /// server is looked for, and again at intervals.
     pub(super) async fn await_server<T>(
         &self,
         engine: &EngineId,
-        patience: Option<Millis>,
+        patience: Patience,
         event: impl Future<Output = T>,
     ) -> Awaited<T> {
         let mut event = pin!(event);
-        let mut patience = patience;
+        let mut limit = patience.limit;
         loop {
-            let time_left = self.time_left();
-            let wait = patience.map_or(time_left, |patience| patience.min(time_left));
-            match timeout(wait.to_duration(), event.as_mut()).await {
+            match timeout(limit.min(self.time_left()).to_duration(), event.as_mut()).await {
                 Ok(value) => return Awaited::Ready(value),
                 Err(_) if self.time_left() <= TIMER_SLACK => return Awaited::DeadlineExceeded,
                 Err(_) => {}
             }
+            lock(&self.shared.dispatch)
+                .dispatcher
+                .mark_silent(self.shared.now(), engine);
+            if !patience.may_move {
+                limit = Millis::MAX;
+                continue;
+            }
             match self.search_elsewhere(engine, event.as_mut()).await {
                 Search::Ready(value) => return Awaited::Ready(value),
                 Search::Found(placement) => return Awaited::Superseded(placement),
-                Search::NotFound => patience = patience.map(|_| SEARCH_INTERVAL),
+                Search::NotFound => limit = SEARCH_INTERVAL,
             }
         }
     }
@@ -85,14 +115,10 @@
         found
     }
 
-    /// Lets the silent server get no further requests, and queues the request for another server if the retry
-    /// budget allows it.
+    /// Queues the request for a server other than `engine` if the retry budget allows it.
     fn queue_elsewhere(&self, engine: &EngineId) -> Option<QueuedRequest> {
         let job = self.job_elsewhere(engine);
-        let now = self.shared.now();
-        let mut dispatch = lock(&self.shared.dispatch);
-        dispatch.dispatcher.mark_silent(now, engine);
-        dispatch.submit_retry(now, job)
+        lock(&self.shared.dispatch).submit_retry(self.shared.now(), job)
     }
 
     /// Returns the job of a request that `engine` still has.
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -14,7 +14,7 @@
 use super::exchange::{Exchange, Placement};
 use super::reservation::Slot;
 use super::response::{BodyError, ResponseBody};
-use super::silence::Awaited;
+use super::silence::{Awaited, Patience};
 use crate::http_client::Connection;
 use crate::request_log::{self, StreamSummary};
 use crate::shared::{Assignment, lock};
@@ -167,6 +167,9 @@
             received_events,
             ..
         } = engine_stream;
+        if failure.may_come_from_link() {
+            self.exchange.close_idle_connections(&assignment);
+        }
         match end {
             AttemptEnd::ConnectionLost => self.exchange.end_lost(slot, &assignment, received_events),
             end => slot.end(end),
@@ -329,7 +332,7 @@
                 .times(FIRST_EVENT_TIMEOUT_FACTOR)
                 + FIRST_EVENT_TIMEOUT_MARGIN
         };
-        let patience = may_resume.then(|| max_gap.since(waited));
+        let patience = Patience::new(max_gap.since(waited), may_resume);
         let engine = engine_stream.assignment.engine.clone();
         let frame = match exchange
             .await_server(&engine, patience, engine_stream.body.frame())
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -114,6 +114,15 @@
         /// The answers.
         answers: Vec<PartAnswer>,
     },
+    /// Asks which backend servers a host reaches directly, so that it can relay connections to them.
+    ReachRequest {
+        /// The requesting host.
+        host: HostId,
+        /// The id of the request, which the response repeats.
+        request_id: u64,
+        /// The servers that the requesting host does not reach.
+        engines: Vec<EngineKey>,
+    },
 }
 
 /// A crash of a backend server under a request with a part of a prompt, before its answer had begun.
@@ -208,6 +217,8 @@
     Items(Option<ItemsPage>),
     /// The requested changes are of another era of the store than the one that the host knows.
     OtherEra(StoreEra),
+    /// The requested servers that the host reaches directly.
+    Reach(Vec<EngineKey>),
 }
 
 /// A page of the store's items, in the order of their keys.
