--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -85,9 +85,8 @@
             Some(io::ErrorKind::TimedOut) => Self::Unacknowledged,
             Some(io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe) => Self::Reset,
             Some(io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput) => Self::Malformed,
-            Some(_) => Self::Closed,
             None if e.downcast_ref().is_some_and(hyper::Error::is_parse) => Self::Malformed,
-            None => Self::Closed,
+            _ => Self::Closed,
         }
     }
 }
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -80,7 +80,7 @@
     /// The attempt failed.
     Failed(Failure),
     /// The server was silent, and another server has a slot for the request.
-    Superseded(Placement),
+    Superseded(Box<Placement>),
 }
 
 impl AttemptError {
--- a/crates/gateway/src/traffic/crashes.rs
+++ b/crates/gateway/src/traffic/crashes.rs
@@ -247,7 +247,7 @@
             Ok(_connection) => return LossCause::Link,
             Err(RelayError::ServerUnreachable) => return LossCause::Crash,
             Err(e) => {
-                log::debug!(engine:% = assignment.engine, peer:% = peer; "a peer could not check a server: {e}")
+                log::debug!(engine:% = assignment.engine, peer:% = peer; "a peer could not check a server: {e}");
             }
         }
     }
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -271,7 +271,7 @@
             match self.send_to(placement, last_event_id).await {
                 Ok(server_response) => return Ok(server_response),
                 Err(AttemptError::Failed(failure)) => return Err(failure),
-                Err(AttemptError::Superseded(next)) => placement = next,
+                Err(AttemptError::Superseded(next)) => placement = *next,
             }
         }
     }
--- a/crates/gateway/src/traffic/silence.rs
+++ b/crates/gateway/src/traffic/silence.rs
@@ -45,7 +45,7 @@
     /// The server sent something.
     Ready(T),
     /// The server was silent, and another server has a slot for the request.
-    Superseded(Placement),
+    Superseded(Box<Placement>),
     /// The deadline has passed.
     DeadlineExceeded,
 }
@@ -54,7 +54,7 @@
 enum Search<T> {
     /// The silent server sent something first.
     Ready(T),
-    Found(Placement),
+    Found(Box<Placement>),
     /// No other server can take the request now.
     NotFound,
 }
@@ -102,7 +102,7 @@
             biased;
             value = event => Search::Ready(value),
             placement = self.acquire_slot(queued, Some(engine)) => match placement {
-                Ok(placement) => Search::Found(placement),
+                Ok(placement) => Search::Found(Box::new(placement)),
                 Err(refusal) => {
                     log::debug!(request = self.head.id.as_deref(), reason:% = refusal.reason; "no other server for a silent one");
                     Search::NotFound
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -89,7 +89,7 @@
     End,
     Interrupted(AttemptEnd),
     /// The server was silent, and another server has a slot for the request.
-    Superseded(Placement),
+    Superseded(Box<Placement>),
     DeadlineExceeded,
 }
 
@@ -145,7 +145,7 @@
                 }
                 ReadResult::Superseded(placement) => {
                     self.leave_server(AttemptEnd::Unresponsive);
-                    if let Err(cause) = self.resume(Some(placement)).await {
+                    if let Err(cause) = self.resume(Some(*placement)).await {
                         return Some(Err(self.abort(AttemptEnd::Unresponsive, cause)));
                     }
                 }
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -8,7 +8,7 @@
 use tokio::net::TcpListener;
 
 /// A sound server may be silent for a second or so; twice that must break nothing.
-const LONGEST_PAUSE: Duration = Duration::from_millis(2_000);
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 /// A connection that is silent for good is found within this time.
 const LONGEST_DETECTION: Duration = Duration::from_secs(8);
 
