--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -23,6 +23,7 @@
 mod copy;
 mod server;
 
+pub use carawayseam_wire::RelayRefusal;
 pub(crate) use client::connect;
 pub use client::{RelayError, connect_at};
 pub(crate) use server::serve;
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -18,7 +18,7 @@
 use crate::traffic::ACCEPT_PAUSE;
 
 /// The maximum number of relayed connections at a time.
-const MAX_RELAYED: usize = 512;
+const MAX_RELAYED: usize = 256;
 /// The number of connections, in addition to these, that are accepted and refused with a reason.
 const MAX_REFUSING: usize = 64;
 /// The maximum time from the accepting of a connection to the complete request.
