Cut gateways of the soak from all backend servers

Cause: the soak harmed the links of all gateways to a server alike, and never those of one gateway to all servers. Its proxy before a gateway's peer address carried datagrams only.

Change: one fault a round cuts one to all gateways from all servers in one of three forms, for up to 8 s. Such a gateway stays in touch: old configurations, leaving servers and late answers are judged; broken-off and refused requests are not yet. The proxy is that of the stand-ins, which carries connections, too; faults of the store are set at each gateway's endpoint.

--- a/crates/soak/src/disturbances.rs
+++ b/crates/soak/src/disturbances.rs
@@ -10,6 +10,8 @@
 pub enum Scope {
     /// One gateway, or its links.
     Gateway(usize),
+    /// The links of one gateway to all backend servers.
+    ServerLinks(usize),
     /// A planned stop of a gateway.
     PlannedStop(usize),
     /// Backend servers, or the links to them.
--- a/crates/soak/src/gateway.rs
+++ b/crates/soak/src/gateway.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use carawayseam_platform_standins::harness::{Addresses, is_ready};
-use carawayseam_platform_standins::ports::free_port;
+use carawayseam_platform_standins::{LinkTargets, PeerProxy, ServerLinks, Store};
 use carawayseam_testbed::Relay;
 use eyre::{WrapErr, eyre};
 use rustix::process::{Pid, Signal, kill_process};
@@ -16,8 +16,6 @@
 use tokio::sync::Mutex;
 use tokio::time::{sleep, timeout};
 
-use crate::proxy::UdpProxy;
-
 const POLL: Duration = Duration::from_millis(50);
 /// A process that does not listen by then has failed.
 const START_LIMIT: Duration = Duration::from_secs(20);
@@ -29,8 +27,11 @@
 pub(crate) struct Gateway {
     pub(crate) callers: SocketAddr,
     admin: SocketAddr,
+    /// Its endpoint of the store.
+    pub(crate) store: Store,
     pub(crate) store_link: Relay,
-    pub(crate) peer_link: UdpProxy,
+    pub(crate) peer_link: PeerProxy,
+    pub(crate) server_links: ServerLinks,
     program: PathBuf,
     settings: PathBuf,
     log: PathBuf,
@@ -46,26 +47,26 @@
         program: &Path,
         dir: &Path,
         number: usize,
-        store: SocketAddr,
+        store: &Store,
+        targets: &LinkTargets,
     ) -> eyre::Result<Self> {
-        let (callers, admin, peers) = (free_port(), free_port(), free_port());
-        let store_link = Relay::start(store).await.wrap_err("no proxy")?;
-        let peer_link = UdpProxy::start(peers).await.wrap_err("no proxy")?;
-        let addresses = Addresses {
-            callers,
-            admin,
-            peers,
-            peers_announced: Some(peer_link.address()),
-            store: store_link.address(),
-        };
+        let server_links = ServerLinks::new(targets);
+        let store = store.linked_endpoint(&server_links).await;
+        let store_link = Relay::start(store.address).await.wrap_err("no proxy")?;
+        let mut addresses = Addresses::choose(store_link.address());
+        let peer_link = PeerProxy::start(addresses.peers, server_links.clone()).await;
+        let peer_link = peer_link.wrap_err("no proxy")?;
+        addresses.peers_announced = Some(peer_link.address());
         let settings = dir.join(format!("gateway-{number}.yaml"));
         std::fs::write(&settings, addresses.settings(&format!("gateway-{number}")))
             .wrap_err("cannot write the settings")?;
         let gateway = Self {
-            callers,
-            admin,
+            callers: addresses.callers,
+            admin: addresses.admin,
+            store,
             store_link,
             peer_link,
+            server_links,
             program: program.to_owned(),
             settings,
             log: dir.join(format!("gateway-{number}.log")),
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -409,7 +409,8 @@
         runs: u32,
         answer: &Answer,
     ) -> Result<(), Broken> {
-        let unplanned = [Scope::Gateway(gateway), Scope::Servers, Scope::Store];
+        let links = Scope::ServerLinks(gateway);
+        let unplanned = [Scope::Gateway(gateway), links, Scope::Servers, Scope::Store];
         if !self.was_calm(sent, &unplanned) {
             return Ok(());
         }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -18,7 +18,6 @@
 mod limited;
 mod metered;
 mod operator;
-mod proxy;
 mod recorder;
 mod request;
 mod run;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use carawayseam_platform_standins::StoreFault;
+use carawayseam_platform_standins::{Cut, StoreFault};
 use carawayseam_testbed::Link;
 use carawayseam_types::Millis;
 use rand::rngs::StdRng;
@@ -24,6 +24,7 @@
 const LONGEST_FAULT: u64 = 3_500;
 /// The age of the oldest copy from which the store is restored.
 const OLDEST_COPY: u64 = 7_000;
+const LONGEST_HOST_CUT: u64 = 8_000;
 /// A gateway that is cut from the store for so long outlives the time in which keys may be used.
 const LONG_CUT: Millis = Millis(8_500);
 /// A key is taken away this long after the cut began.
@@ -74,6 +75,15 @@
     StoreLink(usize, Link),
     /// A gateway gets no datagrams of the others.
     PeerLink(usize),
+    /// Some or all gateways are cut from all servers.
+    HostCut {
+        /// The first of them.
+        first: usize,
+        /// How many, beginning with the first.
+        count: usize,
+        /// How they are cut.
+        form: Cut,
+    },
     /// All gateways' path to a server suffers.
     ServerLink(usize, Link),
     /// The store misbehaves.
@@ -145,6 +155,7 @@
         add_server_faults(seed, size, &mut entries);
         add_limits(seed, size, &mut entries);
         add_restores(seed, size, &mut entries);
+        add_host_cuts(seed, size, &mut entries);
         entries.retain(|entry| entry.at < size.length);
         entries.sort_by_key(|entry| entry.at);
         Self { seed, entries }
@@ -205,6 +216,26 @@
     }
 }
 
+/// Adds cuts of gateways from all servers, from a generator of its own.
+fn add_host_cuts(seed: u64, size: Size, entries: &mut Vec<Entry>) {
+    let mut rng = StdRng::seed_from_u64(!seed.rotate_left(3));
+    let faulty = (ROUND.0 as f64 * FAULTY_PART) as u64;
+    let mut from = Millis::ZERO;
+    while from < size.length {
+        let lasts = rng.random_range(SHORTEST_FAULT..LONGEST_HOST_CUT);
+        entries.push(Entry {
+            at: from + Millis(rng.random_range(0..faulty - lasts)),
+            lasts: Millis(lasts),
+            fault: Fault::HostCut {
+                first: rng.random_range(0..size.gateways),
+                count: rng.random_range(1..=size.gateways),
+                form: [Cut::Silent, Cut::Reset, Cut::RefuseNew][rng.random_range(0..3)],
+            },
+        });
+        from += ROUND;
+    }
+}
+
 fn round(rng: &mut StdRng, size: Size, from: Millis, entries: &mut Vec<Entry>) {
     let faulty = (ROUND.0 as f64 * FAULTY_PART) as u64;
     let count = (size.gateways as f64 * FAULTS_PER_GATEWAY).ceil() as usize + 2;
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use carawayseam_platform_standins::documents::server_key;
-use carawayseam_platform_standins::{Store, StoreFault};
+use carawayseam_platform_standins::{Cut, LinkTargets, Store, StoreFault};
 use carawayseam_testbed::Link;
 use carawayseam_types::Millis;
 use eyre::WrapErr;
@@ -58,9 +58,9 @@
         recorder: Recorder,
     ) -> eyre::Result<Arc<Self>> {
         let store = Store::start().await;
-        let mut gateways = Vec::new();
+        let (mut gateways, targets) = (Vec::new(), LinkTargets::default());
         for number in 0..size.gateways {
-            let gateway = Gateway::start(program, dir, number, store.address).await?;
+            let gateway = Gateway::start(program, dir, number, &store, &targets).await?;
             gateways.push(Arc::new(gateway));
         }
         let world = Self {
@@ -145,6 +145,7 @@
                 sleep(lasts).await;
                 link.set_cut(false);
             }
+            Fault::HostCut { first, count, form } => self.cut_hosts(first, count, form, lasts).await,
             Fault::ServerLink(slot, link) => self.harm_server_link(slot, link, lasts).await,
             Fault::Store(fault) => self.harm_store(fault, lasts).await,
             Fault::Forget => self.store.compact_history(),
@@ -213,6 +214,25 @@
         proxy.set(None);
     }
 
+    /// Cuts gateways from all servers, while callers, store and peers reach them.
+    async fn cut_hosts(&self, first: usize, count: usize, form: Cut, lasts: Duration) {
+        let numbers: Vec<usize> = (first..first + count)
+            .map(|ix| ix % self.gateways.len())
+            .collect();
+        let scopes = numbers.iter().map(|number| Scope::ServerLinks(*number));
+        // No gateway reaches the servers when all are cut.
+        let of_all = (count == self.gateways.len()).then_some(Scope::Servers);
+        let scopes = scopes.chain(of_all);
+        let _disturbed: Vec<_> = scopes.map(|scope| self.recorder.disturb(scope)).collect();
+        for number in &numbers {
+            self.gateways[*number].server_links.cut(form);
+        }
+        sleep(lasts).await;
+        for number in &numbers {
+            self.gateways[*number].server_links.restore();
+        }
+    }
+
     async fn slot(&self, slot: usize) -> Arc<Server> {
         Arc::clone(&self.servers.lock().await[slot])
     }
@@ -227,9 +247,15 @@
 
     async fn harm_store(&self, fault: StoreFault, lasts: Duration) {
         let _disturbed = self.recorder.disturb(Scope::Store);
-        self.store.set_fault(Some(fault));
+        self.set_store_fault(Some(fault));
         sleep(lasts).await;
-        self.store.set_fault(None);
+        self.set_store_fault(None);
+    }
+
+    fn set_store_fault(&self, fault: Option<StoreFault>) {
+        for gateway in &self.gateways {
+            gateway.store.set_fault(fault);
+        }
     }
 
     /// Lets the store lose what is written within `lasts`; operator and servers write theirs again.
@@ -237,10 +263,10 @@
         let copy = self.store.copy();
         sleep(lasts).await;
         let _disturbed = self.recorder.disturb(Scope::Store);
-        self.store.set_fault(Some(StoreFault::Refuses));
+        self.set_store_fault(Some(StoreFault::Refuses));
         sleep(RESTORE_TIME).await;
         let lost = self.store.restore(copy);
-        self.store.set_fault(None);
+        self.set_store_fault(None);
         sleep(WRITTEN_AGAIN).await;
         self.store.write_again(lost);
     }
--- a/crates/soak/tests/ledger.rs
+++ b/crates/soak/tests/ledger.rs
@@ -117,6 +117,25 @@
     ledger.stepped(Millis(5_110), ID, 0)
 });
 
+promise!(an_old_configuration_while_cut_from_all_servers: Err(Broken::Outdated { .. }) => {
+    let mut ledger = sent(5_100, Route::Steps);
+    ledger.configured(Millis(3_000));
+    ledger.disturb(Scope::ServerLinks(0));
+    ledger.stepped(Millis(5_110), ID, 0)
+});
+
+promise!(a_cut_from_all_servers_may_cut: Ok(()) => {
+    let mut ledger = sent(0, Route::Calls);
+    ledger.disturb(Scope::ServerLinks(0));
+    ledger.ran(Millis(5), ID, 1).and_then(|()| answered(&mut ledger, 50, &Answer::Cut))
+});
+
+promise!(a_cut_of_another_gateway_from_all_servers_excuses_nothing: Err(Broken::CutByPlannedStop { .. }) => {
+    let mut ledger = sent(0, Route::Calls);
+    ledger.disturb(Scope::ServerLinks(1));
+    ledger.ran(Millis(5), ID, 1).and_then(|()| answered(&mut ledger, 50, &Answer::Cut))
+});
+
 promise!(a_key_that_was_taken_away: Err(Broken::RevokedKey { ago: Millis(5_001), .. }) => {
     let mut ledger = sent(5_001, Route::Reads);
     ledger.revoked(Millis(0), 0);
--- a/crates/soak/tests/schedule.rs
+++ b/crates/soak/tests/schedule.rs
@@ -27,7 +27,7 @@
 
 #[test]
 fn every_kind_of_fault_comes_up() {
-    const KINDS: usize = 19;
+    const KINDS: usize = 20;
     let seeds = 0..40;
     let entries = seeds.flat_map(|seed| Schedule::draw(seed, SIZE).entries);
     let kinds: HashSet<_> = entries.map(|entry| discriminant(&entry.fault)).collect();
