Prepare both sides of a relayed connection before the origin is told of it

Cause: if the reset on close could not be set, the origin was already told that it is connected, so a request that was never sent would count as one that may have run. An idle connection was also reset while the origin's heartbeats were missing, which hits a host that is frozen for some seconds; the kernel finds a dead host after 30 s anyway.

Change: both sides are prepared first, and a failure is answered as unreachable. Only a connection that its origin has closed is reset without progress.

--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -70,11 +70,6 @@
         lock(&self.addresses).get(host).copied()
     }
 
-    /// Returns whether a host can receive requests now.
-    pub(crate) fn is_reachable(&self, host: &HostId) -> bool {
-        lock(&self.group).reachable.contains(host)
-    }
-
     /// Sends a message to a host if its address is known; delivery is not guaranteed.
     pub(crate) fn send(&self, host: &HostId, message: &PeerMessage) {
         let Some(address) = self.address(host) else {
--- a/crates/gateway/src/relay/copy.rs
+++ b/crates/gateway/src/relay/copy.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
 
 use carawayseam_types::Millis;
 use socket2::SockRef;
@@ -11,13 +12,10 @@
 
 /// The size of the buffer for each direction. Nothing else is read ahead of what the other side accepts.
 const BUFFER_BYTES: usize = 8 * 1_024;
-/// The interval at which connections without progress are checked.
+/// The interval at which the progress of a connection is checked that its origin has closed.
 const CHECK_INTERVAL: Millis = Millis::from_secs(1);
-/// The number of successive checks without progress after which the connection of an unreachable origin
-/// is reset.
-const MAX_CHECKS_UNREACHABLE: u32 = 3;
-/// The same for an origin that has closed its connection.
-const MAX_CHECKS_CLOSED: u32 = 5;
+/// The number of successive checks without progress after which such a connection is reset.
+const MAX_CHECKS: u32 = 5;
 
 /// What was copied so far.
 #[derive(Debug, Default)]
@@ -30,16 +28,9 @@
 
 /// Copies bytes both ways until both sides have sent their last byte; resets both if one breaks off.
 ///
-/// The origin is slow if its caller is, so its connection has no limit on the time without progress
-/// as long as `is_origin_reachable`.
-pub(super) async fn copy(
-    mut origin: TcpStream,
-    mut server: TcpStream,
-    is_origin_reachable: impl Fn() -> bool,
-) -> io::Result<()> {
-    // A connection that is dropped or whose process ends in the middle is reset and not closed.
-    set_reset_on_close(&origin, true)?;
-    set_reset_on_close(&server, true)?;
+/// Both were prepared by [`set_reset_on_close`]. The origin is slow if its caller is, so its connection has
+/// no limit on the time without progress before it has closed its connection.
+pub(super) async fn copy(mut origin: TcpStream, mut server: TcpStream) -> io::Result<()> {
     let progress = Progress::default();
     let (mut origin_read, mut origin_write) = origin.split();
     let (mut server_read, mut server_write) = server.split();
@@ -51,14 +42,15 @@
     let responses = pass(&mut server_read, &mut origin_write, &progress);
     tokio::select! {
         ended = async { tokio::try_join!(requests, responses) } => ended?,
-        () = wait_until_stalled(&progress, is_origin_reachable) => return Err(io::ErrorKind::TimedOut.into()),
+        () = wait_until_abandoned(&progress) => return Err(io::ErrorKind::TimedOut.into()),
     };
     set_reset_on_close(&origin, false)?;
     set_reset_on_close(&server, false)
 }
 
-fn set_reset_on_close(stream: &TcpStream, resets: bool) -> io::Result<()> {
-    SockRef::from(stream).set_linger(resets.then_some(std::time::Duration::ZERO))
+/// Sets whether a connection is reset, and not closed, when it is dropped or its process ends.
+pub(super) fn set_reset_on_close(stream: &TcpStream, resets: bool) -> io::Result<()> {
+    SockRef::from(stream).set_linger(resets.then_some(Duration::ZERO))
 }
 
 /// Copies bytes in one direction until the end, and passes the end on.
@@ -77,18 +69,20 @@
     }
 }
 
-/// Returns when no bytes were copied for too long for an origin that is gone.
-async fn wait_until_stalled(progress: &Progress, is_origin_reachable: impl Fn() -> bool) {
+/// Returns when the origin has closed its connection and no bytes were copied since for too long.
+async fn wait_until_abandoned(progress: &Progress) {
     let mut checks = interval(CHECK_INTERVAL.to_duration());
     checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut last_chunks = 0;
-    let (mut checks_unreachable, mut checks_closed) = (0, 0);
-    while checks_unreachable < MAX_CHECKS_UNREACHABLE && checks_closed < MAX_CHECKS_CLOSED {
+    let (mut last_chunks, mut checks_without_progress) = (0, 0);
+    while checks_without_progress < MAX_CHECKS {
         checks.tick().await;
         let chunks = progress.chunks.load(Ordering::Relaxed);
         let has_progress = std::mem::replace(&mut last_chunks, chunks) != chunks;
-        let count_if = |checks: u32, is_gone: bool| if is_gone && !has_progress { checks + 1 } else { 0 };
-        checks_unreachable = count_if(checks_unreachable, !is_origin_reachable());
-        checks_closed = count_if(checks_closed, progress.is_origin_done.load(Ordering::Relaxed));
+        let is_origin_done = progress.is_origin_done.load(Ordering::Relaxed);
+        checks_without_progress = if is_origin_done && !has_progress {
+            checks_without_progress + 1
+        } else {
+            0
+        };
     }
 }
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::sleep;
 
-use super::copy::copy;
+use super::copy::{copy, set_reset_on_close};
 use crate::shared::{Phase, Shared, lock};
 use crate::sockets::{self, SERVER_SILENCE_LIMIT};
 use crate::traffic::ACCEPT_PAUSE;
@@ -103,7 +103,7 @@
     };
     let _open = OpenConnection::new(&shared);
     let connected = match select_server(&shared, &req, is_full) {
-        Ok(address) => connect(&shared, &req, address).await,
+        Ok(address) => connect(&shared, &req, frames.tcp(), address).await,
         Err(response) => Err(response),
     };
     let outcome = match connected {
@@ -147,14 +147,21 @@
     }
 }
 
+/// Connects to a server, and prepares both connections for copying.
 async fn connect(
     shared: &Shared,
     req: &RelayRequest,
+    origin: &TcpStream,
     address: SocketAddr,
 ) -> Result<TcpStream, RelayResponse> {
     let within = req.connect_timeout.min(MAX_CONNECT_TIMEOUT);
     let connected = sockets::connect(address, within, SERVER_SILENCE_LIMIT).await;
-    connected.map_err(|e| {
+    let prepared = connected.and_then(|server| {
+        set_reset_on_close(&server, true)?;
+        set_reset_on_close(origin, true)?;
+        Ok(server)
+    });
+    prepared.map_err(|e| {
         log::debug!(origin:% = req.host, engine:% = req.engine; "connecting to the backend server failed: {e}");
         let now = shared.now();
         lock(&shared.dispatch).dispatcher.mark_unreachable(now, &req.engine);
@@ -173,7 +180,7 @@
     let origin = frames.into_tcp()?;
     shared.metrics.count(COUNTER, "opened");
     log::debug!(origin:% = req.host, engine:% = req.engine; "relayed connection opened");
-    match copy(origin, server, || shared.peers.is_reachable(&req.host)).await {
+    match copy(origin, server).await {
         Ok(()) => log::debug!(origin:% = req.host, engine:% = req.engine; "relayed connection ended"),
         Err(e) => {
             shared.metrics.count(COUNTER, "broken");
--- a/crates/node/src/streams.rs
+++ b/crates/node/src/streams.rs
@@ -99,6 +99,12 @@
         }
     }
 
+    /// Returns the connection, for its socket options.
+    #[must_use]
+    pub fn tcp(&self) -> &TcpStream {
+        self.0.get_ref()
+    }
+
     /// Returns the connection, for bytes that are no longer framed.
     ///
     /// # Errors
