Believe a refusal only in a response that bears the request's id

Operators saw clients that were told "not run, try again" for requests that a server had run or was running, and such requests at a second server, where a faulty server wrote an earlier refusal once more on a kept connection.

Cause: a response without a request id counted as the answer to the request that was due on the connection, and its "not run", its 421 and its headers about the server were believed. A copy with the earlier request's id was told apart already.

Change: a response is that of the request only if it bears the same id, and exactly one. Otherwise the request may have run (502, or a retry where it may be repeated), nothing that the response says of its server is applied, and a log line names the id that it bore.

--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -261,7 +261,14 @@
 ) -> Result<ServerResponse, Failure> {
     let head = exchange.shared.headers.read_response(response.headers());
     let status = response.status();
-    let is_for_request = head.id.is_none() || head.id == exchange.head.id;
+    let is_for_request = head.id == exchange.head.id;
+    if !is_for_request {
+        log::info!(
+            request = exchange.head.id.as_deref(), engine:% = assignment.engine,
+            response_id = head.id.as_deref(), status = status.as_u16();
+            "a backend server's response does not bear the request's id"
+        );
+    }
     if is_for_request && status != StatusCode::MISDIRECTED_REQUEST {
         record_server_state(exchange, &assignment, status, &head);
     }
