Let only the next events of a stream continue it at another server

Operators saw callers whose streams broke off and went on with the text of an error, or ended as if they were complete, because of what the next server answered.

Cause: a stream was resumed with any success, whatever its status, content type and body, and its events were passed on whatever their ids. An empty success ended the stream regularly; events that began again came twice. A stream without ids was begun again from its start.

Change: a response continues a stream only with the status and the content type of the first one and with a body. Its first event must have an id that follows the last one by no more than the ids grew so far, and further ids must grow; otherwise the attempt has failed, none of the bytes read last is passed on, and a log line has the reason. A stream whose events had no ids is not resumed.

Errors, rejections, unsigned answers, those of other requests, heads that break off and bytes that are no HTTP could not enter a stream before either.

--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -1,5 +1,6 @@
 //! Logs and counts the decisions on requests and the ends of requests.
 
+use std::fmt::Display;
 use std::sync::atomic::Ordering;
 
 use carawayseam_types::{EngineId, HostId, Millis, OrganisationId, RequestRate};
@@ -105,6 +106,15 @@
     );
 }
 
+/// Records why a server's response does not continue a stream; the attempt has failed.
+pub(crate) fn record_not_continued(exchange: &Exchange, engine: &EngineId, reason: &dyn Display) {
+    exchange.shared.metrics.count("attempts", "not-continued");
+    log::info!(
+        request = exchange.head.id.as_deref(), engine:% = engine, reason:% = reason;
+        "a backend server's response does not continue the stream"
+    );
+}
+
 /// Records a response that was forwarded and is not a stream.
 pub(crate) fn record_response(exchange: &Exchange, assignment: &Assignment, status: StatusCode) {
     exchange.is_logged.store(true, Ordering::Relaxed);
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -12,6 +12,7 @@
 mod rate_limits;
 mod reservation;
 mod response;
+mod resumption;
 mod server_state;
 mod silence;
 mod slots;
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -14,6 +14,7 @@
 use super::exchange::{Exchange, Placement};
 use super::reservation::Slot;
 use super::response::{BodyError, ResponseBody};
+use super::resumption::StreamHead;
 use super::silence::{Awaited, Patience};
 use crate::http_client::Connection;
 use crate::request_log::{self, StreamSummary};
@@ -75,6 +76,7 @@
 /// The stream to a caller, made of one or more backend servers' streams.
 struct CallerStream {
     exchange: Exchange,
+    head: StreamHead,
     engine_stream: Option<EngineStream>,
     splitter: EventSplitter,
     first_event_at: Option<Millis>,
@@ -103,9 +105,10 @@
     response.headers_mut().remove(CONTENT_LENGTH);
     let now = exchange.shared.now();
     let caller_stream = CallerStream {
+        head: StreamHead::new(&server_response.response),
         engine_stream: Some(EngineStream::new(server_response, keep_alive, now)),
+        splitter: EventSplitter::after(exchange.head.last_event_id),
         exchange,
-        splitter: EventSplitter::default(),
         first_event_at: None,
         last_event_at: now,
         longest_gap: Millis::ZERO,
@@ -153,9 +156,8 @@
         }
     }
 
-    /// Closes the connection to a server whose stream was interrupted, and drops the event it was in.
+    /// Closes the connection to a server whose stream was interrupted.
     fn leave_server(&mut self, end: AttemptEnd) {
-        self.splitter.drop_partial();
         let Some(engine_stream) = self.engine_stream.take() else {
             return;
         };
@@ -246,11 +248,12 @@
     ///
     /// `placement` is the other server, if one was found already.
     async fn resume(&mut self, placement: Option<Placement>) -> Result<(), Interrupted> {
-        let exchange = &mut self.exchange;
-        if !exchange.route_match.route.kind.is_retryable() {
+        if !can_continue(&self.exchange, &self.splitter) {
             return Err(Interrupted::Lost);
         }
-        let last_event_id = self.splitter.last_id().or(exchange.head.last_event_id);
+        let exchange = &mut self.exchange;
+        let last_event_id = self.splitter.last_id();
+        self.splitter.resume();
         let mut failure = Failure::MaybeRun(AttemptEnd::ConnectionLost);
         let mut sent = match placement {
             Some(placement) => Some(exchange.attempt_at(placement, last_event_id).await),
@@ -258,17 +261,22 @@
         };
         loop {
             match sent {
-                Some(Ok(server_response)) if server_response.response.status().is_success() => {
-                    self.resumed += 1;
-                    let keep_alive = keep_alive_timeout(server_response.response.headers());
-                    let now = exchange.shared.now();
-                    self.engine_stream = Some(EngineStream::new(server_response, keep_alive, now));
-                    return Ok(());
-                }
-                Some(Ok(server_response)) => {
-                    server_response.slot.end(AttemptEnd::Failed);
-                    failure = Failure::MaybeRun(AttemptEnd::Failed);
-                }
+                Some(Ok(server_response)) => match self.head.check(&server_response.response) {
+                    Ok(()) => {
+                        self.resumed += 1;
+                        let keep_alive = keep_alive_timeout(server_response.response.headers());
+                        let now = exchange.shared.now();
+                        self.engine_stream = Some(EngineStream::new(server_response, keep_alive, now));
+                        return Ok(());
+                    }
+                    Err(problem) => {
+                        let engine = &server_response.assignment.engine;
+                        request_log::record_not_continued(exchange, engine, &problem);
+                        failure = Failure::MaybeRun(AttemptEnd::Failed);
+                        request_log::record_attempt_failure(exchange, engine, failure);
+                        server_response.slot.end(AttemptEnd::Failed);
+                    }
+                },
                 Some(Err(next)) => failure = next,
                 None => {}
             }
@@ -297,6 +305,14 @@
     }
 }
 
+/// Returns whether another server can continue the stream.
+///
+/// Without the id of an event that was forwarded, a server would send that event once more.
+fn can_continue(exchange: &Exchange, splitter: &EventSplitter) -> bool {
+    let is_position_known = exchange.events == 0 || splitter.last_id() != exchange.head.last_event_id;
+    exchange.route_match.route.kind.is_retryable() && is_position_known
+}
+
 fn record_sample(exchange: &Exchange, engine_stream: &mut EngineStream, now: Millis) {
     let mean = now.since(engine_stream.sampled_at).0 as f64 / f64::from(engine_stream.events);
     let ticket = engine_stream.slot.ticket();
@@ -321,8 +337,8 @@
         .set_read_limit(MAX_EVENT_BYTES.saturating_mul(2));
     loop {
         let waited = exchange.shared.now().since(since);
-        let may_resume = exchange.route_match.route.kind.is_retryable()
-            && exchange.attempts < exchange.route_match.route.max_attempts;
+        let may_resume =
+            can_continue(exchange, splitter) && exchange.attempts < exchange.route_match.route.max_attempts;
         let max_gap = if engine_stream.received_events > 0 {
             MAX_EVENT_GAP
         } else {
@@ -344,14 +360,19 @@
         };
         match frame {
             Some(Ok(frame)) => {
-                let events = frame.data_ref().and_then(|bytes| splitter.push(bytes));
+                let events = frame.data_ref().map_or(Ok(None), |bytes| splitter.push(bytes));
                 match events {
-                    Some(events) => return ReadResult::Events(events),
-                    None if splitter.is_overlong() => {
+                    Ok(Some(events)) => return ReadResult::Events(events),
+                    Err(problem) => {
+                        let engine = &engine_stream.assignment.engine;
+                        request_log::record_not_continued(exchange, engine, &problem);
+                        return ReadResult::Interrupted(AttemptEnd::Failed);
+                    }
+                    Ok(None) if splitter.is_overlong() => {
                         log::debug!(engine:% = engine_stream.assignment.engine; "an event exceeds the size limit");
                         return ReadResult::Interrupted(AttemptEnd::ConnectionLost);
                     }
-                    None => {}
+                    Ok(None) => {}
                 }
             }
             Some(Err(e)) => {
