Keep limits that servers report, and what hosts tell of them, in a module of their own

Cause: what a server reports of itself beside its rate limit begins, spreads and ends in the same way, but the code for it was part of the rate limits.

No behaviour changes.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -63,6 +63,7 @@
 mod pool;
 pub mod quota;
 pub mod reach;
+mod reported_limits;
 pub mod retries;
 pub mod rollouts;
 mod rotation;
