Send a brittle server no more than it may turn away

Servers may say in their answers that they crash once they have to turn away more than N requests in a second, of all hosts together, and may let fewer requests wait than before.

Cause: plain requests are sent at two for each slot of a server on loads that are up to 100 ms old, and streams also when the owner of the slots does not answer; nothing bounded the rejections of all hosts.

Change: while a server says so, every request to it needs a slot that the owner of its slots granted, one request a slot, and no answer means no slot. The owner grants at most N - 1 slots whose outcome it cannot know yet, known rejections included. A rejection pauses the server for the host for a second and is told to all peers at once; from N / 2 known rejections on no host uses the server for a second. A rejection also shows how many requests the server had room for, and the owner grants no more than these, and one more each 3 s. Hosts tell each other of N like of rate limits, in a new message at the end of the list, and a response without the header ends it. A bad value changes nothing and logs a warning.

Not proved: hosts that do not hear each other. They have an owner each, and each part stops at N / 2 rejections.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,6 +1,7 @@
 //! Request queues of all backends, and the assignment of each request to a backend server.
 
 mod availability;
+mod brittle;
 mod peers;
 mod reach;
 mod relay;
@@ -11,6 +12,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::brittle_servers::BrittleServers;
 use crate::draining_servers::DrainingServers;
 use crate::engine::{AttemptEnd, Engine, EngineEntry, PromptPart};
 use crate::job::{Action, Job, Ticket};
@@ -65,6 +67,7 @@
     waiting_backends: HashMap<Ticket, BackendName>,
     peers: PeerLoads,
     draining_servers: DrainingServers,
+    brittle_servers: BrittleServers,
     last_dispatch_at: Millis,
     reach_rounds: ReachRounds,
 }
@@ -86,6 +89,7 @@
             waiting_backends: HashMap::new(),
             peers: PeerLoads::default(),
             draining_servers: DrainingServers::default(),
+            brittle_servers: BrittleServers::default(),
             last_dispatch_at: Millis::ZERO,
             reach_rounds: ReachRounds::default(),
         }
@@ -314,6 +318,7 @@
             now: self.now,
             zone: &self.zone,
             peers: &self.peers,
+            brittle_servers: &self.brittle_servers,
             peers_waiting: self.peers.waiting_for(backend).collect(),
         };
         while let Some((waiting, ix)) = pool.take_next(&cx, &mut self.rng) {
--- a/crates/dispatch/src/dispatcher/peers.rs
+++ b/crates/dispatch/src/dispatcher/peers.rs
@@ -5,7 +5,7 @@
 use carawayseam_types::{BackendName, EngineKey, HostId, Millis, Tier};
 
 use super::Dispatcher;
-use crate::engine::{Engine, ServerLoad};
+use crate::engine::ServerLoad;
 use crate::job::Action;
 use crate::load::{EngineDump, HostLoad, WaitingCount};
 
@@ -24,10 +24,14 @@
         self.dispatch_all_waiting()
     }
 
-    /// Grants a peer a slot of a server if one is free; returns `None` for an unknown server.
+    /// Grants a peer a slot of a server if one is free and the server bears more rejections.
+    ///
+    /// Returns `None` for an unknown server.
     pub fn grant_slot(&mut self, now: Millis, host: &HostId, engine: EngineKey) -> Option<bool> {
-        let known = self.engine_by_key(engine)?;
-        let is_free = known.running + self.peers.load_on(engine).running < known.entry.slots;
+        let mut engines = self.pools.values().flat_map(|pool| &pool.engines);
+        let known = engines.find(|known| known.key == engine)?;
+        let used = known.running + self.peers.load_on(engine).running;
+        let is_free = used < known.entry.slots && self.brittle_servers.grant(now, &known.entry.id, used);
         if is_free {
             self.peers.grant_slot(now, host, engine);
         }
@@ -41,11 +45,6 @@
         self.dispatch_all_waiting()
     }
 
-    fn engine_by_key(&self, key: EngineKey) -> Option<&Engine> {
-        let mut engines = self.pools.values().flat_map(|pool| &pool.engines);
-        engines.find(|engine| engine.key == key)
-    }
-
     /// Returns the load of this host, to be announced to peers.
     #[must_use]
     pub fn own_load(&self) -> HostLoad {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -26,6 +26,7 @@
 //! | [`known_servers`] | the backend servers that the store lists, or listed lately |
 //! | [`draining_servers`] | backend servers that reported that they are draining |
 //! | [`server_limits`] | rate limits that backend servers reported |
+//! | [`brittle_servers`] | backend servers that bear few rejections |
 //! | [`load`] | the load that a host reports to peers and operators |
 //! | [`dispatcher`] | request queues and backend server selection |
 //!
@@ -42,6 +43,7 @@
 //! ```
 
 mod accounts;
+pub mod brittle_servers;
 pub mod catalog;
 pub mod crash_check;
 pub mod dispatcher;
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -8,6 +8,7 @@
 use rand::RngExt;
 use rand::rngs::StdRng;
 
+use crate::brittle_servers::BrittleServers;
 use crate::engine::Engine;
 use crate::job::{Job, Ticket};
 use crate::peer_loads::PeerLoads;
@@ -62,6 +63,7 @@
     pub(crate) now: Millis,
     pub(crate) zone: &'a ZoneId,
     pub(crate) peers: &'a PeerLoads,
+    pub(crate) brittle_servers: &'a BrittleServers,
     /// Number of requests waiting at peers, by tier.
     pub(crate) peers_waiting: Vec<(Tier, u32)>,
 }
@@ -245,17 +247,20 @@
     /// Returns the servers that accept requests, with or without a free slot.
     fn candidates(&self, cx: &SchedulingContext<'_>) -> Vec<Candidate> {
         let now = cx.now;
-        let per_slot = if self.has_only_plain_jobs() {
-            PLAIN_REQUESTS_PER_SLOT
-        } else {
-            1
-        };
+        let has_only_plain_jobs = self.has_only_plain_jobs();
         let engines = self.engines.iter().enumerate();
         engines
             .filter(|(_, engine)| engine.takes_work(now))
             .map(|(ix, engine)| {
                 let peers = cx.peers.load_on(engine.key);
                 let used = engine.running + peers.running;
+                // A brittle server must not have to reject what it has no room to queue.
+                let is_brittle = cx.brittle_servers.get(&engine.entry.id).is_some();
+                let per_slot = if has_only_plain_jobs && !is_brittle {
+                    PLAIN_REQUESTS_PER_SLOT
+                } else {
+                    1
+                };
                 let capacity = engine.entry.slots * per_slot;
                 Candidate {
                     ix,
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -96,6 +96,12 @@
                 Ok(PeerMessage::ServerLimits { host, limits }) => {
                     server_limits::apply_updates(&shared, &host, limits);
                 }
+                Ok(PeerMessage::BrittleServers { host, limits }) => {
+                    server_limits::apply_brittle_updates(&shared, &host, limits);
+                }
+                Ok(PeerMessage::BrittleRejection { engine }) => {
+                    server_limits::apply_rejection(&shared, &engine);
+                }
                 Ok(PeerMessage::RolloutPace { host, counts }) => {
                     rollout_pace::apply_counts(&shared, &host, &counts);
                 }
--- a/crates/gateway/src/control/state/announcements.rs
+++ b/crates/gateway/src/control/state/announcements.rs
@@ -95,6 +95,7 @@
             heartbeat: self.own_heartbeat(now, seq, has_new_peer),
             details: [
                 server_limits::announcement(&self.shared, now, has_new_peer),
+                server_limits::brittle_announcement(&self.shared, now, has_new_peer),
                 rollout_pace::announcement(&self.shared),
                 poison_parts::announcement(&self.shared, now, has_new_peer),
             ]
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -86,6 +86,14 @@
         }
     }
 
+    /// Sends a message to all hosts whose addresses are known; delivery is not guaranteed.
+    pub(crate) fn send_to_all(&self, message: &PeerMessage) {
+        let hosts: Vec<HostId> = lock(&self.addresses).keys().cloned().collect();
+        for host in &hosts {
+            self.send(host, message);
+        }
+    }
+
     /// Responds to a host's request; delivery is not guaranteed.
     pub(crate) fn respond(&self, host: &HostId, request_id: u64, response: PeerResponse) {
         self.send(host, &PeerMessage::Response { request_id, response });
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -7,7 +7,8 @@
 use carawayseam_dispatch::rollouts::RolloutState;
 use carawayseam_dispatch::{Configuration, EngineEntry};
 use carawayseam_types::{
-    BackendName, EngineId, Millis, OrganisationId, RequestRate, StoreEra, StoreRevision, VersionId,
+    BackendName, EngineId, Millis, OrganisationId, RejectionLimit, RequestRate, StoreEra, StoreRevision,
+    VersionId,
 };
 use compact_str::CompactString;
 use hyper::HeaderMap;
@@ -127,16 +128,21 @@
     pub retry_after: Option<Millis>,
     /// The rate limit that the server reports for the requests of all hosts together.
     pub rate_limit: ReportedRateLimit,
+    /// How many rejections in a second the server bears from all hosts together.
+    pub rejection_limit: ReportedLimit<RejectionLimit>,
 }
 
 /// The rate limit in a response of a backend server.
+pub type ReportedRateLimit = ReportedLimit<RequestRate>;
+
+/// A limit in a response of a backend server, for the requests of all hosts together.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum ReportedRateLimit {
+pub enum ReportedLimit<V> {
     /// The response reports no limit.
     #[default]
     Unlimited,
-    /// The server accepts requests at this rate from all hosts together.
-    Limited(RequestRate),
+    /// The response reports this limit.
+    Limited(V),
     /// The response reports a limit that cannot be read.
     Unreadable,
 }
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -351,10 +351,15 @@
     async fn reserve(&self, slot: &mut Slot, assignment: &Assignment) -> Result<(), AttemptEnd> {
         let permit = rate_limits::acquire(&self.shared, assignment).await;
         slot.set_permit(permit.map_err(|RateLimited| AttemptEnd::RateLimited)?);
-        if !self.holds_slot_for_long() {
+        let engine = &assignment.engine;
+        let is_brittle = lock(&self.shared.dispatch)
+            .dispatcher
+            .rejection_limit(engine)
+            .is_some();
+        if !is_brittle && !self.holds_slot_for_long() {
             return Ok(());
         }
-        let Ok(remote_slot) = slots::acquire(&self.shared, assignment).await else {
+        let Ok(remote_slot) = slots::acquire(&self.shared, assignment, is_brittle).await else {
             slot.refund_permit();
             return Err(AttemptEnd::NoSlot);
         };
--- a/crates/gateway/src/traffic/server_state.rs
+++ b/crates/gateway/src/traffic/server_state.rs
@@ -1,11 +1,12 @@
 //! What backend servers report about themselves in the headers of their responses.
 
 use carawayseam_dispatch::draining_servers::DrainingServer;
-use carawayseam_types::EngineId;
+use carawayseam_types::{EngineId, RejectionLimit};
+use carawayseam_wire::PeerMessage;
 use hyper::StatusCode;
 
 use super::exchange::Exchange;
-use crate::platform::{ReportedRateLimit, ResponseHead};
+use crate::platform::{ReportedLimit, ReportedRateLimit, ResponseHead};
 use crate::shared::{Assignment, lock};
 
 /// Applies the server state that a response reports in its headers.
@@ -36,6 +37,54 @@
         lock(&shared.dispatch).dispatcher.close_server(now, engine, span);
     }
     record_rate_limit(exchange, engine, head.rate_limit);
+    record_rejection_limit(exchange, engine, head.rejection_limit);
+    if head.is_not_run {
+        record_rejection(exchange, engine);
+    }
+}
+
+/// Records that a server reports that it is brittle, or that it does not.
+fn record_rejection_limit(exchange: &Exchange, engine: &EngineId, reported: ReportedLimit<RejectionLimit>) {
+    let shared = &exchange.shared;
+    let limit = match reported {
+        ReportedLimit::Unlimited => None,
+        ReportedLimit::Limited(limit) => Some(limit),
+        ReportedLimit::Unreadable => {
+            shared.metrics.count("brittle_engines", "unreadable");
+            log::warn!(engine:% = engine; "the rejection limit of a backend server cannot be read; ignored");
+            return;
+        }
+    };
+    let now = shared.now();
+    let dispatcher = &mut lock(&shared.dispatch).dispatcher;
+    match limit {
+        _ if !dispatcher.record_rejection_limit(now, engine, exchange.assigned_at, limit) => {}
+        Some(limit) => {
+            shared.metrics.count("brittle_engines", "reported");
+            log::info!(engine:% = engine, rejections_per_s = limit.per_second; "backend server bears few rejections");
+        }
+        None => {
+            shared.metrics.count("brittle_engines", "ended");
+            log::info!(engine:% = engine; "backend server bears rejections again");
+        }
+    }
+}
+
+/// Records that a server rejected the request, and tells the other hosts if it is brittle.
+fn record_rejection(exchange: &Exchange, engine: &EngineId) {
+    let shared = &exchange.shared;
+    let is_brittle = lock(&shared.dispatch)
+        .dispatcher
+        .record_own_rejection(shared.now(), engine);
+    if !is_brittle {
+        return;
+    }
+    shared.metrics.count("brittle_rejections", "own");
+    log::info!(request = exchange.head.id.as_deref(), engine:% = engine; "a brittle backend server rejected a request");
+    let engine = engine.clone();
+    shared
+        .peers
+        .send_to_all(&PeerMessage::BrittleRejection { engine });
 }
 
 /// Records the rate limit that a response reports, or that it reports none.
--- a/crates/gateway/src/traffic/slots.rs
+++ b/crates/gateway/src/traffic/slots.rs
@@ -1,12 +1,13 @@
 //! Requests a slot from the host that owns a backend server's slots before a request is sent there.
 //!
 //! Loads are announced several times a second. Between two announcements many hosts see the same
-//! free slot; its owner grants it to one of them. Without a response the request is sent anyway.
+//! free slot; its owner grants it to one of them. Without a response the request is sent anyway, unless
+//! the server is brittle.
 
 use carawayseam_types::{EngineKey, HostId, Millis};
 use carawayseam_wire::{PeerMessage, PeerResponse, SlotOutcome};
 
-use crate::shared::{Assignment, Shared};
+use crate::shared::{Assignment, Shared, lock};
 
 /// The maximum time to wait for the owner's response.
 const REQUEST_TIMEOUT: Millis = Millis(15);
@@ -30,7 +31,7 @@
     }
 }
 
-/// The owner of a server's slots reported that none is free.
+/// The owner of a server's slots reported that none is free, or granted none of a brittle server.
 #[derive(Debug)]
 pub(super) struct NoFreeSlot;
 
@@ -38,9 +39,12 @@
 pub(super) async fn acquire(
     shared: &Shared,
     assignment: &Assignment,
+    is_brittle: bool,
 ) -> Result<Option<RemoteSlot>, NoFreeSlot> {
     let Some(owner) = shared.peers.owner(assignment.engine.as_str()) else {
-        return Ok(None);
+        let dispatcher = &mut lock(&shared.dispatch).dispatcher;
+        let is_granted = dispatcher.grant_own_slot(shared.now(), &assignment.engine);
+        return if is_granted { Ok(None) } else { Err(NoFreeSlot) };
     };
     let engine = EngineKey::from(&assignment.engine);
     let message = |request_id| PeerMessage::SlotRequest {
@@ -59,6 +63,7 @@
     shared.metrics.count("slot_asks", outcome_label(outcome));
     match outcome {
         Some(SlotOutcome::Full) => Err(NoFreeSlot),
+        Some(SlotOutcome::NotOwner) | None if is_brittle => Err(NoFreeSlot),
         Some(SlotOutcome::Granted | SlotOutcome::NotOwner) | None => Ok(Some(RemoteSlot { owner, engine })),
     }
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -33,5 +33,5 @@
     VersionId, ZoneId,
 };
 pub use outcome::{NotRunReason, Outcome, Refusal, UnknownReason};
-pub use quantity::{Bytes, Permille, RequestRate, Tier, Tokens, TokensPerSecond};
+pub use quantity::{Bytes, Permille, RejectionLimit, RequestRate, Tier, Tokens, TokensPerSecond};
 pub use store_revision::StoreRevision;
--- a/crates/types/src/quantity.rs
+++ b/crates/types/src/quantity.rs
@@ -123,6 +123,29 @@
     }
 }
 
+/// The number of requests that a server may turn away in a second.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, derive_more::Display,
+)]
+#[serde(transparent)]
+#[display("{per_second}/s")]
+pub struct RejectionLimit {
+    /// The number of requests in a second.
+    pub per_second: u32,
+}
+
+impl FromStr for RejectionLimit {
+    type Err = ParseError;
+
+    /// Parses a number as [`RequestRate`] does, and drops its fraction.
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let rate: RequestRate = text.parse()?;
+        Ok(Self {
+            per_second: rate.per_1000_s / 1_000,
+        })
+    }
+}
+
 /// A size in bytes.
 #[derive(
     Debug,
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -1,7 +1,8 @@
 //! Datagrams between gateway hosts.
 
 use carawayseam_types::{
-    BackendName, EngineId, EngineKey, HostId, Millis, OrganisationId, RequestRate, StoreEra, StoreRevision,
+    BackendName, EngineId, EngineKey, HostId, Millis, OrganisationId, RejectionLimit, RequestRate, StoreEra,
+    StoreRevision,
 };
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -123,6 +124,18 @@
         /// The servers that the requesting host does not reach.
         engines: Vec<EngineKey>,
     },
+    /// Announces how many rejections in a second brittle backend servers bear.
+    BrittleServers {
+        /// The announcing host.
+        host: HostId,
+        /// The limits.
+        limits: Vec<ServerLimitUpdate<RejectionLimit>>,
+    },
+    /// Announces that a brittle backend server rejected a request.
+    BrittleRejection {
+        /// The server.
+        engine: EngineId,
+    },
 }
 
 /// A crash of a backend server under a request with a part of a prompt, before its answer had begun.
@@ -174,15 +187,15 @@
     pub old_very_slow: u32,
 }
 
-/// A backend server's rate limit.
+/// A limit that a backend server reported.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ServerLimitUpdate {
+pub struct ServerLimitUpdate<V = RequestRate> {
     /// The server.
     pub engine: EngineId,
     /// The version of the limit; a later one supersedes an earlier one.
     pub version: u64,
     /// The limit; `None` after it ended.
-    pub limit: Option<RequestRate>,
+    pub limit: Option<V>,
 }
 
 /// A request for the tokens of one caller's request.
