Answer a request whose handling panicked, and keep the control state

Callers saw their connection close without an answer. A panic in the task of a connection dropped the connection, and a panic in the control state ended it, so that the host no longer followed the store while it went on serving.

The listener catches the panic, logs it and answers with 502, which does not claim that the request has not run. The control state logs it and goes on with the next event.

--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::ControlFlow;
 use std::sync::Arc;
 
 use carawayseam_dispatch::group::Group;
@@ -17,6 +18,8 @@
 use carawayseam_types::{EngineId, HostId, Incarnation, Millis, StoreRevision, ZoneId};
 use carawayseam_wire::{ConfigurationVersion, Heartbeat};
 use kameo::Actor;
+use kameo::actor::{ActorRef, WeakActorRef};
+use kameo::error::{ActorStopReason, Infallible, PanicError};
 use kameo::message::{Context, Message};
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -90,7 +93,7 @@
 }
 
 /// The control state of the process.
-#[derive(Debug, Actor)]
+#[derive(Debug)]
 pub(crate) struct ControlState {
     shared: Arc<Shared>,
     incarnation: Incarnation,
@@ -362,6 +365,25 @@
     }
 }
 
+impl Actor for ControlState {
+    type Args = Self;
+    type Error = Infallible;
+
+    async fn on_start(args: Self, _actor: ActorRef<Self>) -> Result<Self, Infallible> {
+        Ok(args)
+    }
+
+    /// Goes on with the next event: a host without its control state would no longer follow the store.
+    async fn on_panic(
+        &mut self,
+        _actor: WeakActorRef<Self>,
+        err: PanicError,
+    ) -> Result<ControlFlow<ActorStopReason>, Infallible> {
+        log::error!(error:% = err; "handling an event of the control state panicked");
+        Ok(ControlFlow::Continue(()))
+    }
+}
+
 impl Message<Event> for ControlState {
     type Reply = ();
 
--- a/crates/gateway/src/traffic/listener.rs
+++ b/crates/gateway/src/traffic/listener.rs
@@ -1,9 +1,12 @@
 //! Accepts callers' connections and serves their requests.
 
+use std::any::Any;
 use std::convert::Infallible;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 
 use carawayseam_types::Millis;
+use futures_util::FutureExt;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
@@ -13,7 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::exchange;
-use super::response::ResponseBody;
+use super::response::{Reason, Refusal, ResponseBody};
 use crate::shared::{Phase, Shared};
 use crate::sockets;
 
@@ -85,10 +88,21 @@
 }
 
 async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> Result<Response<ResponseBody>, Infallible> {
-    let mut response = exchange::run(&shared, req).await;
+    // After a panic the connection would close without a response.
+    let answered = AssertUnwindSafe(exchange::run(&shared, req)).catch_unwind().await;
+    let mut response = answered.unwrap_or_else(|panic| {
+        log::error!(error = panic_message(&*panic); "handling a request panicked");
+        Refusal::new(Reason::Internal).response()
+    });
     if shared.phase() != Phase::Serving {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
     Ok(response)
 }
+
+fn panic_message(panic: &(dyn Any + Send)) -> &str {
+    let text = panic.downcast_ref::<&str>().copied();
+    text.or_else(|| panic.downcast_ref::<String>().map(String::as_str))
+        .unwrap_or("unknown")
+}
--- a/crates/gateway/src/traffic/response.rs
+++ b/crates/gateway/src/traffic/response.rs
@@ -45,6 +45,8 @@
     DeadlineExceeded,
     #[display("the backend server's answer was lost; the request may have run")]
     ResponseLost,
+    #[display("the host failed; the request may have run")]
+    Internal,
 }
 
 impl Reason {
@@ -65,7 +67,7 @@
             | Self::Unreachable
             | Self::Rejected => StatusCode::SERVICE_UNAVAILABLE,
             Self::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
-            Self::ResponseLost => StatusCode::BAD_GATEWAY,
+            Self::ResponseLost | Self::Internal => StatusCode::BAD_GATEWAY,
         }
     }
 
@@ -87,6 +89,7 @@
             Self::Rejected => "rejected",
             Self::DeadlineExceeded => "time-over",
             Self::ResponseLost => "answer-lost",
+            Self::Internal => "internal",
         }
     }
 }
