Bound the counts that entries, callers and peers state

One odd entry of a backend server, or one caller, could take the answers of all others away: the slots of an entry, the token counts of prompt parts and the prompts that peers announce were added as 32-bit numbers. With overflow checks the sum panicked, under the lock that all requests share; without them it wrapped, so that sound servers could look full.

The three cases of `crates/dispatch/tests/absurd_counts.rs` panicked before ("attempt to add with overflow"). All pass now.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -17,7 +17,7 @@
 use crate::engine::{AttemptEnd, Engine, EngineEntry, PromptPart};
 use crate::job::{Action, Job, Ticket};
 use crate::peer_loads::PeerLoads;
-use crate::pool::{Pool, SchedulingContext, Waiting};
+use crate::pool::{Pool, SchedulingContext, Waiting, saturating_sum};
 use crate::reach::ReachRounds;
 use crate::retries::{RetryBounds, RetryBudget};
 
@@ -409,7 +409,7 @@
 /// Returns the time in which the queue of a pool should drain, assuming 32 events per request.
 fn retry_after(now: Millis, pool: &Pool) -> Millis {
     let working = pool.engines.iter().filter(|engine| engine.can_work(now));
-    let slots: u32 = working.map(|engine| engine.entry.slots).sum();
+    let slots = saturating_sum(working.map(|engine| engine.entry.slots));
     let request_ms = pool.baseline.event * 32.0;
     let wait_ms = pool.waiting.len() as f64 * request_ms / f64::from(slots.max(1));
     Millis(wait_ms as u64).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -5,6 +5,7 @@
 
 use carawayseam_types::{BackendName, EngineId, EngineKey, HostId, Millis, RequestRate, VersionId, ZoneId};
 
+use crate::pool::saturating_sum;
 use crate::reach::Reach;
 use crate::speed::Speed;
 
@@ -284,7 +285,7 @@
     /// one it has not read.
     pub(crate) fn cached_tokens(&self, parts: &[PromptPart]) -> u32 {
         let cached = parts.iter().take_while(|part| self.parts.contains_key(&part.id));
-        cached.map(|part| part.tokens).sum()
+        saturating_sum(cached.map(|part| part.tokens))
     }
 
     pub(crate) fn record_cached_parts(&mut self, now: Millis, parts: &[PromptPart]) {
--- a/crates/dispatch/src/peer_loads.rs
+++ b/crates/dispatch/src/peer_loads.rs
@@ -16,6 +16,10 @@
 /// How long the waiting requests that a peer announced are counted after they were received.
 const WAITING_TTL: Millis = Millis(700);
 
+/// The largest number of prompt tokens that is counted for one peer and server, so that no sum overflows: callers
+/// state the lengths of their prompts.
+const MAX_PROMPT_AHEAD: u32 = 1 << 20;
+
 /// The load of one request, without its prompt.
 const ONE_REQUEST: ServerLoad = ServerLoad {
     running: 1,
@@ -89,6 +93,11 @@
     }
 }
 
+fn bound_prompt((engine, load): (EngineKey, ServerLoad)) -> (EngineKey, ServerLoad) {
+    let prompt_ahead = load.prompt_ahead.min(MAX_PROMPT_AHEAD);
+    (engine, ServerLoad { prompt_ahead, ..load })
+}
+
 impl PeerLoads {
     /// Replaces a peer's last announcement.
     pub(crate) fn record_load(&mut self, now: Millis, host: &HostId, load: HostLoad) {
@@ -97,7 +106,7 @@
         self.sums.subtract_waiting(announcement);
         *announcement = Announcement {
             updated_at: now,
-            engines: load.engines,
+            engines: load.engines.into_iter().map(bound_prompt).collect(),
             granted: Vec::new(),
             waiting: load.waiting,
         };
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -75,7 +75,7 @@
             .peers_waiting
             .iter()
             .filter(|(other, _)| other.outranks(tier));
-        above.map(|(_, count)| *count).sum()
+        saturating_sum(above.map(|(_, count)| *count))
     }
 }
 
@@ -219,7 +219,7 @@
         }
         let now = cx.now;
         let candidates = self.candidates(cx);
-        let free: u32 = candidates.iter().map(|candidate| candidate.free).sum();
+        let free = saturating_sum(candidates.iter().map(|candidate| candidate.free));
         if free == 0 {
             return None;
         }
@@ -234,7 +234,7 @@
         let reserved_slots = reserved_slots(&candidates);
         for ((is_late, tier, _, _), ix) in order {
             let reserved = if is_late { reserved_slots } else { 0 };
-            if free <= cx.peers_waiting_above(tier) + reserved {
+            if free <= cx.peers_waiting_above(tier).saturating_add(reserved) {
                 return None;
             }
             if let Some(engine) = self.choose(now, &self.waiting[ix].job, &candidates, rng) {
@@ -253,7 +253,7 @@
             .filter(|(_, engine)| engine.takes_work(now))
             .map(|(ix, engine)| {
                 let peers = cx.peers.load_on(engine.key);
-                let used = engine.running + peers.running;
+                let used = engine.running.saturating_add(peers.running);
                 // A brittle server must not have to reject what it has no room to queue.
                 let is_brittle = cx.brittle_servers.get(&engine.entry.id).is_some();
                 let per_slot = if has_only_plain_jobs && !is_brittle {
@@ -261,7 +261,7 @@
                 } else {
                     1
                 };
-                let capacity = engine.entry.slots * per_slot;
+                let capacity = engine.entry.slots.saturating_mul(per_slot);
                 Candidate {
                     ix,
                     pace: engine.speed.pace(now, &self.baseline),
@@ -304,10 +304,14 @@
             .map(|candidate| (self.score(now, job, candidate), candidate.ix))
             .collect();
         let best = scored.iter().map(|(score, _)| *score).min_by(f64::total_cmp)?;
+        // A total order keeps the best server among the tied ones even if no score is a number.
         let tied = scored
             .iter()
-            .filter(|(score, _)| *score <= best + SCORE_TOLERANCE_MS);
+            .filter(|(score, _)| score.total_cmp(&(best + SCORE_TOLERANCE_MS)).is_le());
         let count = tied.clone().count();
+        if count == 0 {
+            return None;
+        }
         let pick = rng.random_range(0..count);
         tied.skip(pick).map(|(_, ix)| *ix).next()
     }
@@ -376,9 +380,14 @@
     }
 }
 
+/// Returns the sum of counts, some of which come from other hosts or from entries of servers.
+pub(crate) fn saturating_sum(counts: impl Iterator<Item = u32>) -> u32 {
+    counts.fold(0, u32::saturating_add)
+}
+
 /// Returns the number of slots that late requests must leave to those that can meet their objective.
 fn reserved_slots(candidates: &[Candidate]) -> u32 {
-    let slots: u32 = candidates.iter().map(|candidate| candidate.capacity).sum();
+    let slots = saturating_sum(candidates.iter().map(|candidate| candidate.capacity));
     (f64::from(slots) * RESERVED_SLOT_RATIO) as u32
 }
 
--- /dev/null
+++ b/crates/dispatch/tests/absurd_counts.rs
@@ -0,0 +1,59 @@
+//! Counts from callers, peers and entries of servers that are too large to be added.
+
+mod support;
+
+use carawayseam_dispatch::AttemptEnd;
+use carawayseam_dispatch::engine::{PromptPart, ServerLoad};
+use carawayseam_dispatch::load::HostLoad;
+use carawayseam_types::{EngineKey, Millis};
+use support::{dispatcher, id, job, started};
+
+/// Guards against an overflow when the slots of several servers are added.
+#[test]
+fn servers_with_absurd_slots_do_not_hide_the_others() {
+    let mut dispatcher = dispatcher(&[("a", u32::MAX), ("b", u32::MAX), ("c", 1)]);
+    for _ in 0..3 {
+        let (_, actions) = dispatcher.submit(Millis(5), job(0, 0));
+        assert_eq!(started(&actions).len(), 1);
+    }
+}
+
+/// Guards against an overflow when the prompts that several peers announce are added.
+#[test]
+fn peers_may_announce_absurd_prompts() {
+    let mut dispatcher = dispatcher(&[("a", 2)]);
+    let load = ServerLoad {
+        running: 0,
+        prompt_ahead: u32::MAX,
+    };
+    let load = HostLoad {
+        engines: vec![(EngineKey::from(&id("a")), load)],
+        waiting: Vec::new(),
+    };
+    for host in ["front-1", "front-2"] {
+        let host = host.parse().expect("a valid name");
+        dispatcher.record_peer_load(Millis(5), &host, load.clone());
+    }
+    let (_, actions) = dispatcher.submit(Millis(6), job(0, 0));
+    assert_eq!(started(&actions).len(), 1);
+    for host in ["front-1", "front-2"] {
+        let host = host.parse().expect("a valid name");
+        dispatcher.record_peer_load(Millis(20), &host, HostLoad::default());
+    }
+}
+
+/// Guards against an overflow when the cached parts of a prompt are added.
+#[test]
+fn a_prompt_may_have_parts_of_absurd_lengths() {
+    let mut dispatcher = dispatcher(&[("a", 2)]);
+    let mut job = job(0, 0);
+    job.prompt = u32::MAX;
+    job.deadline = Millis::MAX;
+    job.parts = [1, 2, 3].map(|id| PromptPart { id, tokens: u32::MAX }).to_vec();
+    for now in [5, 50] {
+        let (ticket, actions) = dispatcher.submit(Millis(now), job.clone());
+        assert_eq!(started(&actions).len(), 1);
+        dispatcher.record_first_event(Millis(now + 10), ticket);
+        dispatcher.record_end(Millis(now + 20), ticket, AttemptEnd::Complete);
+    }
+}
--- a/crates/gateway/src/traffic/arrival.rs
+++ b/crates/gateway/src/traffic/arrival.rs
@@ -145,14 +145,15 @@
 
 /// Selects a backend at random by the targets' weights.
 fn pick_target(targets: &[Target]) -> Option<BackendName> {
-    let total: u32 = targets.iter().map(|target| target.weight).sum();
+    let total: u64 = targets.iter().map(|target| u64::from(target.weight)).sum();
     if total == 0 {
         return targets.first().map(|target| target.backend.clone());
     }
     let mut drawn = rand::rng().random_range(0..total);
     let target = targets.iter().find(|target| {
-        let hit = drawn < target.weight;
-        drawn = drawn.saturating_sub(target.weight);
+        let weight = u64::from(target.weight);
+        let hit = drawn < weight;
+        drawn = drawn.saturating_sub(weight);
         hit
     });
     target.map(|target| target.backend.clone())
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -2,7 +2,8 @@
 
 use carawayseam_platform_standins::Store;
 use carawayseam_platform_standins::documents::{
-    CONFIGURATION_KEY, Configuration, Route as ConfiguredRoute, RouteKind, rollout_order, rollout_status_key,
+    CONFIGURATION_KEY, Configuration, Limits, Route as ConfiguredRoute, RouteKind, rollout_order,
+    rollout_status_key,
 };
 
 use crate::callers::TIME_LIMIT;
@@ -61,6 +62,7 @@
             ],
             api_keys: self.keys.clone(),
             metered_organisation: Some(metered::organisation()),
+            limits: Limits::default(),
         };
         let document = configuration.document().to_string();
         self.store.put(CONFIGURATION_KEY, document.as_bytes());
