--- a/crates/dispatch/src/dispatcher/availability.rs
+++ b/crates/dispatch/src/dispatcher/availability.rs
@@ -2,13 +2,22 @@
 
 use std::net::SocketAddr;
 
-use carawayseam_types::{EngineId, Millis, RequestRate};
+use carawayseam_types::{BackendName, EngineId, Millis, RequestRate, VersionId};
 
 use super::Dispatcher;
 use crate::draining_servers::DrainingServer;
 use crate::job::Action;
 
 impl Dispatcher {
+    /// Returns whether a backend has a server of a version that is not draining, reachable or not.
+    #[must_use]
+    pub fn has_server_of(&self, backend: &BackendName, version: &VersionId) -> bool {
+        let servers = self.pools.get(backend).into_iter().flat_map(|pool| &pool.engines);
+        servers
+            .map(|engine| &engine.entry)
+            .any(|entry| entry.version == *version && !entry.is_draining)
+    }
+
     /// Records that a server is draining and returns whether this was unknown.
     ///
     /// `is_own` is true if the server itself reported it to this host, rather than a peer.
--- a/crates/dispatch/src/rollouts.rs
+++ b/crates/dispatch/src/rollouts.rs
@@ -254,6 +254,12 @@
         })
     }
 
+    /// Returns whether the stored state says that a backend's latest rollout is complete.
+    #[must_use]
+    pub fn is_complete(&self, backend: &BackendName) -> bool {
+        self.by_backend.get(backend).is_some_and(Rollout::is_complete)
+    }
+
     /// Records a response of a version.
     pub fn record_response(&mut self, backend: &BackendName, version: &VersionId, is_bad: bool) {
         let Some(rollout) = self.by_backend.get_mut(backend) else {
