Apply the newest configuration's limits to open connections

A caller that kept a connection idle for four fifths of the newest idle timeout sent its next request on a connection that the gateway closed: the HTTP library takes the timeout for a head once, when a connection is accepted, so a connection kept the limit of the configuration in force then, or the default before the first one. The same held for the size of a head.

Each connection now counts its open requests, until the body of the response has been passed on, and since when it is idle; when the idle time is over by the newest configuration, it is shut down gracefully. A connection whose first head never completes is closed after the same time. After a shorter timeout, a connection that is already idle is closed at the later limit. The head is measured against the newest configuration; the library's buffer, of 64 KiB or the configured limit at the time of the accept, whichever is more, is an upper bound only.

--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicU32, AtomicUsize};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use carawayseam_dispatch::catalog::RequestLimits;
 use carawayseam_dispatch::freshness::{Freshness, Reachability};
 use carawayseam_dispatch::history::History;
 use carawayseam_dispatch::poison::PoisonTracker;
@@ -307,6 +308,12 @@
         self.catalog.borrow().clone()
     }
 
+    /// Returns the limits on callers in the configuration in force, or the defaults before the first one.
+    pub(crate) fn limits(&self) -> RequestLimits {
+        let catalog = self.catalog.borrow();
+        catalog.as_ref().map(|catalog| catalog.limits).unwrap_or_default()
+    }
+
     pub(crate) fn phase(&self) -> Phase {
         *self.phase.borrow()
     }
--- a/crates/gateway/src/traffic/arrival.rs
+++ b/crates/gateway/src/traffic/arrival.rs
@@ -53,6 +53,9 @@
     let catalog = shared
         .catalog()
         .ok_or_else(|| Refusal::with_retry_after(Reason::NoConfiguration, shared.retry_delay()))?;
+    if head_bytes(&req) > catalog.limits.max_head.0 {
+        return Err(Refusal::new(Reason::HeadTooLarge));
+    }
     let route_match = look_up(shared, &catalog, &req, &head)?;
     if route_match.organisation.is_some() && !shared.may_use_keys() {
         return Err(refuse_stale(shared));
@@ -101,6 +104,17 @@
     })
 }
 
+/// Returns the size of a request head without optional white space.
+fn head_bytes(req: &Request<Incoming>) -> u64 {
+    const REQUEST_LINE_BYTES: usize = "  HTTP/1.1\r\n".len();
+    const FIELD_BYTES: usize = ": \r\n".len();
+    let target = req.uri().path_and_query().map_or("*", |path| path.as_str());
+    let fields = req.headers().iter();
+    let fields = fields.map(|(name, value)| name.as_str().len() + value.len() + FIELD_BYTES);
+    let bytes = req.method().as_str().len() + target.len() + REQUEST_LINE_BYTES + fields.sum::<usize>();
+    bytes as u64
+}
+
 /// Reads a body of at most `max_bytes` within `body_timeout`.
 async fn read_body(body: Incoming, max_bytes: usize, body_timeout: Millis) -> Result<Bytes, Refusal> {
     let reading = Limited::new(body, max_bytes).collect();
--- /dev/null
+++ b/crates/gateway/src/traffic/idle.rs
@@ -0,0 +1,123 @@
+//! The idle time of a caller's connection.
+
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use carawayseam_types::{Clock, Millis};
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::time::sleep;
+
+use super::response::{BodyError, ResponseBody};
+use crate::shared::{Shared, lock};
+
+/// The lower bound of the interval at which a connection's idle time is checked.
+const MIN_CHECK_INTERVAL: Millis = Millis(50);
+
+/// The requests of one connection.
+#[derive(Debug)]
+pub(super) struct Activity(Mutex<State>);
+
+#[derive(Debug)]
+struct State {
+    open_requests: u32,
+    has_requests: bool,
+    /// When the connection was accepted, or its last response ended.
+    idle_since: Millis,
+}
+
+impl Activity {
+    pub(super) fn new(now: Millis) -> Self {
+        Self(Mutex::new(State {
+            open_requests: 0,
+            has_requests: false,
+            idle_since: now,
+        }))
+    }
+
+    /// Returns whether a request was ever read from the connection.
+    pub(super) fn has_requests(&self) -> bool {
+        lock(&self.0).has_requests
+    }
+
+    /// Returns the time for which no request has been open, or `None` if one is.
+    fn idle_time(&self, now: Millis) -> Option<Millis> {
+        let state = lock(&self.0);
+        (state.open_requests == 0).then(|| now.since(state.idle_since))
+    }
+
+    /// Waits until the connection has been idle for the idle timeout of the newest configuration.
+    pub(super) async fn idle_timeout(&self, shared: &Shared) {
+        loop {
+            let limit = shared.limits().idle_timeout;
+            let left = match self.idle_time(shared.now()) {
+                Some(idle) if idle >= limit => return,
+                Some(idle) => limit - idle,
+                None => limit,
+            };
+            sleep(left.max(MIN_CHECK_INTERVAL).to_duration()).await;
+        }
+    }
+}
+
+/// Counts a request as open until it is dropped.
+#[derive(Debug)]
+pub(super) struct OpenOnConnection {
+    activity: Arc<Activity>,
+    clock: Clock,
+}
+
+impl OpenOnConnection {
+    pub(super) fn new(activity: &Arc<Activity>, clock: &Clock) -> Self {
+        let mut state = lock(&activity.0);
+        state.open_requests += 1;
+        state.has_requests = true;
+        drop(state);
+        Self {
+            activity: Arc::clone(activity),
+            clock: clock.clone(),
+        }
+    }
+
+    /// Counts the request as open until the body of its response has been passed on.
+    pub(super) fn until_end_of(self, response: Response<ResponseBody>) -> Response<ResponseBody> {
+        response.map(|body| TrackedBody { body, _open: self }.boxed_unsync())
+    }
+}
+
+impl Drop for OpenOnConnection {
+    fn drop(&mut self) {
+        let mut state = lock(&self.activity.0);
+        state.open_requests -= 1;
+        state.idle_since = self.clock.now();
+    }
+}
+
+/// A response body that keeps its request open.
+struct TrackedBody {
+    body: ResponseBody,
+    _open: OpenOnConnection,
+}
+
+impl Body for TrackedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/gateway/src/traffic/listener.rs
+++ b/crates/gateway/src/traffic/listener.rs
@@ -12,10 +12,11 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::exchange;
+use super::idle::{Activity, OpenOnConnection};
 use super::response::{Reason, Refusal, ResponseBody};
 use crate::shared::{Phase, Shared};
 use crate::sockets;
@@ -26,8 +27,8 @@
 const CALLER_ACK_TIMEOUT: Millis = Millis(5_000);
 /// The maximum number of header fields in a request.
 const MAX_HEADER_FIELDS: usize = 128;
-/// The minimum buffer size that the HTTP library accepts.
-const MIN_BUFFER_BYTES: usize = 8_192;
+/// The minimum size of the buffer for a request head, which cannot grow with the limit of a later configuration.
+const MIN_BUFFER_BYTES: usize = 64 * 1_024;
 
 /// Serves callers until the process stops accepting connections.
 pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
@@ -54,15 +55,14 @@
         log::debug!("a caller's connection cannot be set up: {e}");
         return;
     }
-    let limits = shared.catalog().map(|catalog| catalog.limits).unwrap_or_default();
-    let handling = Arc::clone(&shared);
-    let service = service_fn(move |req| handle(Arc::clone(&handling), req));
+    let activity = Arc::new(Activity::new(shared.now()));
+    let (handling, handled) = (Arc::clone(&shared), Arc::clone(&activity));
+    let service = service_fn(move |req| handle(Arc::clone(&handling), Arc::clone(&handled), req));
+    let max_head = shared.limits().max_head.0 as usize;
     let mut builder = http1::Builder::new();
     builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout.to_duration())
         .max_headers(MAX_HEADER_FIELDS)
-        .max_buf_size((limits.max_head.0 as usize).max(MIN_BUFFER_BYTES));
+        .max_buf_size(max_head.max(MIN_BUFFER_BYTES));
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     let mut phase = shared.phase.subscribe();
     let closing = async move {
@@ -76,18 +76,33 @@
         }
     };
     let ended = tokio::select! {
+        // A request that has arrived is read before its connection counts as idle.
+        biased;
         ended = connection.as_mut() => ended,
         () = closing => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
+        () = activity.idle_timeout(&shared) => {
+            // The library would go on waiting for the rest of the first request.
+            if !activity.has_requests() {
+                return;
+            }
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
     };
     if let Err(e) = ended {
         log::debug!("a caller's connection failed: {e}");
     }
 }
 
-async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> Result<Response<ResponseBody>, Infallible> {
+async fn handle(
+    shared: Arc<Shared>,
+    activity: Arc<Activity>,
+    req: Request<Incoming>,
+) -> Result<Response<ResponseBody>, Infallible> {
+    let open = OpenOnConnection::new(&activity, &shared.clock);
     // After a panic the connection would close without a response.
     let answered = AssertUnwindSafe(exchange::run(&shared, req)).catch_unwind().await;
     let mut response = answered.unwrap_or_else(|panic| {
@@ -98,7 +113,7 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    Ok(response)
+    Ok(open.until_end_of(response))
 }
 
 fn panic_message(panic: &(dyn Any + Send)) -> &str {
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod events;
 mod exchange;
+mod idle;
 mod listener;
 mod plain;
 mod quota;
--- a/crates/gateway/src/traffic/response.rs
+++ b/crates/gateway/src/traffic/response.rs
@@ -23,6 +23,8 @@
     NoRoute,
     #[display("unknown key")]
     UnknownKey,
+    #[display("the head is too large")]
+    HeadTooLarge,
     #[display("the body is too large")]
     BodyTooLarge,
     #[display("the body did not come")]
@@ -55,6 +57,7 @@
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyIncomplete => StatusCode::BAD_REQUEST,
             Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
@@ -78,6 +81,7 @@
             Self::StaleConfiguration => "stale-configuration",
             Self::NoRoute => "no-route",
             Self::UnknownKey => "unknown-key",
+            Self::HeadTooLarge => "head-too-large",
             Self::BodyTooLarge => "body-too-large",
             Self::BodyIncomplete => "body-broken",
             Self::OverQuota => "over-quota",
@@ -133,7 +137,8 @@
         // a caller of a host that cannot serve it reconnects through the load balancer.
         if matches!(
             self.reason,
-            Reason::BodyTooLarge
+            Reason::HeadTooLarge
+                | Reason::BodyTooLarge
                 | Reason::BodyIncomplete
                 | Reason::StaleConfiguration
                 | Reason::NoConfiguration
