Let callers read the refusal of a request whose body was not read

A caller that sent its whole request before it read lost the refusal: the gateway answered by the head alone and closed the connection while the body still arrived, which resets it. Affected were unknown routes and keys, no or a stale configuration, a planned stop, and bodies beyond the limit.

The rest of the body is read and discarded while the refusal is sent, at most as many bytes as a permitted body has. A body that arrives in time leaves the connection usable. The request counts as open meanwhile, so a planned stop waits for it. A caller that expects an interim response sends no body and is not waited for.

A stop that refuses streams is not played by a test.

--- a/crates/gateway/src/traffic/arrival.rs
+++ b/crates/gateway/src/traffic/arrival.rs
@@ -11,6 +11,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, EXPECT, HOST};
+use hyper::http::request::Parts;
 use hyper::{Request, Uri};
 use rand::RngExt;
 use tokio::time::timeout;
@@ -18,6 +19,7 @@
 use super::attempt::remove_hop_headers;
 use super::exchange::{Exchange, RETRY_AFTER_REJECTED};
 use super::response::{Reason, Refusal};
+use super::unread_body;
 use crate::platform::RequestHead;
 use crate::shared::{Phase, Shared, lock};
 
@@ -50,27 +52,29 @@
 ) -> Result<Exchange, Refusal> {
     let arrived = shared.now();
     let open = OpenRequest::new(shared);
-    let catalog = shared
-        .catalog()
-        .ok_or_else(|| Refusal::with_retry_after(Reason::NoConfiguration, shared.retry_delay()))?;
-    if head_bytes(&req) > catalog.limits.max_head.0 {
-        return Err(Refusal::new(Reason::HeadTooLarge));
-    }
-    let route_match = look_up(shared, &catalog, &req, &head)?;
-    if route_match.organisation.is_some() && !shared.may_use_keys() {
-        return Err(refuse_stale(shared));
-    }
-    if route_match.route.kind.is_stream() && shared.phase() >= Phase::RefusingStreams {
-        return Err(Refusal::with_retry_after(Reason::Stopping, RETRY_AFTER_REJECTED));
-    }
-    let backend = pick_target(&route_match.route.targets)
-        .ok_or_else(|| Refusal::with_retry_after(Reason::Unreachable, RETRY_AFTER_REJECTED))?;
-    let limit = head
-        .time_limit
-        .unwrap_or(Millis::MAX)
-        .min(route_match.route.timeout);
-    let (parts, body) = req.into_parts();
-    let body = read_body(body, catalog.limits.max_body.0 as usize, limit).await?;
+    let (parts, mut body) = req.into_parts();
+    let admitted = match admit(shared, &parts, &head) {
+        Ok(admitted) => read_body(&mut body, admitted.catalog.limits.max_body.0, admitted.limit)
+            .await
+            .map(|body| (admitted, body)),
+        Err(refusal) => Err(refusal),
+    };
+    let (admitted, body) = match admitted {
+        Ok(admitted) => admitted,
+        Err(refusal) => {
+            // A caller that expects an interim response sends no body after a refusal.
+            if !parts.headers.contains_key(EXPECT) {
+                unread_body::discard(body, shared.limits(), open);
+            }
+            return Err(refusal);
+        }
+    };
+    let Admitted {
+        catalog,
+        route_match,
+        backend,
+        limit,
+    } = admitted;
     let mut request_headers = parts.headers;
     remove_hop_headers(&mut request_headers);
     request_headers.remove(EXPECT);
@@ -104,20 +108,58 @@
     })
 }
 
+/// What the configuration says of a request whose body is read.
+struct Admitted {
+    catalog: Arc<Catalog>,
+    route_match: RouteMatch,
+    backend: BackendName,
+    /// The time limit of the request.
+    limit: Millis,
+}
+
+/// Decides by a request's head whether its body is read.
+fn admit(shared: &Shared, parts: &Parts, head: &RequestHead) -> Result<Admitted, Refusal> {
+    let catalog = shared
+        .catalog()
+        .ok_or_else(|| Refusal::with_retry_after(Reason::NoConfiguration, shared.retry_delay()))?;
+    if head_bytes(parts) > catalog.limits.max_head.0 {
+        return Err(Refusal::new(Reason::HeadTooLarge));
+    }
+    let route_match = look_up(shared, &catalog, parts, head)?;
+    if route_match.organisation.is_some() && !shared.may_use_keys() {
+        return Err(refuse_stale(shared));
+    }
+    if route_match.route.kind.is_stream() && shared.phase() >= Phase::RefusingStreams {
+        return Err(Refusal::with_retry_after(Reason::Stopping, RETRY_AFTER_REJECTED));
+    }
+    let backend = pick_target(&route_match.route.targets)
+        .ok_or_else(|| Refusal::with_retry_after(Reason::Unreachable, RETRY_AFTER_REJECTED))?;
+    let limit = head
+        .time_limit
+        .unwrap_or(Millis::MAX)
+        .min(route_match.route.timeout);
+    Ok(Admitted {
+        catalog,
+        route_match,
+        backend,
+        limit,
+    })
+}
+
 /// Returns the size of a request head without optional white space.
-fn head_bytes(req: &Request<Incoming>) -> u64 {
+fn head_bytes(parts: &Parts) -> u64 {
     const REQUEST_LINE_BYTES: usize = "  HTTP/1.1\r\n".len();
     const FIELD_BYTES: usize = ": \r\n".len();
-    let target = req.uri().path_and_query().map_or("*", |path| path.as_str());
-    let fields = req.headers().iter();
+    let target = parts.uri.path_and_query().map_or("*", |path| path.as_str());
+    let fields = parts.headers.iter();
     let fields = fields.map(|(name, value)| name.as_str().len() + value.len() + FIELD_BYTES);
-    let bytes = req.method().as_str().len() + target.len() + REQUEST_LINE_BYTES + fields.sum::<usize>();
+    let bytes = parts.method.as_str().len() + target.len() + REQUEST_LINE_BYTES + fields.sum::<usize>();
     bytes as u64
 }
 
 /// Reads a body of at most `max_bytes` within `body_timeout`.
-async fn read_body(body: Incoming, max_bytes: usize, body_timeout: Millis) -> Result<Bytes, Refusal> {
-    let reading = Limited::new(body, max_bytes).collect();
+async fn read_body(body: &mut Incoming, max_bytes: u64, body_timeout: Millis) -> Result<Bytes, Refusal> {
+    let reading = Limited::new(body, max_bytes as usize).collect();
     match timeout(body_timeout.to_duration(), reading).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Refusal::new(Reason::BodyTooLarge)),
@@ -128,13 +170,13 @@
 fn look_up(
     shared: &Shared,
     catalog: &Catalog,
-    req: &Request<Incoming>,
+    parts: &Parts,
     head: &RequestHead,
 ) -> Result<RouteMatch, Refusal> {
-    let host = req.headers().get(HOST).and_then(|host| host.to_str().ok());
-    let host = host.or_else(|| req.uri().host()).unwrap_or_default();
+    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
     catalog
-        .route_match(host, req.uri().path(), head.key.as_deref())
+        .route_match(host, parts.uri.path(), head.key.as_deref())
         .map_err(|e| {
             let is_recent = shared
                 .configuration_age()
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -18,6 +18,7 @@
 mod silence;
 mod slots;
 mod stream;
+mod unread_body;
 
 pub(crate) use attempt::Failure;
 pub(crate) use connections::IdleConnections;
