--- a/crates/dispatch/src/speed.rs
+++ b/crates/dispatch/src/speed.rs
@@ -10,6 +10,9 @@
 /// the base time.
 const MIN_READ_SAMPLE_TOKENS: f64 = 800.0;
 
+/// Lower bound of a sample of the time between events, since paces are divided by each other.
+const MIN_EVENT_MS: f64 = 0.001;
+
 /// Processing times, as the baseline of a backend or as estimated for one of its servers.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct Pace {
@@ -89,6 +92,7 @@
 
     /// Records the mean time between events.
     pub(crate) fn on_events(&mut self, now: Millis, millis: f64, baseline: &mut Pace) {
+        let millis = millis.max(MIN_EVENT_MS);
         self.event.sample(now, millis);
         baseline.event = blend(baseline.event, millis);
     }
--- a/crates/dispatch/tests/absurd_counts.rs
+++ b/crates/dispatch/tests/absurd_counts.rs
@@ -6,7 +6,7 @@
 use carawayseam_dispatch::engine::{PromptPart, ServerLoad};
 use carawayseam_dispatch::load::HostLoad;
 use carawayseam_types::{EngineKey, Millis};
-use support::{dispatcher, id, job, started};
+use support::{dispatcher, engine, id, job, started};
 
 /// Guards against an overflow when the slots of several servers are added.
 #[test]
@@ -57,3 +57,28 @@
         dispatcher.record_end(Millis(now + 20), ticket, AttemptEnd::Complete);
     }
 }
+
+/// Guards against a choice from no server: the score of the only one left is not a number, once the events of the
+/// other one have long come without any time between them.
+#[test]
+fn a_server_whose_score_is_not_a_number_is_chosen_if_it_is_the_only_one() {
+    const SAMPLES: u32 = 20_000;
+    let mut dispatcher = dispatcher(&[("a", 1), ("b", 1)]);
+    let mut job = job(0, 0);
+    job.prompt = 0;
+    let mut on_b = Vec::new();
+    for _ in 0..4 {
+        let (ticket, actions) = dispatcher.submit(Millis(5), job.clone());
+        match started(&actions)[..] {
+            [(_, "a")] => dispatcher.record_events(Millis(6), ticket, 25.0),
+            [_] => on_b.push(ticket),
+            _ => panic!("expected a start, got {actions:?}"),
+        }
+    }
+    for _ in 0..SAMPLES {
+        dispatcher.record_events(Millis(6), on_b[0], 0.0);
+    }
+    dispatcher.set_engines(Millis(7), vec![engine("a", 10)]);
+    let (_, actions) = dispatcher.submit(Millis(8), job);
+    assert_eq!(started(&actions).len(), 1);
+}
