Let slow callers read their response before a planned stop ends

A caller that read a large response slowly lost its end in a planned stop: a plain request counted as done when its response was handed to the HTTP library, so the process ended while bytes were still to be written.

--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -289,6 +289,8 @@
     pub(crate) unready_since: Mutex<Option<Millis>>,
     /// The number of requests whose responses are not complete.
     pub(crate) open_requests: AtomicUsize,
+    /// The number of connections that carried a request, whose last response may not be sent completely.
+    pub(crate) used_connections: AtomicUsize,
 }
 
 impl std::fmt::Debug for Shared {
--- a/crates/gateway/src/traffic/idle.rs
+++ b/crates/gateway/src/traffic/idle.rs
@@ -1,11 +1,12 @@
 //! The idle time of a caller's connection.
 
 use std::pin::Pin;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use carawayseam_types::{Clock, Millis};
+use carawayseam_types::Millis;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Body, Frame, SizeHint};
@@ -17,6 +18,23 @@
 /// The lower bound of the interval at which a connection's idle time is checked.
 const MIN_CHECK_INTERVAL: Millis = Millis(50);
 
+/// Counts a connection as used until it is dropped.
+#[derive(Debug)]
+struct UsedConnection(Arc<Shared>);
+
+impl UsedConnection {
+    fn new(shared: &Arc<Shared>) -> Self {
+        shared.used_connections.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(shared))
+    }
+}
+
+impl Drop for UsedConnection {
+    fn drop(&mut self) {
+        self.0.used_connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// The requests of one connection.
 #[derive(Debug)]
 pub(super) struct Activity(Mutex<State>);
@@ -24,7 +42,8 @@
 #[derive(Debug)]
 struct State {
     open_requests: u32,
-    has_requests: bool,
+    /// Present once a request was read.
+    used: Option<UsedConnection>,
     /// When the connection was accepted, or its last response ended.
     idle_since: Millis,
 }
@@ -33,14 +52,14 @@
     pub(super) fn new(now: Millis) -> Self {
         Self(Mutex::new(State {
             open_requests: 0,
-            has_requests: false,
+            used: None,
             idle_since: now,
         }))
     }
 
     /// Returns whether a request was ever read from the connection.
     pub(super) fn has_requests(&self) -> bool {
-        lock(&self.0).has_requests
+        lock(&self.0).used.is_some()
     }
 
     /// Returns the time for which no request has been open, or `None` if one is.
@@ -67,18 +86,18 @@
 #[derive(Debug)]
 pub(super) struct OpenOnConnection {
     activity: Arc<Activity>,
-    clock: Clock,
+    shared: Arc<Shared>,
 }
 
 impl OpenOnConnection {
-    pub(super) fn new(activity: &Arc<Activity>, clock: &Clock) -> Self {
+    pub(super) fn new(activity: &Arc<Activity>, shared: &Arc<Shared>) -> Self {
         let mut state = lock(&activity.0);
         state.open_requests += 1;
-        state.has_requests = true;
+        state.used.get_or_insert_with(|| UsedConnection::new(shared));
         drop(state);
         Self {
             activity: Arc::clone(activity),
-            clock: clock.clone(),
+            shared: Arc::clone(shared),
         }
     }
 
@@ -92,7 +111,7 @@
     fn drop(&mut self) {
         let mut state = lock(&self.activity.0);
         state.open_requests -= 1;
-        state.idle_since = self.clock.now();
+        state.idle_since = self.shared.now();
     }
 }
 
--- a/crates/gateway/src/traffic/listener.rs
+++ b/crates/gateway/src/traffic/listener.rs
@@ -102,7 +102,7 @@
     activity: Arc<Activity>,
     req: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
-    let open = OpenOnConnection::new(&activity, &shared.clock);
+    let open = OpenOnConnection::new(&activity, &shared);
     // After a panic the connection would close without a response.
     let answered = AssertUnwindSafe(exchange::run(&shared, req)).catch_unwind().await;
     let mut response = answered.unwrap_or_else(|panic| {
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -7,6 +7,8 @@
 use carawayseam_platform_standins::engine::{event, response_to, stream_head};
 use carawayseam_platform_standins::{Engine, GatewayHarness, RawResponse, ReceivedRequest, Step, call};
 use rustix::process::{Pid, Signal, kill_process};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpSocket;
 use tokio::task::JoinSet;
 
 const KEY: &str = "X-Credential: key-1\r\n";
@@ -15,6 +17,12 @@
 /// Callers come for this long after the signal, beyond the process's end.
 const CALLERS: u32 = 600;
 const SIGNAL_AFTER: u32 = 40;
+/// More than the kernel buffers for a connection.
+const LARGE_BODY_BYTES: usize = 7_500_000;
+/// A slow caller reads so much at a time, and pauses so long, that it reads until shortly before the latest end of the
+/// process, which is 7.6 s after the signal.
+const SLOW_READ_BYTES: usize = 64 * 1_024;
+const SLOW_READ_PAUSE: Duration = Duration::from_millis(60);
 
 fn start(settings: &str) -> (Child, tempfile::NamedTempFile) {
     let mut file = tempfile::NamedTempFile::new().expect("a file can be made");
@@ -93,3 +101,43 @@
         "each request that ran was answered whole"
     );
 }
+
+/// Guards against a response that is cut because the process ends while a slow caller still reads it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_planned_stop_lets_a_slow_caller_read_its_response() {
+    let body = "a".repeat(LARGE_BODY_BYTES);
+    let engine =
+        Engine::start(move |received, _| vec![Step::Write(response_to(received, "200 OK", &body))]).await;
+    let (mut harness, settings) = GatewayHarness::prepare().await;
+    let (mut child, _file) = start(&settings);
+    harness.wait_until_listening().await;
+    harness.register_and_configure(&[&engine]).await;
+
+    let socket = TcpSocket::new_v4().expect("a socket can be made");
+    socket
+        .set_recv_buffer_size(SLOW_READ_BYTES as u32)
+        .expect("the buffer can be bounded");
+    let mut stream = socket
+        .connect(harness.gateway)
+        .await
+        .expect("the gateway accepts");
+    let request = format!(
+        "POST /calls/1 HTTP/1.1\r\nHost: firm.example\r\nX-Request-Id: request-1\r\nX-Deadline-Ms: 2000\r\n\
+         {KEY}Content-Length: 2\r\n\r\n{{}}"
+    );
+    stream.write_all(request.as_bytes()).await.expect("it is read");
+    let mut buf = vec![0; SLOW_READ_BYTES];
+    let mut read = stream.read(&mut buf).await.expect("the response begins");
+    let pid = Pid::from_raw(i32::try_from(child.id()).expect("ids fit")).expect("it runs");
+    kill_process(pid, Signal::TERM).expect("it runs");
+    while read + SLOW_READ_BYTES < LARGE_BODY_BYTES
+        && let Ok(len) = stream.read_exact(&mut buf).await
+    {
+        read += len;
+        tokio::time::sleep(SLOW_READ_PAUSE).await;
+    }
+    read += stream.read_to_end(&mut buf).await.unwrap_or_default();
+    assert!(read > LARGE_BODY_BYTES, "{read} bytes were received");
+    let exit = child.wait().expect("it ends");
+    assert!(exit.success(), "{exit}");
+}
