Count and log the refusal of a request whose handling panicked

The 502 of such a request was in no counter and in no line `refused`; only the line of the panic told of it. It is now counted and logged as the other refusals without an exchange are, with the reason `internal`. No test: no input is known that panics.

--- a/crates/gateway/src/traffic/listener.rs
+++ b/crates/gateway/src/traffic/listener.rs
@@ -18,6 +18,7 @@
 use super::exchange;
 use super::idle::{Activity, OpenOnConnection};
 use super::response::{Reason, Refusal, ResponseBody};
+use crate::request_log;
 use crate::shared::{Phase, Shared};
 use crate::sockets;
 
@@ -107,7 +108,9 @@
     let answered = AssertUnwindSafe(exchange::run(&shared, req)).catch_unwind().await;
     let mut response = answered.unwrap_or_else(|panic| {
         log::error!(error = panic_message(&*panic); "handling a request panicked");
-        Refusal::new(Reason::Internal).response()
+        let refusal = Refusal::new(Reason::Internal);
+        request_log::record_early_refusal(&shared, None, refusal);
+        refusal.response()
     });
     if shared.phase() != Phase::Serving {
         let close = HeaderValue::from_static("close");
