Connect to another server before a request leaves a silent one

What callers saw: nothing yet; a review of the search for another server found it by reading. Cause: the search took a retry from the budget while it only waited, so a few waiting searches refused the retry of a request whose connection was lost (capacity 1 at 118 hosts); a retry leaked if its caller left meanwhile; the silent server was left before the next one was connected to, or although a key could not be used then; a request whose configuration was stale was queued in a loop until the budget was empty; a ticket leaked if the silent server answered before the search began. The class is that of the pauses: something is given up, or taken, before it is certain. Change: a request queues without a retry, connects, and takes the retry last; then it leaves. Dropping a queued request withdraws it. Only servers that can finish in time are candidates. A stale configuration and a used-up deadline end a request at once. A silent peer is left out until it confirms again. The test of a returned retry goes with the method; the new one is stricter. Conclusion: the leaks were not reproduced in a process.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -160,9 +160,14 @@
         granted.then(|| self.enqueue(now, job))
     }
 
-    /// Returns a retry to the budget of a backend that was enqueued and not sent.
-    pub fn refund_retry(&mut self, backend: &BackendName) {
-        self.budget(backend).refund();
+    /// Returns whether the retry budget of a backend has a retry left.
+    pub fn has_retry(&mut self, backend: &BackendName) -> bool {
+        self.budget(backend).has_retry()
+    }
+
+    /// Takes a retry for a request that was enqueued without one; returns false if none is left.
+    pub fn take_retry(&mut self, backend: &BackendName) -> bool {
+        self.budget(backend).take()
     }
 
     /// Enqueues a request again of which no byte was sent, so that it does not count as a retry.
--- a/crates/dispatch/src/dispatcher/availability.rs
+++ b/crates/dispatch/src/dispatcher/availability.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use carawayseam_types::{BackendName, EngineId, Millis, RequestRate, VersionId};
+use carawayseam_types::{BackendName, EngineId, HostId, Millis, RequestRate, VersionId};
 
 use super::Dispatcher;
 use crate::draining_servers::DrainingServer;
@@ -81,9 +81,14 @@
 
     /// Records that a server is silent while it has a request.
     ///
-    /// It gets no further requests until a connection attempt succeeds.
-    pub fn mark_silent(&mut self, now: Millis, engine: &EngineId) {
+    /// It gets no further requests until a connection attempt succeeds. If the request was sent through `relay`, that
+    /// peer may be silent instead: no further requests go through it until it confirms that it reaches the server.
+    pub fn mark_silent(&mut self, now: Millis, engine: &EngineId, relay: Option<&HostId>) {
         self.now = self.now.max(now);
+        if let Some(relay) = relay {
+            self.drop_relay(now, engine, relay);
+            return;
+        }
         for pool in self.pools.values_mut() {
             if let Some(engine) = pool.engine_mut(engine) {
                 engine.mark_silent(now);
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -294,7 +294,8 @@
     fn choose(&self, now: Millis, job: &Job, candidates: &[Candidate], rng: &mut StdRng) -> Option<usize> {
         let may_run = |candidate: &&Candidate| {
             let entry = &self.engines[candidate.ix].entry;
-            job.version.allows(&entry.version) && job.excluded.as_ref() != Some(&entry.id)
+            let may_finish = job.excluded.is_none() || candidate.finishes_in_time(now, job);
+            job.version.allows(&entry.version) && job.excluded.as_ref() != Some(&entry.id) && may_finish
         };
         let fitting = candidates.iter().filter(may_run);
         let any_suits = fitting.clone().any(|candidate| candidate.suits(now, job));
--- a/crates/dispatch/src/retries.rs
+++ b/crates/dispatch/src/retries.rs
@@ -49,19 +49,20 @@
         self.level = (self.level + self.bounds.ratio * USED_FRACTION).min(self.capacity);
     }
 
+    /// Returns whether a retry is left.
+    #[must_use]
+    pub fn has_retry(&self) -> bool {
+        self.level >= 1.0
+    }
+
     /// Takes one retry from the budget; returns false if none is left.
     pub fn take(&mut self) -> bool {
-        let is_granted = self.level >= 1.0;
+        let is_granted = self.has_retry();
         if is_granted {
             self.level -= 1.0;
         }
         is_granted
     }
-
-    /// Returns a retry to the budget that was taken and not sent.
-    pub fn refund(&mut self) {
-        self.level = (self.level + 1.0).min(self.capacity);
-    }
 }
 
 fn capacity(bounds: RetryBounds, hosts: u32) -> f64 {
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -308,28 +308,49 @@
     assert_eq!(started(&actions), [(ticket, "b")]);
 }
 
-/// Guards against retries that are charged although the silent server continued first.
+/// Guards against retries that are charged to requests which only wait for another server.
 #[test]
-fn a_retry_that_was_not_sent_is_returned_to_the_budget() {
+fn a_request_that_waits_for_another_server_takes_no_retry() {
     let mut dispatcher = dispatcher(&[("a", 100)]);
-    let mut granted = 0;
-    while let Some((ticket, _)) = dispatcher.submit_retry(Millis(1), job(1, 0)) {
-        dispatcher.record_end(Millis(1), ticket, AttemptEnd::Cancelled);
-        granted += 1;
+    let backend = job(1, 0).backend;
+    let mut retries = 0;
+    while dispatcher.has_retry(&backend) {
+        let waiting = Job {
+            excluded: Some(id("a")),
+            ..job(1, 0)
+        };
+        let (ticket, actions) = dispatcher.submit_unsent(Millis(1), waiting);
+        assert!(actions.is_empty());
+        assert!(dispatcher.has_retry(&backend), "waiting took a retry");
+        dispatcher.withdraw(ticket);
+        assert!(dispatcher.take_retry(&backend));
+        retries += 1;
     }
-    assert!(granted > 0);
-    dispatcher.refund_retry(&job(1, 0).backend);
-    assert!(dispatcher.submit_retry(Millis(1), job(1, 0)).is_some());
+    assert!(retries > 0);
+    assert!(!dispatcher.take_retry(&backend));
     assert!(dispatcher.submit_retry(Millis(1), job(1, 0)).is_none());
 }
 
+/// Guards against a request that leaves a silent server for one that cannot finish it.
+#[test]
+fn a_request_goes_elsewhere_only_if_it_can_finish_there() {
+    let mut dispatcher = dispatcher(&[("a", 1), ("b", 1)]);
+    let late = Job {
+        excluded: Some(id("a")),
+        deadline: Millis(50),
+        ..job(1, 0)
+    };
+    let (_, actions) = dispatcher.submit_unsent(Millis(1), late);
+    assert!(actions.is_empty());
+}
+
 /// Guards against requests that are sent to a silent server while it still has others.
 #[test]
 fn a_silent_server_gets_no_requests_until_it_is_reachable() {
     let mut dispatcher = dispatcher(&[("a", 3)]);
     let (_, actions) = dispatcher.submit(Millis(1), job(1, 0));
     assert_eq!(started(&actions).len(), 1);
-    dispatcher.mark_silent(Millis(2), &id("a"));
+    dispatcher.mark_silent(Millis(2), &id("a"), None);
     let (ticket, actions) = dispatcher.submit(Millis(3), job(3, 0));
     assert!(actions.is_empty());
     assert_eq!(dispatcher.due_probes(Millis(4)).len(), 1);
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -79,7 +79,7 @@
 pub(super) enum AttemptError {
     /// The attempt failed.
     Failed(Failure),
-    /// The server was silent, and another server has a slot for the request.
+    /// The server was silent, and another one is connected to and has a slot for the request.
     Superseded(Box<Placement>),
 }
 
@@ -99,23 +99,22 @@
     }
 }
 
-/// Sends a request to its server and waits for the head of the response.
-///
+/// Sends a request to its server, on `connection` if one is open, and waits for the head of the response.
 pub(super) async fn send(
     exchange: &Exchange,
     slot: Slot,
     assignment: Assignment,
+    connection: Option<Connection>,
     last_event_id: Option<u64>,
     patience: Patience,
 ) -> Result<ServerResponse, AttemptError> {
-    let on_reused = match exchange.take_idle_connection(&assignment) {
-        Some(idle_connection) => {
-            send_on(exchange, idle_connection, &assignment, last_event_id, patience).await
-        }
+    let open_connection = connection.or_else(|| exchange.take_idle_connection(&assignment));
+    let on_open = match open_connection {
+        Some(connection) => send_on(exchange, connection, &assignment, last_event_id, patience).await,
         None => Err(Failure::NotRun(AttemptEnd::Unreachable).into()),
     };
-    let sent = match on_reused {
-        // There was no idle connection, or the server closed it before any byte was sent.
+    let sent = match on_open {
+        // There was no open connection, or the server closed it before any byte was sent.
         Err(AttemptError::Failed(Failure::NotRun(AttemptEnd::Unreachable))) => {
             send_on_new_connection(exchange, &assignment, last_event_id, patience).await
         }
@@ -130,6 +129,14 @@
     }
 }
 
+/// Returns an open connection to the server of an assignment, and opens one if there is none.
+pub(super) async fn connect(exchange: &Exchange, assignment: &Assignment) -> Result<Connection, Failure> {
+    match exchange.take_idle_connection(assignment) {
+        Some(idle_connection) => Ok(idle_connection),
+        None => open(exchange, assignment).await,
+    }
+}
+
 async fn send_on_new_connection(
     exchange: &Exchange,
     assignment: &Assignment,
@@ -141,7 +148,12 @@
 }
 
 /// Ends a failed attempt; what a lost connection says about the server is checked first.
-fn end_failed(exchange: &Exchange, mut slot: Slot, assignment: &Assignment, failure: Failure) -> Failure {
+pub(super) fn end_failed(
+    exchange: &Exchange,
+    mut slot: Slot,
+    assignment: &Assignment,
+    failure: Failure,
+) -> Failure {
     if failure.is_unsent() {
         slot.refund_permit();
     }
@@ -211,10 +223,7 @@
     }
     let req = outgoing_request(exchange, assignment, time_left, last_event_id);
     let response = connection.send(req);
-    match exchange
-        .await_server(&assignment.engine, patience, response)
-        .await
-    {
+    match exchange.await_server(assignment, patience, response).await {
         Awaited::Ready(Ok(response)) => Ok((response, connection)),
         Awaited::Ready(Err(SendError::NotSent(_))) => Err(Failure::NotRun(AttemptEnd::Unreachable).into()),
         Awaited::Ready(Err(SendError::MaybeSent(e))) => {
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -98,10 +98,25 @@
 pub(super) struct Placement {
     pub(super) slot: Slot,
     pub(super) assignment: Assignment,
+    /// A connection to the server, if one was opened already.
+    pub(super) connection: Option<Connection>,
 }
 
-/// A queued request's ticket, and the channel that receives the dispatcher's decision.
-pub(crate) type QueuedRequest = (Ticket, oneshot::Receiver<Decision>);
+/// A request that waits for the dispatcher's decision; dropping it withdraws it.
+#[derive(Debug)]
+pub(crate) struct QueuedRequest {
+    slot: Slot,
+    decision: oneshot::Receiver<Decision>,
+}
+
+impl QueuedRequest {
+    pub(super) fn new(shared: &Arc<Shared>, ticket: Ticket, decision: oneshot::Receiver<Decision>) -> Self {
+        Self {
+            slot: Slot::new(Arc::clone(shared), ticket),
+            decision,
+        }
+    }
+}
 
 /// The response to a request that was served.
 enum Outcome {
@@ -190,7 +205,8 @@
         self.admit_parts()?;
         self.reserve_quota().await?;
         let job = self.job(self.max_wait_deadline());
-        let mut queued = lock(&self.shared.dispatch).submit(self.shared.now(), job);
+        let submitted = lock(&self.shared.dispatch).submit(self.shared.now(), job);
+        let mut queued = self.queued(submitted);
         loop {
             let last_event_id = self.head.last_event_id;
             queued = match self.attempt(queued, last_event_id).await? {
@@ -281,13 +297,17 @@
         placement: Placement,
         last_event_id: Option<u64>,
     ) -> Result<ServerResponse, AttemptError> {
-        let Placement { mut slot, assignment } = placement;
+        let Placement {
+            mut slot,
+            assignment,
+            connection,
+        } = placement;
         self.assigned_at = self.shared.now();
         slot.assign(&self.backend, &assignment);
         request_log::record_assignment(self, &assignment, slot.rate_limit());
         let patience = self.patience(&assignment);
         let engine = assignment.engine.clone();
-        let sent = attempt::send(self, slot, assignment, last_event_id, patience).await;
+        let sent = attempt::send(self, slot, assignment, connection, last_event_id, patience).await;
         let failure = sent.as_ref().err().map(AttemptError::failure);
         match failure {
             Some(failure) if failure.is_unsent() => self.unsent_attempts += 1,
@@ -313,12 +333,11 @@
         excluded: Option<&EngineId>,
     ) -> Result<Placement, Refusal> {
         loop {
-            let (ticket, rx) = queued;
-            let mut slot = Slot::new(Arc::clone(&self.shared), ticket);
+            let QueuedRequest { mut slot, decision } = queued;
             let decision = tokio::select! {
                 biased;
                 refusal = self.part_blocked() => return Err(refusal),
-                decision = timeout(self.time_left().to_duration(), rx) => decision,
+                decision = timeout(self.time_left().to_duration(), decision) => decision,
             };
             let assignment = match decision {
                 Ok(Ok(Decision::Start(assignment))) => assignment,
@@ -333,7 +352,11 @@
                         slot.refund_permit();
                         return Err(refusal);
                     }
-                    return Ok(Placement { slot, assignment });
+                    return Ok(Placement {
+                        slot,
+                        assignment,
+                        connection: None,
+                    });
                 }
                 Err(end) => slot.end(end),
             }
@@ -341,10 +364,15 @@
                 Some(engine) => self.job_elsewhere(engine),
                 None => self.job(self.queue_deadline()),
             };
-            queued = lock(&self.shared.dispatch).submit_unsent(self.shared.now(), job);
+            let submitted = lock(&self.shared.dispatch).submit_unsent(self.shared.now(), job);
+            queued = self.queued(submitted);
         }
     }
 
+    fn queued(&self, (ticket, decision): (Ticket, oneshot::Receiver<Decision>)) -> QueuedRequest {
+        QueuedRequest::new(&self.shared, ticket, decision)
+    }
+
     /// Reserves what all hosts share of the assigned server: a permit if it has a rate limit, and a slot.
     ///
     /// Returns how the attempt ends if either is not available.
@@ -410,6 +438,9 @@
     pub(crate) fn requeue(&self, failure: Failure) -> Result<QueuedRequest, Refusal> {
         let refusal = match failure {
             Failure::DeadlineExceeded => return Err(Refusal::new(Reason::DeadlineExceeded)),
+            Failure::NotRun(AttemptEnd::Cancelled) if self.may_have_run => {
+                return Err(Refusal::new(Reason::DeadlineExceeded));
+            }
             _ if self.may_have_run => Refusal::new(Reason::ResponseLost),
             Failure::Stale => return Err(refuse_stale(&self.shared)),
             Failure::NotRun(AttemptEnd::Unreachable | AttemptEnd::RelayFailed) => {
@@ -420,11 +451,14 @@
         let now = self.shared.now();
         match failure {
             _ if now >= self.deadline => Err(refusal),
+            // Neither a later configuration nor more time is to be expected before the deadline.
+            Failure::Stale | Failure::NotRun(AttemptEnd::Cancelled) => Err(refusal),
             Failure::NotRun(AttemptEnd::Unreachable | AttemptEnd::RelayFailed)
                 if self.unsent_attempts < MAX_UNSENT_ATTEMPTS =>
             {
                 let job = self.job(self.deadline);
-                Ok(lock(&self.shared.dispatch).submit_unsent(now, job))
+                let submitted = lock(&self.shared.dispatch).submit_unsent(now, job);
+                Ok(self.queued(submitted))
             }
             Failure::MaybeRun(_) if !self.route_match.route.kind.is_retryable() => Err(refusal),
             Failure::MaybeRun(AttemptEnd::ConnectionLost) if self.has_suspected_part() => Err(refusal),
@@ -438,9 +472,13 @@
             return None;
         }
         let job = self.job(self.deadline);
-        let queued = lock(&self.shared.dispatch).submit_retry(self.shared.now(), job);
-        let label = if queued.is_some() { "sent" } else { "over-budget" };
+        let submitted = lock(&self.shared.dispatch).submit_retry(self.shared.now(), job);
+        let label = if submitted.is_some() {
+            "sent"
+        } else {
+            "over-budget"
+        };
         self.shared.metrics.count("repeats", label);
-        queued
+        submitted.map(|submitted| self.queued(submitted))
     }
 }
--- a/crates/gateway/src/traffic/silence.rs
+++ b/crates/gateway/src/traffic/silence.rs
@@ -1,7 +1,7 @@
 //! Looks for another server while the one that has a request is silent.
 //!
-//! A silent server may be sound and continue, so a request leaves it only when the retry budget allows it and
-//! another server has a slot for it.
+//! A silent server may be sound and continue, so a request leaves it only for a server that has a slot for it and is
+//! connected to, and only if the retry budget allows it then.
 
 use std::pin::pin;
 
@@ -9,9 +9,9 @@
 use carawayseam_types::{EngineId, Millis};
 use tokio::time::timeout;
 
-use super::attempt::TIMER_SLACK;
+use super::attempt::{self, TIMER_SLACK};
 use super::exchange::{Exchange, Placement, QueuedRequest};
-use crate::shared::lock;
+use crate::shared::{Assignment, lock};
 
 /// The pause before another server is looked for again.
 const SEARCH_INTERVAL: Millis = Millis(300);
@@ -44,7 +44,7 @@
 pub(super) enum Awaited<T> {
     /// The server sent something.
     Ready(T),
-    /// The server was silent, and another server has a slot for the request.
+    /// The server was silent, and another one is connected to and has a slot for the request.
     Superseded(Box<Placement>),
     /// The deadline has passed.
     DeadlineExceeded,
@@ -66,7 +66,7 @@
     /// server is looked for, and again at intervals.
     pub(super) async fn await_server<T>(
         &self,
-        engine: &EngineId,
+        Assignment { engine, via, .. }: &Assignment,
         patience: Patience,
         event: impl Future<Output = T>,
     ) -> Awaited<T> {
@@ -80,7 +80,7 @@
             }
             lock(&self.shared.dispatch)
                 .dispatcher
-                .mark_silent(self.shared.now(), engine);
+                .mark_silent(self.shared.now(), engine, via.as_ref());
             if !patience.may_move {
                 limit = Millis::MAX;
                 continue;
@@ -93,32 +93,66 @@
         }
     }
 
-    /// Queues the request for a server other than `engine` until one has a slot or `engine` sends something.
+    /// Queues the request for a server other than `engine` until it is connected to one that has a slot, or `engine`
+    /// sends something.
     async fn search_elsewhere<T>(&self, engine: &EngineId, event: impl Future<Output = T>) -> Search<T> {
         let Some(queued) = self.queue_elsewhere(engine) else {
             return Search::NotFound;
         };
-        let found = tokio::select! {
+        tokio::select! {
             biased;
             value = event => Search::Ready(value),
-            placement = self.acquire_slot(queued, Some(engine)) => match placement {
-                Ok(placement) => Search::Found(Box::new(placement)),
-                Err(refusal) => {
-                    log::debug!(request = self.head.id.as_deref(), reason:% = refusal.reason; "no other server for a silent one");
-                    Search::NotFound
-                }
-            },
-        };
-        if !matches!(found, Search::Found(_)) {
-            lock(&self.shared.dispatch).dispatcher.refund_retry(&self.backend);
+            placement = self.place_elsewhere(queued, engine) => {
+                placement.map_or(Search::NotFound, |placement| Search::Found(Box::new(placement)))
+            }
         }
-        found
     }
 
-    /// Queues the request for a server other than `engine` if the retry budget allows it.
+    /// Queues the request for a server other than `engine` if it could be sent there now.
     fn queue_elsewhere(&self, engine: &EngineId) -> Option<QueuedRequest> {
+        if self.is_keyed() && !self.shared.may_use_keys() {
+            return None;
+        }
         let job = self.job_elsewhere(engine);
-        lock(&self.shared.dispatch).submit_retry(self.shared.now(), job)
+        let mut dispatch = lock(&self.shared.dispatch);
+        if !dispatch.dispatcher.has_retry(&self.backend) {
+            return None;
+        }
+        let (ticket, decision) = dispatch.submit_unsent(self.shared.now(), job);
+        drop(dispatch);
+        Some(QueuedRequest::new(&self.shared, ticket, decision))
+    }
+
+    /// Waits for a slot of a server other than `engine`, connects to it, and takes a retry from the budget.
+    async fn place_elsewhere(&self, queued: QueuedRequest, engine: &EngineId) -> Option<Placement> {
+        let placement = self.acquire_slot(queued, Some(engine)).await;
+        let Placement {
+            mut slot,
+            assignment,
+            ..
+        } = placement
+            .inspect_err(|refusal| {
+                log::debug!(request = self.head.id.as_deref(), reason:% = refusal.reason; "no other server for a silent one");
+            })
+            .ok()?;
+        let connection = match attempt::connect(self, &assignment).await {
+            Ok(connection) => connection,
+            Err(failure) => {
+                attempt::end_failed(self, slot, &assignment, failure);
+                return None;
+            }
+        };
+        let is_granted = lock(&self.shared.dispatch).dispatcher.take_retry(&self.backend);
+        if !is_granted {
+            slot.refund_permit();
+            return None;
+        }
+        self.shared.metrics.count("repeats", "moved");
+        Some(Placement {
+            slot,
+            assignment,
+            connection: Some(connection),
+        })
     }
 
     /// Returns the job of a request that `engine` still has.
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -90,7 +90,7 @@
     Events(CompleteEvents),
     End,
     Interrupted(AttemptEnd),
-    /// The server was silent, and another server has a slot for the request.
+    /// The server was silent, and another one is connected to and has a slot for the request.
     Superseded(Box<Placement>),
     DeadlineExceeded,
 }
@@ -349,9 +349,8 @@
                 + FIRST_EVENT_TIMEOUT_MARGIN
         };
         let patience = Patience::new(max_gap.since(waited), may_resume);
-        let engine = engine_stream.assignment.engine.clone();
         let frame = match exchange
-            .await_server(&engine, patience, engine_stream.body.frame())
+            .await_server(&engine_stream.assignment, patience, engine_stream.body.frame())
             .await
         {
             Awaited::Ready(frame) => frame,
