Charge a request that was sent to the quota although its caller left

What was wrong: an organisation got more than its quota. Cause: a request counted as sent only after its attempt had ended. A caller that left during the attempt had its tokens returned, although the server ran the request. Change: it counts as sent from the begin of an attempt, until the attempt shows that nothing was sent.

--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -307,6 +307,8 @@
         request_log::record_assignment(self, &assignment, slot.rate_limit());
         let patience = self.patience(&assignment);
         let engine = assignment.engine.clone();
+        // The caller may leave while the request is being sent, so it counts as sent until the outcome is known.
+        let may_have_run = std::mem::replace(&mut self.may_have_run, true);
         let sent = attempt::send(self, slot, assignment, connection, last_event_id, patience).await;
         let failure = sent.as_ref().err().map(AttemptError::failure);
         match failure {
@@ -316,10 +318,11 @@
         if let Some(failure) = failure {
             request_log::record_attempt_failure(self, &engine, failure);
         }
-        self.may_have_run |= matches!(
-            failure,
-            None | Some(Failure::MaybeRun(_) | Failure::DeadlineExceeded)
-        );
+        self.may_have_run = may_have_run
+            || matches!(
+                failure,
+                None | Some(Failure::MaybeRun(_) | Failure::DeadlineExceeded)
+            );
         self.tried_engines.push(engine);
         sent
     }
