Let callers pause for longer while they read a response

What callers saw: a caller that read nothing for 5 s was cut off in mid-response. Cause: TCP_USER_TIMEOUT of 5 s on callers' connections also bounds a closed window, as on connections to servers. Change: 30 s, as for the origin of a relayed connection. Figures: a_caller_that_pauses_gets_its_whole_response was reset after a pause of 7 s, and passes now. Conclusion: a caller whose host is gone is found after 30 s.

--- a/crates/gateway/src/traffic/listener.rs
+++ b/crates/gateway/src/traffic/listener.rs
@@ -24,8 +24,9 @@
 
 /// The pause after a failed accept, such as with too many open files.
 pub(crate) const ACCEPT_PAUSE: Millis = Millis(20);
-/// A connection on which the caller acknowledges no data for this time is closed.
-const CALLER_ACK_TIMEOUT: Millis = Millis(5_000);
+/// A connection on which the caller acknowledges no data for this time is closed. A caller that does not read also
+/// acknowledges none.
+const CALLER_ACK_TIMEOUT: Millis = Millis::from_secs(30);
 /// The maximum number of header fields in a request.
 const MAX_HEADER_FIELDS: usize = 128;
 /// The minimum size of the buffer for a request head, which cannot grow with the limit of a later configuration.
