Return the permit of a request that was not sent, and forget requests that are dropped

Cause: a permit of a rate limit was not returned when a queued request was dropped after it had been granted; the waiter of a datagram whose request was dropped stayed in the map. Both found by reading. Change: a slot that was never assigned returns its permit when it is dropped; a waiter is removed when its request is.

--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -40,6 +40,18 @@
     }
 }
 
+/// Removes a pending request when it is dropped.
+struct Waiter<'a> {
+    pending: &'a Mutex<PendingRequests>,
+    request_id: u64,
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        lock(self.pending).waiters.remove(&self.request_id);
+    }
+}
+
 impl PeerLink {
     /// Binds the socket on which other hosts' datagrams arrive.
     pub(crate) fn bind(own_host: &HostId, address: SocketAddr) -> io::Result<Self> {
@@ -137,6 +149,10 @@
     ) -> Option<PeerResponse> {
         let (tx, mut rx) = oneshot::channel();
         let request_id = lock(&self.pending).register(tx);
+        let _waiter = Waiter {
+            pending: &self.pending,
+            request_id,
+        };
         let message = message(request_id);
         for _ in 0..attempts {
             self.send(peer, &message);
@@ -144,7 +160,6 @@
                 return Some(response);
             }
         }
-        lock(&self.pending).waiters.remove(&request_id);
         None
     }
 
--- a/crates/gateway/src/traffic/reservation.rs
+++ b/crates/gateway/src/traffic/reservation.rs
@@ -198,6 +198,10 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         if !self.ended {
+            // An attempt that was not assigned to a server was not sent.
+            if self.assigned.is_none() {
+                self.refund_permit();
+            }
             self.record_unfinished_pace();
             self.release();
             lock(&self.shared.dispatch).cancel(self.shared.now(), self.ticket);
