Count open requests by one type, and derive the limit on a first event in one place

Cause: the relay counted its connections by a copy of the type that counts callers' requests; two constants stood twice. Change: OpenRequest stands beside the counter; first_event_limit serves both places. No behaviour differs.

--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use carawayseam_dispatch::dispatcher::RelayTarget;
 use carawayseam_node::{FrameStream, StreamError};
@@ -13,7 +12,7 @@
 use tokio::time::sleep;
 
 use super::copy::{copy, set_reset_on_close};
-use crate::shared::{Phase, Shared, lock};
+use crate::shared::{OpenRequest, Phase, Shared, lock};
 use crate::sockets::{self, SERVER_SILENCE_LIMIT};
 use crate::traffic::ACCEPT_PAUSE;
 
@@ -32,23 +31,6 @@
 /// The counter of relayed connections.
 const COUNTER: &str = "relayed";
 
-/// Counts a relayed connection as an open request until it is dropped.
-#[derive(Debug)]
-struct OpenConnection<'a>(&'a Shared);
-
-impl<'a> OpenConnection<'a> {
-    fn new(shared: &'a Shared) -> Self {
-        shared.open_requests.fetch_add(1, Ordering::Relaxed);
-        Self(shared)
-    }
-}
-
-impl Drop for OpenConnection<'_> {
-    fn drop(&mut self) {
-        self.0.open_requests.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Serves peers until the process stops accepting connections.
 pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
     let permits = Arc::new(Semaphore::new(MAX_RELAYED + MAX_REFUSING));
@@ -101,7 +83,7 @@
             return;
         }
     };
-    let _open = OpenConnection::new(&shared);
+    let _open = OpenRequest::new(&shared);
     let connected = match select_server(&shared, &req, is_full) {
         Ok(address) => connect(&shared, &req, frames.tcp(), address).await,
         Err(response) => Err(response),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, AtomicUsize};
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use carawayseam_dispatch::catalog::RequestLimits;
@@ -293,6 +293,23 @@
     pub(crate) used_connections: AtomicUsize,
 }
 
+/// Counts a request as open until it is dropped.
+#[derive(Debug)]
+pub(crate) struct OpenRequest(Arc<Shared>);
+
+impl OpenRequest {
+    pub(crate) fn new(shared: &Arc<Shared>) -> Self {
+        shared.open_requests.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(shared))
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open_requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl std::fmt::Debug for Shared {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Shared")
--- a/crates/gateway/src/traffic/arrival.rs
+++ b/crates/gateway/src/traffic/arrival.rs
@@ -1,7 +1,7 @@
 //! Reads a request and looks up its route and organisation in the configuration.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 
 use bytes::Bytes;
 use carawayseam_dispatch::Catalog;
@@ -21,29 +21,12 @@
 use super::response::{Reason, Refusal};
 use super::unread_body;
 use crate::platform::RequestHead;
-use crate::shared::{Phase, Shared, lock};
+use crate::shared::{OpenRequest, Phase, Shared, lock};
 
 /// A request with an unknown route or key is rejected as such only if the configuration was confirmed
 /// within this time; otherwise it is refused because the configuration is stale.
 const MAX_LOOKUP_AGE: Millis = Millis(1_800);
 
-/// Counts a request as open until it is dropped.
-#[derive(Debug)]
-pub(super) struct OpenRequest(Arc<Shared>);
-
-impl OpenRequest {
-    fn new(shared: &Arc<Shared>) -> Self {
-        shared.open_requests.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(shared))
-    }
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.0.open_requests.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Reads a request and looks up its route and organisation in the configuration.
 pub(super) async fn read_request(
     shared: &Arc<Shared>,
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -14,7 +14,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use super::arrival::{self, OpenRequest, refuse_stale};
+use super::arrival::{self, refuse_stale};
 use super::attempt::{self, AttemptError, Failure, ServerResponse};
 use super::plain::PlainResponse;
 use super::quota::ReservedTokens;
@@ -27,7 +27,7 @@
 use crate::http_client::Connection;
 use crate::platform::RequestHead;
 use crate::request_log;
-use crate::shared::{Assignment, Decision, Shared, lock};
+use crate::shared::{Assignment, Decision, OpenRequest, Shared, lock};
 
 /// The retry delay sent to a caller whose request was rejected or not sent.
 pub(super) const RETRY_AFTER_REJECTED: Millis = Millis(300);
@@ -36,10 +36,10 @@
 /// A stream still queued after this multiple of its objective is refused, since callers do not wait much
 /// longer.
 const STREAM_WAIT_OBJECTIVES: f64 = 1.5;
-/// A plain request that may be repeated is retried if no response arrives within this multiple of its
-/// objective.
+/// Another server is looked for if no response to a plain request that may be repeated arrives within this multiple
+/// of its objective.
 const PLAIN_TIMEOUT_OBJECTIVES: f64 = 2.5;
-/// A stream is retried if its response does not arrive within this multiple of the expected time to its
+/// Another server is looked for if a stream's response or first event does not arrive within this multiple of the expected time to its
 /// first event plus the margin.
 const FIRST_EVENT_TIMEOUT_FACTOR: u64 = 3;
 const FIRST_EVENT_TIMEOUT_MARGIN: Millis = Millis(800);
@@ -124,6 +124,11 @@
     Stream(Box<ServerResponse>),
 }
 
+/// Returns the time without a first event after which another server is looked for.
+pub(super) fn first_event_limit(assignment: &Assignment) -> Millis {
+    assignment.expected_first_event.times(FIRST_EVENT_TIMEOUT_FACTOR) + FIRST_EVENT_TIMEOUT_MARGIN
+}
+
 /// Serves one request and returns the response.
 pub(crate) async fn run(shared: &Arc<Shared>, req: Request<Incoming>) -> Response<ResponseBody> {
     let head = shared.headers.read_request(req.headers());
@@ -430,7 +435,7 @@
         let route = &self.route_match.route;
         let has_next = self.attempts + 1 < route.max_attempts;
         let limit = if route.kind.is_stream() {
-            assignment.expected_first_event.times(FIRST_EVENT_TIMEOUT_FACTOR) + FIRST_EVENT_TIMEOUT_MARGIN
+            first_event_limit(assignment)
         } else {
             Millis((route.objective.0 as f64 * PLAIN_TIMEOUT_OBJECTIVES) as u64)
         };
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -11,7 +11,7 @@
 
 use super::attempt::{Failure, ServerResponse, keep_alive_timeout, remove_hop_headers};
 use super::events::{CompleteEvents, EventSplitter, MAX_EVENT_BYTES};
-use super::exchange::{Exchange, Placement};
+use super::exchange::{Exchange, Placement, first_event_limit};
 use super::reservation::Slot;
 use super::response::{BodyError, ResponseBody};
 use super::resumption::StreamHead;
@@ -24,9 +24,6 @@
 const EVENTS_PER_SAMPLE: u32 = 12;
 /// The time without an event after which another server is looked for to resume the stream.
 const MAX_EVENT_GAP: Millis = Millis(900);
-/// The corresponding timeout for the first event, as a multiple of the expected time plus a margin.
-const FIRST_EVENT_TIMEOUT_FACTOR: u64 = 3;
-const FIRST_EVENT_TIMEOUT_MARGIN: Millis = Millis(800);
 
 /// The number of events from which an answer has begun: a server that crashes at the first event may still send
 /// it.
@@ -342,11 +339,7 @@
         let max_gap = if engine_stream.received_events > 0 {
             MAX_EVENT_GAP
         } else {
-            engine_stream
-                .assignment
-                .expected_first_event
-                .times(FIRST_EVENT_TIMEOUT_FACTOR)
-                + FIRST_EVENT_TIMEOUT_MARGIN
+            first_event_limit(&engine_stream.assignment)
         };
         let patience = Patience::new(max_gap.since(waited), may_resume);
         let frame = match exchange
--- a/crates/gateway/src/traffic/unread_body.rs
+++ b/crates/gateway/src/traffic/unread_body.rs
@@ -10,7 +10,7 @@
 use hyper::body::{Body, Incoming};
 use tokio::time::timeout;
 
-use super::arrival::OpenRequest;
+use crate::shared::OpenRequest;
 
 /// How long the connection of a refused request stays open while its body is not complete.
 const DISCARD_TIME: Millis = Millis(3_000);
