Prefer other servers while it is checked whether a server crashed

Cause: after a response is lost, its server gets further requests until the check of up to 0.2 s has found a crash. The listener of a process that ends accepts connections for a moment, so such a request is lost as well; one that may not be repeated gets 502 although another server has a slot. Ruled out: a request blamed for earlier crashes: in the log the second request went to the crashed server 1 ms after the first was lost there, and was lost too. Change: a server whose lost response is being checked has a score penalty, so requests go to it only if no other server can take them. Resets of sound connections cost no capacity.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -49,6 +49,8 @@
     /// Prompt tokens of this request that the server has not cached.
     own_tokens: f64,
     is_first_event_due: bool,
+    /// Whether the response was lost, and its cause is being checked.
+    is_loss_checked: bool,
     parts: Vec<PromptPart>,
 }
 
@@ -252,6 +254,9 @@
         }
         if let Some(engine) = pool.engine_mut(&running.engine) {
             engine.running = engine.running.saturating_sub(1);
+            if running.is_loss_checked {
+                engine.end_loss_check();
+            }
             if running.is_first_event_due {
                 engine.prompt_ahead = (engine.prompt_ahead - running.own_tokens).max(0.0);
             }
@@ -352,6 +357,7 @@
                 tokens_ahead,
                 own_tokens,
                 is_first_event_due: true,
+                is_loss_checked: false,
                 parts: job.parts,
             };
             self.running.insert(waiting.ticket, running);
--- a/crates/dispatch/src/dispatcher/availability.rs
+++ b/crates/dispatch/src/dispatcher/availability.rs
@@ -6,7 +6,7 @@
 
 use super::Dispatcher;
 use crate::draining_servers::DrainingServer;
-use crate::job::Action;
+use crate::job::{Action, Ticket};
 
 impl Dispatcher {
     /// Returns whether a backend has a server of a version that is not draining, reachable or not.
@@ -96,6 +96,21 @@
         }
     }
 
+    /// Records that a response was lost, and that it is being checked whether its server crashed.
+    ///
+    /// Until the attempt ends, requests go to other servers of the backend if these have a slot.
+    pub fn begin_loss_check(&mut self, ticket: Ticket) {
+        let Some(running) = self.running.get_mut(&ticket) else {
+            return;
+        };
+        let was_checked = std::mem::replace(&mut running.is_loss_checked, true);
+        let pool = self.pools.get_mut(&running.backend);
+        match pool.and_then(|pool| pool.engine_mut(&running.engine)) {
+            Some(engine) if !was_checked => engine.begin_loss_check(),
+            _ => {}
+        }
+    }
+
     /// Marks a server as reachable again.
     pub fn mark_reachable(&mut self, now: Millis, engine: &EngineId) -> Vec<Action> {
         self.now = self.now.max(now);
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -157,6 +157,8 @@
     /// The server's rate limit while it has no room, for the requests of all hosts together.
     limit: Option<RequestRate>,
     pub(crate) reach: Reach,
+    /// Number of lost responses of which it is being checked whether the server crashed.
+    loss_checks: u32,
     /// Prompt parts that the server has read, by id, with the time of their last use.
     parts: HashMap<u64, Millis>,
 }
@@ -182,6 +184,7 @@
             limited_until: Millis::ZERO,
             limit: None,
             reach,
+            loss_checks: 0,
             parts: HashMap::new(),
         }
     }
@@ -227,6 +230,21 @@
         self.reach.lose(now, false);
     }
 
+    /// Records that a response was lost and its cause is being checked.
+    pub(crate) const fn begin_loss_check(&mut self) {
+        self.loss_checks = self.loss_checks.saturating_add(1);
+    }
+
+    /// Records that the cause of a lost response is known.
+    pub(crate) const fn end_loss_check(&mut self) {
+        self.loss_checks = self.loss_checks.saturating_sub(1);
+    }
+
+    /// Returns whether the server may have crashed.
+    pub(crate) const fn may_have_crashed(&self) -> bool {
+        self.loss_checks > 0
+    }
+
     /// Records that a connection was established.
     ///
     /// If connecting had failed before, what failed meanwhile is no evidence against the server. A server that
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -22,6 +22,8 @@
 const RELAY_PENALTY_MS: f64 = 40.0;
 /// Score penalty of a server that fails every request; it grows with the square of the failure share.
 const FAILURE_PENALTY_MS: f64 = 3_000.0;
+/// Score penalty of a server that may have crashed.
+const LOSS_CHECK_PENALTY_MS: f64 = 3_000.0;
 /// Score penalty of a server that the request was already sent to.
 const TRIED_PENALTY_MS: f64 = 100_000.0;
 /// Weight of a request's total time on a server in the score, because no other request can use its slot
@@ -269,6 +271,11 @@
                     used: f64::from(used),
                     capacity,
                     free: capacity.saturating_sub(used),
+                    loss_check_penalty_ms: if engine.may_have_crashed() {
+                        LOSS_CHECK_PENALTY_MS
+                    } else {
+                        0.0
+                    },
                     failure_penalty_ms: engine.failure_share(now).powi(2) * FAILURE_PENALTY_MS,
                     zone_penalty_ms: if engine.entry.zone == *cx.zone {
                         0.0
@@ -331,7 +338,8 @@
         }
         // Each running request slows the others slightly, so otherwise equal servers share the load.
         score += candidate.used / f64::from(engine.entry.slots.max(1)) * pace.base;
-        score += candidate.zone_penalty_ms + candidate.relay_penalty_ms + candidate.failure_penalty_ms;
+        score += candidate.zone_penalty_ms + candidate.relay_penalty_ms;
+        score += candidate.failure_penalty_ms + candidate.loss_check_penalty_ms;
         if job.tried.contains(&engine.entry.id) {
             score += TRIED_PENALTY_MS;
         }
@@ -349,6 +357,7 @@
     /// Maximum number of concurrent requests from all hosts.
     capacity: u32,
     free: u32,
+    loss_check_penalty_ms: f64,
     failure_penalty_ms: f64,
     zone_penalty_ms: f64,
     relay_penalty_ms: f64,
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -115,6 +115,32 @@
     assert!(failed <= 6, "{failed} of 59 requests went to the failing server");
 }
 
+/// Guards against requests that follow the one that crashed a server, before the crash is certain.
+#[test]
+fn a_server_that_may_have_crashed_gets_no_requests_while_another_has_a_slot() {
+    let mut dispatcher = dispatcher(&[("a", 4), ("b", 4)]);
+    let (lost, actions) = dispatcher.submit(Millis(1), job(1, 0));
+    let may_have_crashed = started(&actions)[0].1.clone();
+    dispatcher.begin_loss_check(lost);
+    for at in [2, 3, 4] {
+        let (_, actions) = dispatcher.submit(Millis(at), job(at, 0));
+        assert_ne!(started(&actions)[0].1, may_have_crashed, "at {at} ms");
+    }
+    dispatcher.record_end(Millis(5), lost, AttemptEnd::Cancelled);
+    let (_, actions) = dispatcher.submit(Millis(6), job(6, 0));
+    assert_eq!(started(&actions)[0].1, may_have_crashed, "the check has ended");
+}
+
+/// Guards against requests that wait for a check although no other server can take them.
+#[test]
+fn the_only_server_gets_requests_while_it_is_checked() {
+    let mut dispatcher = dispatcher(&[("a", 4)]);
+    let (lost, _) = dispatcher.submit(Millis(1), job(1, 0));
+    dispatcher.begin_loss_check(lost);
+    let (_, actions) = dispatcher.submit(Millis(2), job(2, 0));
+    assert_eq!(started(&actions).len(), 1);
+}
+
 #[test]
 fn a_long_response_waits_for_a_server_that_completes_it_in_time() {
     let mut dispatcher = dispatcher(&[("slow", 4), ("fast", 1)]);
--- a/crates/gateway/src/traffic/crashes.rs
+++ b/crates/gateway/src/traffic/crashes.rs
@@ -69,6 +69,7 @@
     pub(super) fn end_lost(&self, slot: Slot, assignment: &Assignment, events: u32) {
         let shared = Arc::clone(&self.shared);
         let assignment = assignment.clone();
+        lock(&shared.dispatch).dispatcher.begin_loss_check(slot.ticket());
         let request = LostRequest {
             id: self.head.id.clone(),
             content: self.content(),
