Satisfy the linter on the test of loss checks

Cause: a clone of a reference that does nothing. Ruled out: none. Change: the clone is gone. Conclusion: the linter is clean on the crate.

--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -120,7 +120,7 @@
 fn a_server_that_may_have_crashed_gets_no_requests_while_another_has_a_slot() {
     let mut dispatcher = dispatcher(&[("a", 4), ("b", 4)]);
     let (lost, actions) = dispatcher.submit(Millis(1), job(1, 0));
-    let may_have_crashed = started(&actions)[0].1.clone();
+    let may_have_crashed = started(&actions)[0].1;
     dispatcher.begin_loss_check(lost);
     for at in [2, 3, 4] {
         let (_, actions) = dispatcher.submit(Millis(at), job(at, 0));
