--- a/crates/gateway/src/traffic/crashes.rs
+++ b/crates/gateway/src/traffic/crashes.rs
@@ -89,7 +89,7 @@
                 LossCause::Link => AttemptEnd::LinkLost,
             };
             if cause != LossCause::Crash {
-                log::info!(request = request.id.as_deref(), engine:% = assignment.engine, cause = cause.label(); "backend server lost a response and still accepts connections");
+                log::info!(request = request.id.as_deref(), engine:% = assignment.engine, cause = cause.label(); "a response was lost without a crash of its backend server");
             }
             slot.end(end);
         });
