Treat a success without length that ends before its body as lost

Cause: a server that stopped right after a head with neither a length nor chunks, and closed, was taken for one with an empty body. The caller got a signed 200 with Content-Length: 0, also on routes whose requests may be repeated, directly and through a peer. Found by cutting responses after each byte. Ruled out: a cut inside the head, which the HTTP library reports as an error in all forms tried (with a length, chunks, neither; closed and reset; after 100 and 103; bare line feeds); a cut inside a length's body or in chunks up to the last byte. Both gave 502 or a repeat before this change too. A body of a length of 0, or of no chunks, and a response to HEAD are whole. Change: a plain success whose end is that of its connection is lost if its body is empty; it is repeated where the route allows that, and otherwise the caller gets 502. Conclusion: a body that ends with its connection after its first byte still counts as whole, as HTTP has it; nothing in it shows a cut.

--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -7,8 +7,9 @@
 use bytes::Bytes;
 use carawayseam_types::Millis;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::TRANSFER_ENCODING;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -166,6 +167,17 @@
     }
 }
 
+/// Returns whether the body of a response ends with its connection: a part of such a body looks like the whole.
+#[must_use]
+pub fn ends_with_connection(response: &Response<Incoming>) -> bool {
+    let encodings = response.headers().get_all(TRANSFER_ENCODING).iter().next_back();
+    let is_chunked = encodings
+        .and_then(|encodings| encodings.to_str().ok()?.rsplit(',').next())
+        .is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"));
+    let body = response.body();
+    !body.is_end_stream() && body.size_hint().exact().is_none() && !is_chunked
+}
+
 /// Why a call received no complete response.
 #[derive(Debug, derive_more::Display, derive_more::Error)]
 pub enum CallError {
--- a/crates/gateway/src/traffic/plain.rs
+++ b/crates/gateway/src/traffic/plain.rs
@@ -7,12 +7,18 @@
 
 use super::attempt::{Failure, ServerResponse, keep_alive_timeout, remove_hop_headers};
 use super::exchange::{Exchange, QueuedRequest};
-use super::response::{ResponseBody, full_body};
+use super::response::{BodyError, ResponseBody, full_body};
+use crate::http_client::ends_with_connection;
 use crate::request_log;
 
 /// The maximum size of a plain response, which is read completely before it is forwarded.
 const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
 
+/// A success ended with its connection before its body began.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+#[display("the connection closed right after the head")]
+struct MissingBody;
+
 /// The result of reading a server's plain response.
 pub(super) enum PlainResponse {
     Pass(Response<ResponseBody>),
@@ -29,13 +35,20 @@
             mut slot,
             assignment,
         } = server_response;
+        let needs_body = response.status().is_success() && ends_with_connection(&response);
         let (mut parts, body) = response.into_parts();
         let keep_alive = keep_alive_timeout(&parts.headers);
         remove_hop_headers(&mut parts.headers);
         connection.set_read_limit(MAX_RESPONSE_BYTES.saturating_mul(2));
-        let reading = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+        let reading = async {
+            let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await?.to_bytes();
+            if needs_body && body.is_empty() {
+                return Err(BodyError::from(MissingBody));
+            }
+            Ok(body)
+        };
         let body = match timeout(self.time_left().to_duration(), reading).await {
-            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Ok(body)) => body,
             Ok(Err(e)) => {
                 request_log::record_lost_connection(self, &assignment.engine, "body", &*e);
                 self.close_idle_connections(&assignment);
