Treat a stream without length that ends before its first event as broken off

Cause: a server that stopped right after the head of a stream with neither a length nor chunks, and closed, was taken for one that had sent the whole stream. The caller got 200 with the final chunk and no event; where such a server resumed a stream, the caller's stream ended after the events of the first server as if it were whole. Ruled out: a stream with a final chunk or a length of 0, which says that it is whole; a response to HEAD. Change: a stream whose end is that of its connection was interrupted unless this server sent an event; it is resumed, or ends without its final chunk. Conclusion: such a stream that ends between two events still counts as whole; nothing in it shows a cut.

--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -16,7 +16,7 @@
 use super::response::{BodyError, ResponseBody};
 use super::resumption::StreamHead;
 use super::silence::{Awaited, Patience};
-use crate::http_client::Connection;
+use crate::http_client::{Connection, ends_with_connection};
 use crate::request_log::{self, StreamSummary};
 use crate::shared::{Assignment, lock};
 
@@ -45,6 +45,8 @@
     slot: Slot,
     assignment: Assignment,
     keep_alive_timeout: Option<Millis>,
+    /// Whether the end of the stream is that of its connection.
+    ends_with_connection: bool,
     /// The number of all events from this server.
     received_events: u32,
     /// When so many events had been received that the server has begun to answer.
@@ -57,6 +59,7 @@
 impl EngineStream {
     fn new(server_response: ServerResponse, keep_alive_timeout: Option<Millis>, now: Millis) -> Self {
         Self {
+            ends_with_connection: ends_with_connection(&server_response.response),
             body: server_response.response.into_body(),
             connection: server_response.connection,
             slot: server_response.slot,
@@ -68,6 +71,11 @@
             sampled_at: now,
         }
     }
+
+    /// Returns whether the stream would end with its connection before its first event.
+    const fn is_unbegun(&self) -> bool {
+        self.ends_with_connection && self.received_events == 0
+    }
 }
 
 /// The stream to a caller, made of one or more backend servers' streams.
@@ -372,7 +380,9 @@
                 return ReadResult::Interrupted(AttemptEnd::ConnectionLost);
             }
             // A stream that ends in the middle of an event was interrupted.
-            None if splitter.has_partial() => return ReadResult::Interrupted(AttemptEnd::ConnectionLost),
+            None if splitter.has_partial() || engine_stream.is_unbegun() => {
+                return ReadResult::Interrupted(AttemptEnd::ConnectionLost);
+            }
             None => return ReadResult::End,
         }
     }
