Reset the connection of a caller of HTTP/1.0 whose stream broke off

Cause: a stream to a caller of HTTP/1.0 has no chunks and ends with its connection. A stream that the gateway could not complete (no event, broken off inside or between events, reset, past its deadline) ended by a regular close, and so looked whole: a 200 with an empty or short body. Callers of HTTP/1.1 miss the final chunk. Ruled out: plain responses, which always have a length; a whole stream, which is to end by a close; a reset of all connections that fail, which could take events from callers of HTTP/1.1 that have not arrived yet. Change: while a body that ends with its connection is sent, the socket has a linger time of 0, so that it is reset if the stream breaks off, its task panics or the process ends; the end of the body takes it back. The relay's function for this moves to `sockets`. Conclusion: the end of the process during such a stream was not played; that it resets follows from the option of the socket.

--- a/crates/gateway/src/relay/copy.rs
+++ b/crates/gateway/src/relay/copy.rs
@@ -2,14 +2,14 @@
 
 use std::io;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Duration;
 
 use carawayseam_types::Millis;
-use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{MissedTickBehavior, interval};
 
+use crate::sockets::set_reset_on_close;
+
 /// The size of the buffer for each direction. Nothing else is read ahead of what the other side accepts.
 const BUFFER_BYTES: usize = 8 * 1_024;
 /// The interval at which the progress of a connection is checked that its origin has closed.
@@ -48,11 +48,6 @@
     set_reset_on_close(&server, false)
 }
 
-/// Sets whether a connection is reset, and not closed, when it is dropped or its process ends.
-pub(super) fn set_reset_on_close(stream: &TcpStream, resets: bool) -> io::Result<()> {
-    SockRef::from(stream).set_linger(resets.then_some(Duration::ZERO))
-}
-
 /// Copies bytes in one direction until the end, and passes the end on.
 async fn pass(
     from: &mut (impl AsyncRead + Unpin),
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -11,9 +11,9 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::sleep;
 
-use super::copy::{copy, set_reset_on_close};
+use super::copy::copy;
 use crate::shared::{OpenRequest, Phase, Shared, lock};
-use crate::sockets::{self, SERVER_SILENCE_LIMIT};
+use crate::sockets::{self, SERVER_SILENCE_LIMIT, set_reset_on_close};
 use crate::traffic::ACCEPT_PAUSE;
 
 /// The maximum number of relayed connections at a time.
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use carawayseam_types::Millis;
 use socket2::{SockRef, TcpKeepalive};
@@ -54,3 +55,8 @@
         .with_retries(u32::try_from(unanswered).unwrap_or(u32::MAX));
     socket.set_tcp_keepalive(&probes)
 }
+
+/// Sets whether a connection is reset, and not closed, when it is dropped or its process ends.
+pub(crate) fn set_reset_on_close(stream: &TcpStream, resets: bool) -> io::Result<()> {
+    SockRef::from(stream).set_linger(resets.then_some(Duration::ZERO))
+}
--- /dev/null
+++ b/crates/gateway/src/traffic/caller_socket.rs
@@ -0,0 +1,140 @@
+//! The socket of a caller's connection.
+//!
+//! A response with neither a length nor chunks, as callers of HTTP/1.0 get streams, ends with its connection.
+//! Until such a response is whole its connection is reset and not closed when it ends, for whatever reason.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, SizeHint};
+use hyper::{Response, Version};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use super::response::{BodyError, ResponseBody};
+use crate::sockets::set_reset_on_close;
+
+/// Whether a connection is reset when it is dropped.
+#[derive(Debug, Clone, Default)]
+pub(super) struct ResetOnClose(Arc<AtomicBool>);
+
+impl ResetOnClose {
+    /// Sets it while the body of a response is sent, if the body ends with the connection.
+    pub(super) fn until_end_of(
+        &self,
+        version: Version,
+        response: Response<ResponseBody>,
+    ) -> Response<ResponseBody> {
+        if version > Version::HTTP_10 || response.body().size_hint().exact().is_some() {
+            return response;
+        }
+        let resets = self.clone();
+        response.map(|body| UnframedBody { body, resets }.boxed_unsync())
+    }
+}
+
+/// A response body that ends with its connection.
+struct UnframedBody {
+    body: ResponseBody,
+    resets: ResetOnClose,
+}
+
+impl Body for UnframedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        let is_whole = matches!(polled, Poll::Ready(None));
+        self.resets.0.store(!is_whole, Ordering::Relaxed);
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// A socket that follows a [`ResetOnClose`] before it writes or closes.
+#[derive(Debug)]
+pub(super) struct CallerSocket {
+    stream: TcpStream,
+    wanted: ResetOnClose,
+    /// What the socket's option is.
+    resets: bool,
+}
+
+impl CallerSocket {
+    pub(super) const fn new(stream: TcpStream, wanted: ResetOnClose) -> Self {
+        Self {
+            stream,
+            wanted,
+            resets: false,
+        }
+    }
+
+    fn stream(&mut self) -> io::Result<Pin<&mut TcpStream>> {
+        let wanted = self.wanted.0.load(Ordering::Relaxed);
+        if wanted != self.resets {
+            set_reset_on_close(&self.stream, wanted)?;
+            self.resets = wanted;
+        }
+        Ok(Pin::new(&mut self.stream))
+    }
+}
+
+impl Drop for CallerSocket {
+    fn drop(&mut self) {
+        if let Err(e) = self.stream() {
+            log::debug!("a caller's connection is closed as it is: {e}");
+        }
+    }
+}
+
+impl AsyncRead for CallerSocket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for CallerSocket {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.stream()?.poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.stream()?.poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.stream()?.poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.stream()?.poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/crates/gateway/src/traffic/listener.rs
+++ b/crates/gateway/src/traffic/listener.rs
@@ -15,6 +15,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 
+use super::caller_socket::{CallerSocket, ResetOnClose};
 use super::exchange;
 use super::idle::{Activity, OpenOnConnection};
 use super::response::{Reason, Refusal, ResponseBody};
@@ -58,14 +59,17 @@
         return;
     }
     let activity = Arc::new(Activity::new(shared.now()));
+    let resets = ResetOnClose::default();
+    let socket = CallerSocket::new(stream, resets.clone());
     let (handling, handled) = (Arc::clone(&shared), Arc::clone(&activity));
-    let service = service_fn(move |req| handle(Arc::clone(&handling), Arc::clone(&handled), req));
+    let service =
+        service_fn(move |req| handle(Arc::clone(&handling), Arc::clone(&handled), resets.clone(), req));
     let max_head = shared.limits().max_head.0 as usize;
     let mut builder = http1::Builder::new();
     builder
         .max_headers(MAX_HEADER_FIELDS)
         .max_buf_size(max_head.max(MIN_BUFFER_BYTES));
-    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(socket), service));
     let mut phase = shared.phase.subscribe();
     let closing = async move {
         // The shared state owns the phase's sender and outlives this connection.
@@ -102,9 +106,11 @@
 async fn handle(
     shared: Arc<Shared>,
     activity: Arc<Activity>,
+    resets: ResetOnClose,
     req: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     let open = OpenOnConnection::new(&activity, &shared);
+    let version = req.version();
     // After a panic the connection would close without a response.
     let answered = AssertUnwindSafe(exchange::run(&shared, req)).catch_unwind().await;
     let mut response = answered.unwrap_or_else(|panic| {
@@ -117,7 +123,7 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    Ok(open.until_end_of(response))
+    Ok(resets.until_end_of(version, open.until_end_of(response)))
 }
 
 fn panic_message(panic: &(dyn Any + Send)) -> &str {
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -2,6 +2,7 @@
 
 mod arrival;
 mod attempt;
+mod caller_socket;
 mod connections;
 mod crashes;
 mod events;
