Do not forward a switch of protocols that no caller asked for

Cause: a server's 101 was forwarded to the caller as it came, signed and without a body. The gateway removes `Upgrade` from requests, so it is no answer to one, and what follows on the connection would not be HTTP. A request that may be repeated was not. Ruled out: 100 and 103, which the HTTP library skips; a cut inside or after them ends as a lost response. Change: a 101 is a failed attempt that may have run: repeated where the route allows that, otherwise 502. Conclusion: no other status below 200 reaches a caller.

--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -288,6 +288,8 @@
         _ if status.is_success() && !(head.is_authentic && head.id.is_some()) => {
             Some(Failure::MaybeRun(AttemptEnd::ConnectionLost))
         }
+        // The request asked for no other protocol; a caller must not take what follows for one.
+        StatusCode::SWITCHING_PROTOCOLS => Some(Failure::MaybeRun(AttemptEnd::Failed)),
         // A request counts as not run only if the server says so, and this response does not.
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS | StatusCode::REQUEST_TIMEOUT => {
             Some(Failure::MaybeRun(AttemptEnd::Failed))
