Begin a connection's idle time after the body of a refused request

cause: a request whose head is refused (unknown route or key, the usual refusals beside a change of the configuration) gets its refusal while its body still arrives. The idle time of the connection began with the end of the refusal. A caller that sent its body slowly and then kept the connection for less than four fifths of the idle limit found it closed under its next request. A head that begins in time and ends after the idle limit is a fault of its own.

--- a/crates/gateway/src/traffic/arrival.rs
+++ b/crates/gateway/src/traffic/arrival.rs
@@ -18,6 +18,7 @@
 
 use super::attempt::remove_hop_headers;
 use super::exchange::{Exchange, RETRY_AFTER_REJECTED};
+use super::idle::{Activity, OpenOnConnection};
 use super::response::{Reason, Refusal};
 use super::unread_body;
 use crate::platform::RequestHead;
@@ -30,6 +31,7 @@
 /// Reads a request and looks up its route and organisation in the configuration.
 pub(super) async fn read_request(
     shared: &Arc<Shared>,
+    activity: &Arc<Activity>,
     req: Request<Incoming>,
     head: RequestHead,
 ) -> Result<Exchange, Refusal> {
@@ -47,7 +49,8 @@
         Err(refusal) => {
             // A caller that expects an interim response sends no body after a refusal.
             if !parts.headers.contains_key(EXPECT) {
-                unread_body::discard(body, shared.limits(), open);
+                let on_connection = OpenOnConnection::new(activity, shared);
+                unread_body::discard(body, shared.limits(), open, on_connection);
             }
             return Err(refusal);
         }
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -16,6 +16,7 @@
 
 use super::arrival::{self, refuse_stale};
 use super::attempt::{self, AttemptError, Failure, ServerResponse};
+use super::idle::Activity;
 use super::plain::PlainResponse;
 use super::quota::ReservedTokens;
 use super::rate_limits::{self, RateLimited};
@@ -130,10 +131,14 @@
 }
 
 /// Serves one request and returns the response.
-pub(crate) async fn run(shared: &Arc<Shared>, req: Request<Incoming>) -> Response<ResponseBody> {
+pub(super) async fn run(
+    shared: &Arc<Shared>,
+    activity: &Arc<Activity>,
+    req: Request<Incoming>,
+) -> Response<ResponseBody> {
     let head = shared.headers.read_request(req.headers());
     let id = head.id.clone();
-    match arrival::read_request(shared, req, head).await {
+    match arrival::read_request(shared, activity, req, head).await {
         Ok(exchange) => exchange.serve().await,
         Err(refusal) => {
             request_log::record_early_refusal(shared, id.as_deref(), refusal);
--- a/crates/gateway/src/traffic/listener.rs
+++ b/crates/gateway/src/traffic/listener.rs
@@ -106,7 +106,9 @@
 ) -> Result<Response<ResponseBody>, Infallible> {
     let open = OpenOnConnection::new(&activity, &shared);
     // After a panic the connection would close without a response.
-    let answered = AssertUnwindSafe(exchange::run(&shared, req)).catch_unwind().await;
+    let answered = AssertUnwindSafe(exchange::run(&shared, &activity, req))
+        .catch_unwind()
+        .await;
     let mut response = answered.unwrap_or_else(|panic| {
         log::error!(error = panic_message(&*panic); "handling a request panicked");
         let refusal = Refusal::new(Reason::Internal);
--- a/crates/gateway/src/traffic/unread_body.rs
+++ b/crates/gateway/src/traffic/unread_body.rs
@@ -10,6 +10,7 @@
 use hyper::body::{Body, Incoming};
 use tokio::time::timeout;
 
+use super::idle::OpenOnConnection;
 use crate::shared::OpenRequest;
 
 /// How long the connection of a refused request stays open while its body is not complete.
@@ -17,8 +18,15 @@
 
 /// Reads and discards the rest of a body while the refusal is sent, so that the caller can read it.
 ///
+/// The request stays open on its connection meanwhile, so that the idle time begins after the body.
+///
 /// At most the size of a permitted body is read. A longer one stops the caller until the time is over.
-pub(super) fn discard(mut body: Incoming, limits: RequestLimits, open: OpenRequest) {
+pub(super) fn discard(
+    mut body: Incoming,
+    limits: RequestLimits,
+    open: OpenRequest,
+    on_connection: OpenOnConnection,
+) {
     if body.is_end_stream() {
         return;
     }
@@ -27,7 +35,7 @@
         if timeout(DISCARD_TIME.to_duration(), reading).await.is_err() {
             log::debug!("the rest of a refused request's body was not read");
         }
-        drop(open);
+        drop((open, on_connection));
     });
 }
 
