Read a request's head to its end if it began within the idle limit

cause: the idle time of a caller's connection went on while the head of the next request arrived. A caller that kept a connection for less than four fifths of the idle limit and sent its head in two pieces found the connection closed between them, without an answer. The limit on the time for a head that a configuration states is not used.

--- a/crates/gateway/src/traffic/idle.rs
+++ b/crates/gateway/src/traffic/idle.rs
@@ -1,5 +1,6 @@
 //! The idle time of a caller's connection.
 
+use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
@@ -10,6 +11,8 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Body, Frame, SizeHint};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 use super::response::{BodyError, ResponseBody};
@@ -44,8 +47,9 @@
     open_requests: u32,
     /// Present once a request was read.
     used: Option<UsedConnection>,
-    /// When the connection was accepted, or its last response ended.
+    /// When the connection was accepted, its last response ended, or the next head began.
     idle_since: Millis,
+    is_head_begun: bool,
 }
 
 impl Activity {
@@ -54,6 +58,7 @@
             open_requests: 0,
             used: None,
             idle_since: now,
+            is_head_begun: false,
         }))
     }
 
@@ -68,6 +73,15 @@
         (state.open_requests == 0).then(|| now.since(state.idle_since))
     }
 
+    /// Records that bytes of the caller arrived; a head that begins has the whole idle timeout.
+    fn record_bytes(&self, now: Millis) {
+        let mut state = lock(&self.0);
+        if state.open_requests == 0 && !state.is_head_begun {
+            state.is_head_begun = true;
+            state.idle_since = now;
+        }
+    }
+
     /// Waits until the connection has been idle for the idle timeout of the newest configuration.
     pub(super) async fn idle_timeout(&self, shared: &Shared) {
         loop {
@@ -93,6 +107,7 @@
     pub(super) fn new(activity: &Arc<Activity>, shared: &Arc<Shared>) -> Self {
         let mut state = lock(&activity.0);
         state.open_requests += 1;
+        state.is_head_begun = false;
         state.used.get_or_insert_with(|| UsedConnection::new(shared));
         drop(state);
         Self {
@@ -115,6 +130,65 @@
     }
 }
 
+/// A caller's connection that records when bytes arrive.
+#[derive(Debug)]
+pub(super) struct ObservedStream {
+    stream: TcpStream,
+    activity: Arc<Activity>,
+    shared: Arc<Shared>,
+}
+
+impl ObservedStream {
+    pub(super) const fn new(stream: TcpStream, activity: Arc<Activity>, shared: Arc<Shared>) -> Self {
+        Self {
+            stream,
+            activity,
+            shared,
+        }
+    }
+}
+
+impl AsyncRead for ObservedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled = buf.filled().len();
+        let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > filled {
+            self.activity.record_bytes(self.shared.now());
+        }
+        poll
+    }
+}
+
+impl AsyncWrite for ObservedStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
 /// A response body that keeps its request open.
 struct TrackedBody {
     body: ResponseBody,
--- a/crates/gateway/src/traffic/listener.rs
+++ b/crates/gateway/src/traffic/listener.rs
@@ -16,7 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::exchange;
-use super::idle::{Activity, OpenOnConnection};
+use super::idle::{Activity, ObservedStream, OpenOnConnection};
 use super::response::{Reason, Refusal, ResponseBody};
 use crate::request_log;
 use crate::shared::{Phase, Shared};
@@ -58,6 +58,7 @@
         return;
     }
     let activity = Arc::new(Activity::new(shared.now()));
+    let stream = ObservedStream::new(stream, Arc::clone(&activity), Arc::clone(&shared));
     let (handling, handled) = (Arc::clone(&shared), Arc::clone(&activity));
     let service = service_fn(move |req| handle(Arc::clone(&handling), Arc::clone(&handled), req));
     let max_head = shared.limits().max_head.0 as usize;
