--- a/crates/gateway/src/traffic/arrival.rs
+++ b/crates/gateway/src/traffic/arrival.rs
@@ -9,7 +9,7 @@
 use carawayseam_dispatch::rollouts::VersionRule;
 use carawayseam_types::{BackendName, Millis};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, EXPECT, HOST};
 use hyper::http::request::Parts;
 use hyper::{Request, Uri};
@@ -18,6 +18,7 @@
 
 use super::attempt::remove_hop_headers;
 use super::exchange::{Exchange, RETRY_AFTER_REJECTED};
+use super::idle::{Activity, OpenOnConnection};
 use super::response::{Reason, Refusal};
 use super::unread_body;
 use crate::platform::RequestHead;
@@ -30,6 +31,7 @@
 /// Reads a request and looks up its route and organisation in the configuration.
 pub(super) async fn read_request(
     shared: &Arc<Shared>,
+    activity: &Arc<Activity>,
     req: Request<Incoming>,
     head: RequestHead,
 ) -> Result<Exchange, Refusal> {
@@ -46,10 +48,16 @@
         Ok(admitted) => admitted,
         Err(refusal) => {
             // A caller that expects an interim response sends no body after a refusal.
-            if !parts.headers.contains_key(EXPECT) {
-                unread_body::discard(body, shared.limits(), open);
-            }
-            return Err(refusal);
+            let is_read = if parts.headers.contains_key(EXPECT) {
+                body.is_end_stream()
+            } else {
+                let on_connection = OpenOnConnection::new(activity, shared);
+                unread_body::discard(body, shared.limits(), open, on_connection)
+            };
+            return Err(Refusal {
+                leaves_body: !is_read,
+                ..refusal
+            });
         }
     };
     let Admitted {
--- a/crates/gateway/src/traffic/caller_socket.rs
+++ b/crates/gateway/src/traffic/caller_socket.rs
@@ -2,6 +2,8 @@
 //!
 //! A response with neither a length nor chunks, as callers of HTTP/1.0 get streams, ends with its connection.
 //! Until such a response is whole its connection is reset and not closed when it ends, for whatever reason.
+//!
+//! The HTTP library does not tell when the head of a request begins, so the socket records when bytes arrive.
 
 use std::io;
 use std::pin::Pin;
@@ -16,7 +18,9 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::idle::Activity;
 use super::response::{BodyError, ResponseBody};
+use crate::shared::Shared;
 use crate::sockets::set_reset_on_close;
 
 /// Whether a connection is reset when it is dropped.
@@ -67,21 +71,30 @@
     }
 }
 
-/// A socket that follows a [`ResetOnClose`] before it writes or closes.
+/// A socket that follows a [`ResetOnClose`] before it writes or closes, and records when bytes arrive.
 #[derive(Debug)]
 pub(super) struct CallerSocket {
     stream: TcpStream,
     wanted: ResetOnClose,
     /// What the socket's option is.
     resets: bool,
+    activity: Arc<Activity>,
+    shared: Arc<Shared>,
 }
 
 impl CallerSocket {
-    pub(super) const fn new(stream: TcpStream, wanted: ResetOnClose) -> Self {
+    pub(super) const fn new(
+        stream: TcpStream,
+        wanted: ResetOnClose,
+        activity: Arc<Activity>,
+        shared: Arc<Shared>,
+    ) -> Self {
         Self {
             stream,
             wanted,
             resets: false,
+            activity,
+            shared,
         }
     }
 
@@ -109,7 +122,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let filled = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > filled {
+            self.activity.record_bytes(self.shared.now());
+        }
+        polled
     }
 }
 
--- a/crates/gateway/src/traffic/idle.rs
+++ b/crates/gateway/src/traffic/idle.rs
@@ -44,8 +44,9 @@
     open_requests: u32,
     /// Present once a request was read.
     used: Option<UsedConnection>,
-    /// When the connection was accepted, or its last response ended.
+    /// When the connection was accepted, its last response ended, or the next head began.
     idle_since: Millis,
+    is_head_begun: bool,
 }
 
 impl Activity {
@@ -54,6 +55,7 @@
             open_requests: 0,
             used: None,
             idle_since: now,
+            is_head_begun: false,
         }))
     }
 
@@ -68,6 +70,15 @@
         (state.open_requests == 0).then(|| now.since(state.idle_since))
     }
 
+    /// Records that bytes of the caller arrived; a head that begins has the whole idle timeout.
+    pub(super) fn record_bytes(&self, now: Millis) {
+        let mut state = lock(&self.0);
+        if state.open_requests == 0 && !state.is_head_begun {
+            state.is_head_begun = true;
+            state.idle_since = now;
+        }
+    }
+
     /// Waits until the connection has been idle for the idle timeout of the newest configuration.
     pub(super) async fn idle_timeout(&self, shared: &Shared) {
         loop {
@@ -93,6 +104,7 @@
     pub(super) fn new(activity: &Arc<Activity>, shared: &Arc<Shared>) -> Self {
         let mut state = lock(&activity.0);
         state.open_requests += 1;
+        state.is_head_begun = false;
         state.used.get_or_insert_with(|| UsedConnection::new(shared));
         drop(state);
         Self {
--- a/crates/gateway/src/traffic/listener.rs
+++ b/crates/gateway/src/traffic/listener.rs
@@ -60,7 +60,7 @@
     }
     let activity = Arc::new(Activity::new(shared.now()));
     let resets = ResetOnClose::default();
-    let socket = CallerSocket::new(stream, resets.clone());
+    let socket = CallerSocket::new(stream, resets.clone(), Arc::clone(&activity), Arc::clone(&shared));
     let (handling, handled) = (Arc::clone(&shared), Arc::clone(&activity));
     let service =
         service_fn(move |req| handle(Arc::clone(&handling), Arc::clone(&handled), resets.clone(), req));
@@ -112,7 +112,9 @@
     let open = OpenOnConnection::new(&activity, &shared);
     let version = req.version();
     // After a panic the connection would close without a response.
-    let answered = AssertUnwindSafe(exchange::run(&shared, req)).catch_unwind().await;
+    let answered = AssertUnwindSafe(exchange::run(&shared, &activity, req))
+        .catch_unwind()
+        .await;
     let mut response = answered.unwrap_or_else(|panic| {
         log::error!(error = panic_message(&*panic); "handling a request panicked");
         let refusal = Refusal::new(Reason::Internal);
--- a/crates/gateway/src/traffic/unread_body.rs
+++ b/crates/gateway/src/traffic/unread_body.rs
@@ -10,6 +10,7 @@
 use hyper::body::{Body, Incoming};
 use tokio::time::timeout;
 
+use super::idle::OpenOnConnection;
 use crate::shared::OpenRequest;
 
 /// How long the connection of a refused request stays open while its body is not complete.
@@ -17,18 +18,29 @@
 
 /// Reads and discards the rest of a body while the refusal is sent, so that the caller can read it.
 ///
-/// At most the size of a permitted body is read. A longer one stops the caller until the time is over.
-pub(super) fn discard(mut body: Incoming, limits: RequestLimits, open: OpenRequest) {
+/// The request stays open on its connection meanwhile, so that the idle time begins after the body.
+///
+/// At most the size of a permitted body is read. A longer one stops the caller until the time is over. Returns whether
+/// the body is known to be shorter; otherwise the caller must not use the connection again.
+pub(super) fn discard(
+    mut body: Incoming,
+    limits: RequestLimits,
+    open: OpenRequest,
+    on_connection: OpenOnConnection,
+) -> bool {
     if body.is_end_stream() {
-        return;
+        return true;
     }
+    let length = body.size_hint().upper();
+    let is_permitted = length.is_some_and(|length| length <= limits.max_body.0);
     tokio::spawn(async move {
         let reading = read(&mut body, limits.max_body.0);
         if timeout(DISCARD_TIME.to_duration(), reading).await.is_err() {
             log::debug!("the rest of a refused request's body was not read");
         }
-        drop(open);
+        drop((open, on_connection));
     });
+    is_permitted
 }
 
 /// Reads until the body ends or fails; never returns after more than `max_bytes`.
