Let open requests follow a rollout that is decided

Cause: a request kept the versions that it might run on when it arrived. When the rollout was complete, the old servers stopped at once: a stream that had begun there looked for another old server until its time limit and was broken off, an idempotent request got 502 at its time limit, and a queued one 503, while servers of the new version were idle. The class is a copy that outlives what it copies. The same held for canary requests after a rollback.

Ruled out: letting any version run a repeated request, since that would give a bad version more than the canary share.

Change: a request keeps its random number instead of the rule, and the rule is worked out again whenever it is queued. The control state's tick applies rules that no longer depend on the number to requests that wait.

Conclusion: streams and idempotent requests survive the end of a rollout. Not repeatable requests at a server that stops still get 502.

--- a/crates/dispatch/src/dispatcher/availability.rs
+++ b/crates/dispatch/src/dispatcher/availability.rs
@@ -7,6 +7,7 @@
 use super::Dispatcher;
 use crate::draining_servers::DrainingServer;
 use crate::job::Action;
+use crate::rollouts::VersionRule;
 
 impl Dispatcher {
     /// Returns whether a backend has a server of a version that is not draining, reachable or not.
@@ -18,6 +19,14 @@
             .any(|entry| entry.version == *version && !entry.is_draining)
     }
 
+    /// Replaces the version rule of the waiting requests of a backend; the next tick applies it.
+    pub fn set_version_rule(&mut self, backend: &BackendName, rule: &VersionRule) {
+        let waiting = self.pools.get_mut(backend).into_iter();
+        for waiting in waiting.flat_map(|pool| &mut pool.waiting) {
+            waiting.job.version = rule.clone();
+        }
+    }
+
     /// Records that a server is draining and returns whether this was unknown.
     ///
     /// `is_own` is true if the server itself reported it to this host, rather than a peer.
--- a/crates/dispatch/src/rollouts.rs
+++ b/crates/dispatch/src/rollouts.rs
@@ -254,6 +254,18 @@
         })
     }
 
+    /// Returns the rule of each rollout that no longer depends on a draw, so that it also applies to requests
+    /// that arrived under another one.
+    #[must_use]
+    pub fn settled_rules(&self, now: Millis, is_store_live: bool) -> Vec<(BackendName, VersionRule)> {
+        let rollouts = self.by_backend.iter();
+        let settled = rollouts.filter_map(|(backend, rollout)| {
+            let rule = rollout.settled_rule(now, is_store_live)?;
+            Some((backend.clone(), rule))
+        });
+        settled.collect()
+    }
+
     /// Returns whether the stored state says that a backend's latest rollout is complete.
     #[must_use]
     pub fn is_complete(&self, backend: &BackendName) -> bool {
--- a/crates/dispatch/src/rollouts/rollout.rs
+++ b/crates/dispatch/src/rollouts/rollout.rs
@@ -135,4 +135,11 @@
             _ => VersionRule::Not(to),
         }
     }
+
+    /// Returns the version rule of all requests, or `None` while a canary share has another one.
+    pub(super) fn settled_rule(&self, now: Millis, is_store_live: bool) -> Option<VersionRule> {
+        let rule = |draw| self.version_rule(now, is_store_live, draw);
+        let canary = rule(0.0);
+        (canary == rule(1.0)).then_some(canary)
+    }
 }
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -4,6 +4,7 @@
 
 use carawayseam_dispatch::engine::{PromptPart, ServerLoad};
 use carawayseam_dispatch::load::{HostLoad, WaitingCount};
+use carawayseam_dispatch::rollouts::VersionRule;
 use carawayseam_dispatch::{Action, AttemptEnd, Dispatcher, Job};
 use carawayseam_types::{EngineKey, Millis, Tier};
 use support::{OBJECTIVE_MS, dispatcher, engine, id, job, started};
@@ -26,6 +27,21 @@
     assert_eq!(started(&actions), [(urgent, "a")]);
 }
 
+/// Guards against a queued request that waits for a version without servers after its rollout is decided.
+#[test]
+fn a_waiting_request_follows_the_rule_of_a_decided_rollout() {
+    let mut dispatcher = dispatcher(&[("a", 1)]);
+    let v1 = engine("a", 1).version;
+    let waiting = Job {
+        version: VersionRule::Not(v1.clone()),
+        ..job(1, 0)
+    };
+    let (ticket, actions) = dispatcher.submit(Millis(1), waiting);
+    assert!(actions.is_empty());
+    dispatcher.set_version_rule(&engine("a", 1).backend, &VersionRule::Only(v1));
+    assert_eq!(started(&dispatcher.tick(Millis(2))), [(ticket, "a")]);
+}
+
 #[test]
 fn a_late_request_yields_to_one_that_can_meet_its_objective() {
     let mut dispatcher = dispatcher(&[("a", 1)]);
--- a/crates/dispatch/tests/rollouts.rs
+++ b/crates/dispatch/tests/rollouts.rs
@@ -111,6 +111,28 @@
     assert_eq!(rule(OTHER_DRAW), VersionRule::Not(version("v2")));
 }
 
+#[test]
+fn a_canary_share_leaves_the_rule_unsettled() {
+    let rollouts = rollouts_with_order();
+    assert!(rollouts.settled_rules(Millis(1_000), true).is_empty());
+}
+
+/// Guards against a request that keeps the version it arrived under after the rollout is decided.
+macro_rules! settles {
+    ($name:ident: $state:expr => $rule:expr) => {
+        #[test]
+        fn $name() {
+            let mut rollouts = rollouts_with_order();
+            rollouts.apply_state(&backend(), &version("v2"), $state, revision(11));
+            let rules = rollouts.settled_rules(Millis(1_000), true);
+            assert_eq!(rules, [(backend(), $rule(version("v2")))]);
+        }
+    };
+}
+
+settles!(a_complete_rollout_settles_on_the_new_version: RolloutState::Complete => VersionRule::Only);
+settles!(a_rolled_back_rollout_settles_on_the_old_version: RolloutState::RolledBack => VersionRule::Not);
+
 #[test]
 fn a_healthy_version_gets_all_traffic_shortly_before_the_deadline() {
     let mut rollouts = rollouts_with_order();
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -28,6 +28,7 @@
 use crate::platform::{Item, RolloutOrder, RolloutStatus};
 use crate::shared::{Shared, lock};
 use crate::sockets;
+use crate::traffic;
 use announcements::Announcement;
 
 /// Bounds the connection attempt to a backend server that was unreachable before.
@@ -321,6 +322,7 @@
                 .connections
                 .sweep(now, |engine| engines.contains(engine));
         }
+        traffic::update_waiting(&self.shared, now);
         let mut dispatch = lock(&self.shared.dispatch);
         let actions = dispatch.dispatcher.tick(now);
         dispatch.apply(now, actions);
--- a/crates/gateway/src/traffic/arrival.rs
+++ b/crates/gateway/src/traffic/arrival.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use carawayseam_dispatch::Catalog;
 use carawayseam_dispatch::catalog::{LookupError, RouteMatch, Target};
-use carawayseam_dispatch::rollouts::VersionRule;
 use carawayseam_types::{BackendName, Millis};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -21,7 +20,7 @@
 use super::response::{Reason, Refusal};
 use super::unread_body;
 use crate::platform::RequestHead;
-use crate::shared::{OpenRequest, Phase, Shared, lock};
+use crate::shared::{OpenRequest, Phase, Shared};
 
 /// A request with an unknown route or key is rejected as such only if the configuration was confirmed
 /// within this time; otherwise it is refused because the configuration is stale.
@@ -74,7 +73,7 @@
         tokens_per_event: catalog
             .backend(&backend)
             .map_or(1, |backend| backend.tokens_per_event),
-        versions: version_rule(shared, &backend),
+        version_draw: rand::rng().random(),
         backend,
         arrived,
         deadline: arrived + limit,
@@ -178,26 +177,6 @@
     Refusal::with_retry_after(Reason::StaleConfiguration, retry_after)
 }
 
-/// Returns which versions may run a request.
-///
-/// A version without servers gets no requests before its rollout is complete.
-fn version_rule(shared: &Shared, backend: &BackendName) -> VersionRule {
-    let draw = rand::rng().random();
-    let (rule, is_complete) = {
-        let rollouts = lock(&shared.rollouts);
-        let rule = rollouts.version_rule(shared.now(), backend, shared.may_use_keys(), draw);
-        (rule, rollouts.is_complete(backend))
-    };
-    match rule {
-        VersionRule::Only(version)
-            if !is_complete && !lock(&shared.dispatch).dispatcher.has_server_of(backend, &version) =>
-        {
-            VersionRule::Not(version)
-        }
-        rule => rule,
-    }
-}
-
 /// Selects a backend at random by the targets' weights.
 fn pick_target(targets: &[Target]) -> Option<BackendName> {
     let total: u64 = targets.iter().map(|target| u64::from(target.weight)).sum();
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use carawayseam_dispatch::catalog::RouteMatch;
-use carawayseam_dispatch::rollouts::VersionRule;
 use carawayseam_dispatch::{AttemptEnd, Job, Ticket};
 use carawayseam_types::{BackendName, EngineId, Millis, OrganisationId, Tier};
 use hyper::body::Incoming;
@@ -24,6 +23,7 @@
 use super::silence::Patience;
 use super::slots;
 use super::stream;
+use super::versions;
 use crate::http_client::Connection;
 use crate::platform::RequestHead;
 use crate::request_log;
@@ -58,8 +58,8 @@
     pub(crate) route_match: RouteMatch,
     pub(crate) backend: BackendName,
     pub(crate) tokens_per_event: u32,
-    /// The versions that may run the request.
-    pub(crate) versions: VersionRule,
+    /// Decides, from 0 to 1, whether the request is in the canary share of a rollout.
+    pub(super) version_draw: f64,
     pub(crate) arrived: Millis,
     pub(crate) deadline: Millis,
     pub(crate) attempts: u32,
@@ -248,7 +248,7 @@
         let prompt = self.head.prompt.as_ref();
         Job {
             backend: self.backend.clone(),
-            version: self.versions.clone(),
+            version: versions::rule(&self.shared, &self.backend, self.version_draw),
             tier: self.tier(),
             objective: self.arrived + self.route_match.route.objective,
             queue_deadline,
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -19,9 +19,11 @@
 mod slots;
 mod stream;
 mod unread_body;
+mod versions;
 
 pub(crate) use attempt::Failure;
 pub(crate) use connections::IdleConnections;
 pub(crate) use exchange::Exchange;
 pub(crate) use listener::{ACCEPT_PAUSE, serve};
 pub(crate) use response::Refusal;
+pub(crate) use versions::update_waiting;
