Write the last log lines before the process ends

cause: a thread writes the log lines, and the process ended without waiting for it, so that the last lines, among them "stopped", could be missing.

ruled out: a full queue, since drops are counted and reported and the run logged few lines; an early exit, since the status was success.

change: the queue counts the lines that are not written, and the process waits for them, at most 100 ms.

A process that ends with an error before it serves does not wait.

--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -52,6 +52,8 @@
 const STOP_POLL_INTERVAL: Millis = Millis(50);
 /// The time for the last bytes of responses to be sent.
 const FLUSH_TIME: Millis = Millis(100);
+/// The time for the last log lines to be written.
+const LOG_FLUSH_TIME: Millis = Millis(100);
 /// The interval at which the settings file is checked for changes that no signal announced.
 const SETTINGS_POLL_INTERVAL: Millis = Millis::from_secs(5);
 
@@ -73,7 +75,7 @@
 ///
 /// When an address cannot be listened on, or a thread cannot be started.
 pub fn serve<P: Platform>(settings: Settings, file: &Path, platform: P) -> eyre::Result<()> {
-    let log_revision = init_stdout_logging("gateway", &settings.host);
+    let (log_revision, log_lines) = init_stdout_logging("gateway", &settings.host);
     let platform = Arc::new(platform);
     let incarnation = Incarnation(Clock::system().now().0);
     let peers = PeerLink::bind(&settings.host, settings.peers).wrap_err("cannot listen for peers")?;
@@ -109,10 +111,11 @@
         relay.abort();
     });
     traffic.shutdown_background();
-    match control.join() {
-        Ok(result) => result,
-        Err(_) => Err(eyre::eyre!("the control thread panicked")),
-    }
+    let result = control
+        .join()
+        .unwrap_or_else(|_| Err(eyre::eyre!("the control thread panicked")));
+    log_lines.flush(LOG_FLUSH_TIME);
+    result
 }
 
 fn build_runtime(threads: usize) -> std::io::Result<Runtime> {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,7 +24,7 @@
 pub use host_process::{
     HostProcess, PeerAction, PeerEvent, PeerQuery, StateDump, document_from_record, exit_code, pull_from_peer,
 };
-pub use logging::{LogRevision, init_logging, init_stdout_logging};
+pub use logging::{LogRevision, QueuedLines, init_logging, init_stdout_logging};
 pub use metrics::Metrics;
 pub use settings::{Settings, SettingsError, parse_settings, read_settings_file};
 pub use sockets::{BindError, Sockets};
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -2,11 +2,12 @@
 
 use std::io::Write;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::thread;
+use std::time::Instant;
 
-use carawayseam_types::{Clock, HostId, Revision};
+use carawayseam_types::{Clock, HostId, Millis, Revision};
 use env_logger::fmt::{Formatter, Target};
 use log::Record;
 use log::kv::{Error, Key, Value, VisitSource};
@@ -15,6 +16,8 @@
 const DEFAULT_FILTER: &str = "info";
 /// The maximum number of queued lines; further lines are dropped.
 const MAX_QUEUED_LINES: usize = 1_024;
+/// The interval at which it is checked whether all lines are written.
+const FLUSH_POLL_INTERVAL: Millis = Millis(2);
 
 /// Starts logging to standard error, one JSON object per line.
 ///
@@ -30,8 +33,24 @@
 ///
 /// A thread writes the lines. When its queue is full, lines are dropped and counted.
 #[must_use = "lines include a revision only once it is set on the handle"]
-pub fn init_stdout_logging(process: &'static str, host: &HostId) -> LogRevision {
-    start(process, host, Target::Pipe(Box::new(LineQueue::start())))
+pub fn init_stdout_logging(process: &'static str, host: &HostId) -> (LogRevision, QueuedLines) {
+    let queue = LineQueue::start();
+    let queued = queue.queued.clone();
+    (start(process, host, Target::Pipe(Box::new(queue))), queued)
+}
+
+/// The number of log lines that are queued and not written.
+#[derive(Debug, Clone, Default)]
+pub struct QueuedLines(Arc<AtomicUsize>);
+
+impl QueuedLines {
+    /// Waits until all lines are written, at most for the given time.
+    pub fn flush(&self, within: Millis) {
+        let started_at = Instant::now();
+        while self.0.load(Ordering::Acquire) > 0 && started_at.elapsed() < within.to_duration() {
+            thread::sleep(FLUSH_POLL_INTERVAL.to_duration());
+        }
+    }
 }
 
 fn start(process: &'static str, host: &HostId, target: Target) -> LogRevision {
@@ -109,6 +128,7 @@
 #[derive(Debug)]
 struct LineQueue {
     lines: SyncSender<Vec<u8>>,
+    queued: QueuedLines,
     dropped: Arc<AtomicU64>,
 }
 
@@ -117,21 +137,29 @@
         let (tx, rx) = sync_channel(MAX_QUEUED_LINES);
         let dropped = Arc::new(AtomicU64::new(0));
         let counter = Arc::clone(&dropped);
+        let queued = QueuedLines::default();
+        let unwritten = queued.clone();
         let started = thread::Builder::new()
             .name("log".to_owned())
-            .spawn(move || write_lines(&rx, &counter));
+            .spawn(move || write_lines(&rx, &counter, &unwritten));
         if let Err(e) = started {
             eprintln!("log lines are not written: {e}");
         }
-        Self { lines: tx, dropped }
+        Self {
+            lines: tx,
+            queued,
+            dropped,
+        }
     }
 }
 
 impl Write for LineQueue {
     fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
+        self.queued.0.fetch_add(1, Ordering::Relaxed);
         match self.lines.try_send(buf.to_vec()) {
             Ok(()) => {}
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+                self.queued.0.fetch_sub(1, Ordering::Relaxed);
                 self.dropped.fetch_add(1, Ordering::Relaxed);
             }
         }
@@ -144,7 +172,7 @@
 }
 
 /// Writes lines until the queue is closed, and reports the number of dropped lines.
-fn write_lines(lines: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
+fn write_lines(lines: &Receiver<Vec<u8>>, dropped: &AtomicU64, queued: &QueuedLines) {
     let mut out = std::io::stdout();
     while let Ok(line) = lines.recv() {
         let dropped_lines = dropped.swap(0, Ordering::Relaxed);
@@ -160,5 +188,6 @@
         if written.is_err() {
             return;
         }
+        queued.0.fetch_sub(1, Ordering::Release);
     }
 }
