Keep relayed connections until the latest end of a planned stop

cause: after the listener had closed, a stopping process waited for callers' connections only. Connections that it relays for other hosts were cut at 0.8 of `stop_within` although it had time until 0.95, so that a request of another host that may not be repeated got 502 while its server was sound. Found by reading, while planned stops were checked.

ruled out: none of the relay's own limits is that short (5 s without progress apply only after the origin has closed).

change: the process waits for open requests, which count relayed connections, and for callers' connections.

conclusion: what is open at the latest end is still reset, so that it does not look whole.

--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -259,20 +259,22 @@
     let time_at =
         |fraction: f64| started_at + Millis((shared.settings.stop_within.0 as f64 * fraction) as u64);
     let deadline = time_at(STOP_FRACTION);
-    wait_until_zero(shared, &shared.open_requests, time_at(ACCEPT_FRACTION)).await;
+    wait_until_zero(shared, &[&shared.open_requests], time_at(ACCEPT_FRACTION)).await;
     shared.phase.send_replace(Phase::NotAccepting);
     // A request may have arrived just before the listener closed.
     sleep(FLUSH_TIME.to_duration()).await;
     // A connection closes once its last response has been sent, which a slow caller delays.
-    wait_until_zero(shared, &shared.used_connections, deadline).await;
+    let open = [&shared.open_requests, &shared.used_connections];
+    wait_until_zero(shared, &open, deadline).await;
     sleep(FLUSH_TIME.to_duration()).await;
     let open = shared.open_requests.load(Ordering::Relaxed);
     log::info!(open_requests = open, took_ms = shared.now().since(started_at).0; "stopped");
 }
 
-/// Waits until a count is zero, at most until the deadline.
-async fn wait_until_zero(shared: &Shared, count: &AtomicUsize, deadline: Millis) {
-    while count.load(Ordering::Relaxed) > 0 && shared.now() < deadline {
+/// Waits until all counts are zero, at most until the deadline.
+async fn wait_until_zero(shared: &Shared, counts: &[&AtomicUsize], deadline: Millis) {
+    let is_open = || counts.iter().any(|count| count.load(Ordering::Relaxed) > 0);
+    while is_open() && shared.now() < deadline {
         sleep(STOP_POLL_INTERVAL.to_duration()).await;
     }
 }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -20,6 +20,8 @@
 const IDLE_STOP: Duration = Duration::from_secs(5);
 /// A host begins to stop within this time after the signal.
 const STOP_BEGUN: Duration = Duration::from_millis(300);
+/// A stopping process with an open relayed connection ends no earlier than this after the signal (`stop_within` is 8 s).
+const LATEST_STOP: Duration = Duration::from_millis(7_500);
 const SERVER: &str = "i-0";
 const ORIGIN: &str = "gateway-2";
 
@@ -141,6 +143,19 @@
     assert!(relaying.wait().await, "the process ended well");
 }
 
+/// Guards against a relayed connection that is cut when the process accepts no more connections, although it has time
+/// left.
+#[tokio::test]
+async fn a_planned_stop_waits_for_relayed_connections_until_its_latest_end() {
+    let mut relaying = Relaying::start().await;
+    relaying.signal(Signal::TERM);
+    let signalled_at = Instant::now();
+    assert_eq!(read_to_end(&mut relaying.origin).await, (vec![], true));
+    let took = signalled_at.elapsed();
+    assert!(took >= LATEST_STOP, "it was cut after {took:?}");
+    relaying.wait().await;
+}
+
 /// Guards against a response that looks complete because the time for a planned stop has passed.
 #[tokio::test]
 async fn a_stop_whose_time_has_passed_resets_both_sides() {
