Give each request a complete response before a planned stop ends

cause: an operator reported requests that came late in the grace of a planned stop, were passed on, and were cut at its end with no response, among them some that may not be repeated. A stopping process admitted plain requests until its listener closed (0.8 of `stop_within`) whatever their time limit, and at 0.95 it ended and cut what was open: requests at servers, requests whose body was arriving, and requests that were queued and never sent. The class: work is accepted whose time limit is longer than the life of who accepts it, and the end of that life gives no answer.

ruled out: the limits on silent servers (seconds, and none ends a request that may not be repeated before its deadline), and the closing of idle connections, which reads a request that has arrived first.

change: `stopping.rs` computes the phases and their times from `stop_within`; the stop and the admission use the same plan. - A plain request is admitted only if its time limit ends 100 ms before the final responses; it is checked by its head, and again when its body is complete. Others get 503 with `Retry-After` at once, and their connection is closed. - At 0.9 of `stop_within` each request without a begun response gets its final one: 503 if it was not sent, which then never happens, 504 if it may have run. The process stays until these are written, at most until 0.95. - While the process stops, a stream's head is sent with its first event, so that a stream without one still gets a status. - At 0.95 streams are broken off by the process itself, are logged and counted, and look incomplete. - `stopped` has `refused`, `answered_at_end` and `streams_broken_off`; the counter `planned_stop` has the same. Streams are admitted for 2.8 s as before, whatever their time limit.

conclusion: only a stream that has sent its head before the signal, or events, can be broken off. A request that is being connected for at the final responses gets 504 although it was not sent. Requests with time limits beyond nine tenths of `stop_within` are refused from the signal on; whether that costs callers of a host without others in its zone is not measured.

--- a/crates/gateway/src/control/reach.rs
+++ b/crates/gateway/src/control/reach.rs
@@ -6,7 +6,8 @@
 use carawayseam_types::{EngineKey, HostId, Millis, ZoneId};
 use carawayseam_wire::{PeerMessage, PeerResponse};
 
-use crate::shared::{Phase, Shared, lock};
+use crate::shared::{Shared, lock};
+use crate::stopping::Phase;
 
 /// The maximum time to wait for a peer's response; a peer without one is asked again in a later round.
 const REQUEST_TIMEOUT: Millis = Millis(60);
--- a/crates/gateway/src/control/registration.rs
+++ b/crates/gateway/src/control/registration.rs
@@ -9,7 +9,8 @@
 use tokio::time::sleep;
 
 use crate::platform::{Lease, PutCondition, Store, StoreError, StoreKeys};
-use crate::shared::{Phase, Shared};
+use crate::shared::Shared;
+use crate::stopping::Phase;
 
 /// The lease of a host's registration ends if it is not renewed within this time.
 const REGISTRATION_TTL: Millis = Millis(9_000);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`platform`] | the interface that a deployment implements |
 //! | [`settings`] | the settings file |
 //! | [`http_client`], [`sockets`] | connections with time limits |
+//! | [`stopping`] | the phases of a planned shutdown and their times |
 //! | [`relay`] | connections to backend servers through a peer |
 //! | `traffic` | requests, from the head of a request to the end of its response |
 //! | `control` | the store, the peers and rollouts |
@@ -31,6 +32,7 @@
 pub mod settings;
 mod shared;
 pub mod sockets;
+pub mod stopping;
 mod traffic;
 
 use std::process::ExitCode;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -29,6 +29,12 @@
         *state.counters.entry((name, label)).or_default() += 1;
     }
 
+    /// Returns the value of a counter.
+    pub(crate) fn value(&self, name: &'static str, label: &'static str) -> u64 {
+        let state = crate::shared::lock(&self.0);
+        state.counters.get(&(name, label)).copied().unwrap_or_default()
+    }
+
     /// Records one time in a histogram.
     pub(crate) fn record_time(&self, name: &'static str, tier: Tier, time: Millis) {
         let mut state = crate::shared::lock(&self.0);
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::thread;
 
 use carawayseam_dispatch::Dispatcher;
@@ -31,8 +31,10 @@
 use crate::platform::Platform;
 use crate::readiness;
 use crate::relay;
+use crate::request_log;
 use crate::settings::Settings;
-use crate::shared::{DispatchState, Phase, Shared, StoreHistory, lock};
+use crate::shared::{DispatchState, Shared, StoreHistory, lock};
+use crate::stopping::Phase;
 use crate::traffic::{self, IdleConnections};
 
 /// Subtracted from `max_key_age`, because a confirmed configuration may lag behind the store by the
@@ -41,14 +43,6 @@
 const KEY_AGE_MARGIN: Millis = Millis(1_400);
 /// The interval at which the control state checks its timers.
 const TICK_INTERVAL: Millis = Millis(50);
-/// The time after which the balancer has noticed that a host is not ready.
-const DRAIN_NOTICE_TIME: Millis = Millis(2_800);
-/// The delay between the refusal of new streams and the closing of idle connections.
-const CLOSE_DELAY: Millis = Millis(700);
-/// The fraction of `stop_within` after which the process exits even if requests are open.
-const STOP_FRACTION: f64 = 0.95;
-/// The fraction of `stop_within` after which no connections are accepted even if requests are open.
-const ACCEPT_FRACTION: f64 = 0.8;
 const STOP_POLL_INTERVAL: Millis = Millis(50);
 /// The time for the last bytes of responses to be sent.
 const FLUSH_TIME: Millis = Millis(100);
@@ -156,6 +150,7 @@
         part_blocks: watch::Sender::new(0),
         connections: IdleConnections::default(),
         phase: watch::Sender::new(Phase::Serving),
+        stop_plan: OnceLock::new(),
         metrics: Metrics::default(),
         peers,
         reachability: Mutex::new(Reachability::default()),
@@ -247,28 +242,30 @@
     }
 }
 
-/// Shuts down in phases: callers move to other hosts, and open requests complete.
+/// Shuts down in phases: callers move to other hosts, open requests complete, and the last ones get final responses.
 async fn stop(shared: &Shared) {
-    let started_at = shared.now();
+    let plan = shared.begin_stop();
     log::info!("shutting down");
-    shared.phase.send_replace(Phase::Draining);
-    sleep(DRAIN_NOTICE_TIME.to_duration()).await;
+    sleep_until(shared, plan.refuse_streams_at).await;
     shared.phase.send_replace(Phase::RefusingStreams);
-    sleep(CLOSE_DELAY.to_duration()).await;
+    sleep_until(shared, plan.close_idle_at).await;
     shared.phase.send_replace(Phase::ClosingIdle);
-    let time_at =
-        |fraction: f64| started_at + Millis((shared.settings.stop_within.0 as f64 * fraction) as u64);
-    let deadline = time_at(STOP_FRACTION);
-    wait_until_zero(shared, &[&shared.open_requests], time_at(ACCEPT_FRACTION)).await;
+    wait_until_zero(shared, &[&shared.open_requests], plan.stop_accepting_at).await;
     shared.phase.send_replace(Phase::NotAccepting);
     // A request may have arrived just before the listener closed.
     sleep(FLUSH_TIME.to_duration()).await;
     // A connection closes once its last response has been sent, which a slow caller delays.
     let open = [&shared.open_requests, &shared.used_connections];
-    wait_until_zero(shared, &open, deadline).await;
+    wait_until_zero(shared, &open, plan.answer_at).await;
+    shared.phase.send_replace(Phase::Answering);
+    wait_until_zero(shared, &open, plan.end_at).await;
+    shared.phase.send_replace(Phase::BreakingOff);
     sleep(FLUSH_TIME.to_duration()).await;
-    let open = shared.open_requests.load(Ordering::Relaxed);
-    log::info!(open_requests = open, took_ms = shared.now().since(started_at).0; "stopped");
+    request_log::record_stop(shared, plan);
+}
+
+async fn sleep_until(shared: &Shared, time: Millis) {
+    sleep(time.since(shared.now()).to_duration()).await;
 }
 
 /// Waits until all counts are zero, at most until the deadline.
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -12,7 +12,8 @@
 use serde::Serialize;
 use tokio::net::TcpListener;
 
-use crate::shared::{Phase, Shared, lock};
+use crate::shared::{Shared, lock};
+use crate::stopping::Phase;
 
 const METRICS_PATH: &str = "/metrics";
 const DUMP_PATH: &str = "/dump";
@@ -93,6 +94,8 @@
             Phase::RefusingStreams => "ending",
             Phase::ClosingIdle => "closing",
             Phase::NotAccepting => "deaf",
+            Phase::Answering => "answering",
+            Phase::BreakingOff => "breaking-off",
         },
         ready: shared.is_ready(),
         configuration: shared.catalog().map(|catalog| catalog.revision.0),
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -12,8 +12,9 @@
 use tokio::time::sleep;
 
 use super::copy::{copy, set_reset_on_close};
-use crate::shared::{OpenRequest, Phase, Shared, lock};
+use crate::shared::{OpenRequest, Shared, lock};
 use crate::sockets::{self, SERVER_SILENCE_LIMIT};
+use crate::stopping::Phase;
 use crate::traffic::ACCEPT_PAUSE;
 
 /// The maximum number of relayed connections at a time.
@@ -34,11 +35,10 @@
 /// Serves peers until the process stops accepting connections.
 pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
     let permits = Arc::new(Semaphore::new(MAX_RELAYED + MAX_REFUSING));
-    let mut phase = shared.phase.subscribe();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = phase.wait_for(|phase| *phase == Phase::NotAccepting) => return,
+            () = shared.reached(Phase::NotAccepting) => return,
         };
         match (accepted, Arc::clone(&permits).try_acquire_owned()) {
             (Ok((stream, from)), Ok(permit)) => {
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -10,6 +10,7 @@
 use crate::http_client::ConnectionEnd;
 use crate::relay::RelayError;
 use crate::shared::{Assignment, Shared};
+use crate::stopping::StopPlan;
 use crate::traffic::{Exchange, Failure, Refusal};
 
 /// Records that a request was assigned to a backend server.
@@ -224,6 +225,50 @@
     );
 }
 
+/// How a request ended because of a planned shutdown; the labels of a counter.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum StopOutcome {
+    /// It was not admitted.
+    Refused,
+    /// It got a final response before the end of the process.
+    AnsweredAtEnd,
+    /// Its stream was broken off at the end of the process.
+    BrokenOff,
+}
+
+impl StopOutcome {
+    const COUNTER: &str = "planned_stop";
+
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::AnsweredAtEnd => "answered-at-end",
+            Self::BrokenOff => "broken-off",
+        }
+    }
+
+    /// Counts a request that ended so.
+    pub(crate) fn count(self, shared: &Shared) {
+        shared.metrics.count(Self::COUNTER, self.label());
+    }
+
+    fn total(self, shared: &Shared) -> u64 {
+        shared.metrics.value(Self::COUNTER, self.label())
+    }
+}
+
+/// Records the end of a planned shutdown.
+pub(crate) fn record_stop(shared: &Shared, plan: StopPlan) {
+    log::info!(
+        open_requests = shared.open_requests.load(Ordering::Relaxed),
+        refused = StopOutcome::Refused.total(shared),
+        answered_at_end = StopOutcome::AnsweredAtEnd.total(shared),
+        streams_broken_off = StopOutcome::BrokenOff.total(shared),
+        took_ms = shared.now().since(plan.started_at).0;
+        "stopped"
+    );
+}
+
 /// Returns ids separated by commas, for one key of a log line.
 pub(crate) fn join(ids: impl IntoIterator<Item = impl ToCompactString>) -> CompactString {
     let ids: Vec<CompactString> = ids.into_iter().map(|id| id.to_compact_string()).collect();
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use carawayseam_dispatch::catalog::RequestLimits;
 use carawayseam_dispatch::freshness::{Freshness, Reachability};
@@ -22,6 +22,7 @@
 use crate::peer_link::PeerLink;
 use crate::platform::{Change, Headers, Item};
 use crate::settings::Settings;
+use crate::stopping::{Phase, StopPlan};
 use crate::traffic::IdleConnections;
 
 /// The time until the balancer stops sending callers to this host: it needs two failed readiness checks,
@@ -37,21 +38,6 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// The phases of a planned shutdown, in order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Phase {
-    /// Normal operation; no shutdown has begun.
-    Serving,
-    /// Not ready, but still serving; responses ask callers to close their connections.
-    Draining,
-    /// New streams are refused, because they could outlast the remaining time.
-    RefusingStreams,
-    /// Idle connections are closed.
-    ClosingIdle,
-    /// No new connections are accepted.
-    NotAccepting,
-}
-
 /// The backend server that a request is assigned to.
 #[derive(Debug, Clone)]
 pub(crate) struct Assignment {
@@ -272,6 +258,8 @@
     pub(crate) part_blocks: watch::Sender<u64>,
     pub(crate) connections: IdleConnections,
     pub(crate) phase: watch::Sender<Phase>,
+    /// The plan of the shutdown, once it has begun.
+    pub(crate) stop_plan: OnceLock<StopPlan>,
     pub(crate) metrics: Metrics,
     /// Datagrams to and from other hosts.
     pub(crate) peers: PeerLink,
@@ -337,6 +325,29 @@
         *self.phase.borrow()
     }
 
+    /// Begins the planned shutdown and returns its plan.
+    pub(crate) fn begin_stop(&self) -> StopPlan {
+        let plan = *self
+            .stop_plan
+            .get_or_init(|| StopPlan::new(self.now(), self.settings.stop_within));
+        self.phase.send_replace(Phase::Draining);
+        plan
+    }
+
+    /// Waits until the shutdown has reached a phase.
+    pub(crate) async fn reached(&self, phase: Phase) {
+        // Fails only without a sender, which is part of the shared state.
+        if self
+            .phase
+            .subscribe()
+            .wait_for(|now| *now >= phase)
+            .await
+            .is_err()
+        {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Returns the retry delay for a caller that this host cannot serve.
     ///
     /// If this host is partitioned, the delay covers the time until the balancer routes callers to other
--- a/crates/gateway/src/traffic/arrival.rs
+++ b/crates/gateway/src/traffic/arrival.rs
@@ -19,9 +19,10 @@
 use super::attempt::remove_hop_headers;
 use super::exchange::{Exchange, RETRY_AFTER_REJECTED};
 use super::response::{Reason, Refusal};
-use super::unread_body;
+use super::{stop_refusals, unread_body};
 use crate::platform::RequestHead;
-use crate::shared::{OpenRequest, Phase, Shared, lock};
+use crate::shared::{OpenRequest, Shared, lock};
+use crate::stopping::Phase;
 
 /// A request with an unknown route or key is rejected as such only if the configuration was confirmed
 /// within this time; otherwise it is refused because the configuration is stale.
@@ -36,8 +37,8 @@
     let arrived = shared.now();
     let open = OpenRequest::new(shared);
     let (parts, mut body) = req.into_parts();
-    let admitted = match admit(shared, &parts, &head) {
-        Ok(admitted) => read_body(&mut body, admitted.catalog.limits.max_body.0, admitted.limit)
+    let admitted = match admit(shared, &parts, &head, arrived) {
+        Ok(admitted) => read_admitted(shared, &mut body, &admitted, arrived)
             .await
             .map(|body| (admitted, body)),
         Err(refusal) => Err(refusal),
@@ -101,7 +102,7 @@
 }
 
 /// Decides by a request's head whether its body is read.
-fn admit(shared: &Shared, parts: &Parts, head: &RequestHead) -> Result<Admitted, Refusal> {
+fn admit(shared: &Shared, parts: &Parts, head: &RequestHead, arrived: Millis) -> Result<Admitted, Refusal> {
     let catalog = shared
         .catalog()
         .ok_or_else(|| Refusal::with_retry_after(Reason::NoConfiguration, shared.retry_delay()))?;
@@ -112,15 +113,13 @@
     if route_match.organisation.is_some() && !shared.may_use_keys() {
         return Err(refuse_stale(shared));
     }
-    if route_match.route.kind.is_stream() && shared.phase() >= Phase::RefusingStreams {
-        return Err(Refusal::with_retry_after(Reason::Stopping, RETRY_AFTER_REJECTED));
-    }
-    let backend = pick_target(&route_match.route.targets)
-        .ok_or_else(|| Refusal::with_retry_after(Reason::Unreachable, RETRY_AFTER_REJECTED))?;
     let limit = head
         .time_limit
         .unwrap_or(Millis::MAX)
         .min(route_match.route.timeout);
+    stop_refusals::check_admission(shared, &route_match, arrived + limit)?;
+    let backend = pick_target(&route_match.route.targets)
+        .ok_or_else(|| Refusal::with_retry_after(Reason::Unreachable, RETRY_AFTER_REJECTED))?;
     Ok(Admitted {
         catalog,
         route_match,
@@ -140,6 +139,23 @@
     bytes as u64
 }
 
+/// Reads the body of an admitted request, at most until the final responses of a planned shutdown.
+async fn read_admitted(
+    shared: &Shared,
+    body: &mut Incoming,
+    admitted: &Admitted,
+    arrived: Millis,
+) -> Result<Bytes, Refusal> {
+    let body = tokio::select! {
+        biased;
+        body = read_body(body, admitted.catalog.limits.max_body.0, admitted.limit) => body?,
+        () = shared.reached(Phase::Answering) => return Err(stop_refusals::final_refusal(shared, false)),
+    };
+    // The shutdown may have begun while the body arrived.
+    stop_refusals::check_admission(shared, &admitted.route_match, arrived + admitted.limit)?;
+    Ok(body)
+}
+
 /// Reads a body of at most `max_bytes` within `body_timeout`.
 async fn read_body(body: &mut Incoming, max_bytes: u64, body_timeout: Millis) -> Result<Bytes, Refusal> {
     let reading = Limited::new(body, max_bytes as usize).collect();
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -23,11 +23,13 @@
 use super::response::{Reason, Refusal, ResponseBody};
 use super::silence::Patience;
 use super::slots;
+use super::stop_refusals;
 use super::stream;
 use crate::http_client::Connection;
 use crate::platform::RequestHead;
 use crate::request_log;
 use crate::shared::{Assignment, Decision, OpenRequest, Shared, lock};
+use crate::stopping::Phase;
 
 /// The retry delay sent to a caller whose request was rejected or not sent.
 pub(super) const RETRY_AFTER_REJECTED: Millis = Millis(300);
@@ -195,16 +197,31 @@
     }
 
     async fn serve(mut self) -> Response<ResponseBody> {
-        match self.try_serve().await {
-            Ok(Outcome::PlainResponse(response)) => response,
-            Ok(Outcome::Stream(server_response)) => stream::respond(self, *server_response),
-            Err(refusal) => {
-                request_log::record_refusal(&self, refusal);
-                refusal.response()
-            }
+        let shared = Arc::clone(&self.shared);
+        let served = tokio::select! {
+            // A queued request must not start on a slot that another one has just given up.
+            biased;
+            () = shared.reached(Phase::Answering) => None,
+            served = self.try_serve() => Some(served),
+        };
+        match served {
+            Some(Ok(Outcome::PlainResponse(response))) => response,
+            Some(Ok(Outcome::Stream(server_response))) => stream::respond(self, *server_response).await,
+            Some(Err(refusal)) => self.refuse(refusal),
+            None => self.refuse_at_end(),
         }
     }
 
+    fn refuse(&self, refusal: Refusal) -> Response<ResponseBody> {
+        request_log::record_refusal(self, refusal);
+        refusal.response()
+    }
+
+    /// Returns the final response to a request that is open shortly before the end of the process.
+    pub(super) fn refuse_at_end(&self) -> Response<ResponseBody> {
+        self.refuse(stop_refusals::final_refusal(&self.shared, self.may_have_run))
+    }
+
     async fn try_serve(&mut self) -> Result<Outcome, Refusal> {
         self.reject_poison()?;
         self.admit_parts()?;
--- a/crates/gateway/src/traffic/listener.rs
+++ b/crates/gateway/src/traffic/listener.rs
@@ -19,8 +19,9 @@
 use super::idle::{Activity, OpenOnConnection};
 use super::response::{Reason, Refusal, ResponseBody};
 use crate::request_log;
-use crate::shared::{Phase, Shared};
+use crate::shared::Shared;
 use crate::sockets;
+use crate::stopping::Phase;
 
 /// The pause after a failed accept, such as with too many open files.
 pub(crate) const ACCEPT_PAUSE: Millis = Millis(20);
@@ -34,11 +35,10 @@
 
 /// Serves callers until the process stops accepting connections.
 pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
-    let mut phase = shared.phase.subscribe();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = phase.wait_for(|phase| *phase == Phase::NotAccepting) => return,
+            () = shared.reached(Phase::NotAccepting) => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -66,22 +66,11 @@
         .max_headers(MAX_HEADER_FIELDS)
         .max_buf_size(max_head.max(MIN_BUFFER_BYTES));
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
-    let mut phase = shared.phase.subscribe();
-    let closing = async move {
-        // The shared state owns the phase's sender and outlives this connection.
-        if phase
-            .wait_for(|phase| *phase >= Phase::ClosingIdle)
-            .await
-            .is_err()
-        {
-            std::future::pending::<()>().await;
-        }
-    };
     let ended = tokio::select! {
         // A request that has arrived is read before its connection counts as idle.
         biased;
         ended = connection.as_mut() => ended,
-        () = closing => {
+        () = shared.reached(Phase::ClosingIdle) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -17,6 +17,7 @@
 mod server_state;
 mod silence;
 mod slots;
+mod stop_refusals;
 mod stream;
 mod unread_body;
 
--- a/crates/gateway/src/traffic/response.rs
+++ b/crates/gateway/src/traffic/response.rs
@@ -33,6 +33,8 @@
     OverQuota,
     #[display("the host is stopping")]
     Stopping,
+    #[display("the host is stopping; the request may have run")]
+    StoppingMayHaveRun,
     #[display("the backend is busy")]
     Busy,
     #[display("the request crashed backend servers")]
@@ -69,7 +71,7 @@
             | Self::PoisonPart
             | Self::Unreachable
             | Self::Rejected => StatusCode::SERVICE_UNAVAILABLE,
-            Self::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
+            Self::DeadlineExceeded | Self::StoppingMayHaveRun => StatusCode::GATEWAY_TIMEOUT,
             Self::ResponseLost | Self::Internal => StatusCode::BAD_GATEWAY,
         }
     }
@@ -86,6 +88,7 @@
             Self::BodyIncomplete => "body-broken",
             Self::OverQuota => "over-quota",
             Self::Stopping => "stopping",
+            Self::StoppingMayHaveRun => "stopping-may-have-run",
             Self::Busy => "busy",
             Self::Poison => "poison",
             Self::PoisonPart => "poison-part",
@@ -142,6 +145,8 @@
                 | Reason::BodyIncomplete
                 | Reason::StaleConfiguration
                 | Reason::NoConfiguration
+                | Reason::Stopping
+                | Reason::StoppingMayHaveRun
         ) {
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
--- /dev/null
+++ b/crates/gateway/src/traffic/stop_refusals.rs
@@ -0,0 +1,37 @@
+//! Refuses requests that the process cannot serve before its end.
+
+use carawayseam_dispatch::catalog::RouteMatch;
+use carawayseam_types::Millis;
+
+use super::exchange::RETRY_AFTER_REJECTED;
+use super::response::{Reason, Refusal};
+use crate::request_log::StopOutcome;
+use crate::shared::Shared;
+
+/// Refuses a request that may not end before the process does; its caller has time to use another host.
+pub(super) fn check_admission(
+    shared: &Shared,
+    route_match: &RouteMatch,
+    deadline: Millis,
+) -> Result<(), Refusal> {
+    let is_admitted = match shared.stop_plan.get() {
+        None => true,
+        Some(plan) if route_match.route.kind.is_stream() => plan.admits_stream(shared.now()),
+        Some(plan) => plan.admits_plain(deadline),
+    };
+    if is_admitted {
+        return Ok(());
+    }
+    StopOutcome::Refused.count(shared);
+    Err(Refusal::with_retry_after(Reason::Stopping, RETRY_AFTER_REJECTED))
+}
+
+/// Returns the final refusal of a request that is open shortly before the end of the process.
+pub(super) fn final_refusal(shared: &Shared, may_have_run: bool) -> Refusal {
+    StopOutcome::AnsweredAtEnd.count(shared);
+    if may_have_run {
+        Refusal::new(Reason::StoppingMayHaveRun)
+    } else {
+        Refusal::with_retry_after(Reason::Stopping, RETRY_AFTER_REJECTED)
+    }
+}
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -1,9 +1,11 @@
 //! Forwards a stream of events, and resumes it on another server if one is interrupted.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use carawayseam_dispatch::AttemptEnd;
 use carawayseam_types::Millis;
-use futures_util::stream::unfold;
+use futures_util::stream::{StreamExt, iter, unfold};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
 use hyper::body::{Frame, Incoming};
@@ -17,8 +19,9 @@
 use super::resumption::StreamHead;
 use super::silence::{Awaited, Patience};
 use crate::http_client::Connection;
-use crate::request_log::{self, StreamSummary};
+use crate::request_log::{self, StopOutcome, StreamSummary};
 use crate::shared::{Assignment, lock};
+use crate::stopping::Phase;
 
 /// The number of events over which the mean time between events is sampled.
 const EVENTS_PER_SAMPLE: u32 = 12;
@@ -36,6 +39,8 @@
     Lost,
     #[display("the deadline has passed")]
     DeadlineExceeded,
+    #[display("the host is stopping")]
+    Stopping,
 }
 
 /// A backend server's stream that is being forwarded.
@@ -93,7 +98,10 @@
 }
 
 /// Returns a response with the server's head that forwards its events as they arrive.
-pub(crate) fn respond(exchange: Exchange, server_response: ServerResponse) -> Response<ResponseBody> {
+///
+/// During a planned shutdown the head is sent with the first event, so that a stream without any can still be refused.
+pub(crate) async fn respond(exchange: Exchange, server_response: ServerResponse) -> Response<ResponseBody> {
+    let is_stopping = exchange.shared.phase() != Phase::Serving;
     let mut response = Response::new(());
     *response.status_mut() = server_response.response.status();
     *response.headers_mut() = server_response.response.headers().clone();
@@ -101,7 +109,7 @@
     remove_hop_headers(response.headers_mut());
     response.headers_mut().remove(CONTENT_LENGTH);
     let now = exchange.shared.now();
-    let caller_stream = CallerStream {
+    let mut caller_stream = CallerStream {
         head: StreamHead::new(&server_response.response),
         engine_stream: Some(EngineStream::new(server_response, keep_alive, now)),
         splitter: EventSplitter::after(exchange.head.last_event_id),
@@ -111,14 +119,36 @@
         longest_gap: Millis::ZERO,
         resumed: 0,
     };
-    let frames = unfold(caller_stream, |mut caller_stream| async move {
-        let item = caller_stream.next().await?;
+    let mut first = None;
+    if is_stopping {
+        let shared = Arc::clone(&caller_stream.exchange.shared);
+        first = tokio::select! {
+            biased;
+            () = shared.reached(Phase::Answering) => return caller_stream.exchange.refuse_at_end(),
+            first = caller_stream.next() => first,
+        };
+    }
+    let rest = unfold(caller_stream, |mut caller_stream| async move {
+        let item = caller_stream.next_before_end().await?;
         Some((item, caller_stream))
     });
-    response.map(|()| StreamBody::new(frames).boxed_unsync())
+    response.map(|()| StreamBody::new(iter(first).chain(rest)).boxed_unsync())
 }
 
 impl CallerStream {
+    /// Returns the next frame for the caller, or breaks the stream off at the end of a planned shutdown.
+    async fn next_before_end(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
+        let shared = Arc::clone(&self.exchange.shared);
+        tokio::select! {
+            biased;
+            next = self.next() => next,
+            () = shared.reached(Phase::BreakingOff) => {
+                StopOutcome::BrokenOff.count(&shared);
+                Some(Err(self.abort(AttemptEnd::Cancelled, Interrupted::Stopping)))
+            }
+        }
+    }
+
     /// Returns the next frame for the caller; not called again after an error.
     async fn next(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
         loop {
@@ -286,7 +316,7 @@
     /// Returns the error that ends the caller's stream, so that it does not appear complete.
     fn abort(&mut self, end: AttemptEnd, cause: Interrupted) -> BodyError {
         let outcome = match cause {
-            Interrupted::Lost => "broken off",
+            Interrupted::Lost | Interrupted::Stopping => "broken off",
             Interrupted::DeadlineExceeded => "time over",
         };
         let summary = self.summary(outcome);
