--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -18,6 +18,7 @@
 mod server_state;
 mod silence;
 mod slots;
+mod stop_refusals;
 mod stream;
 mod unread_body;
 mod versions;
