Keep a request at its silent server until another one continues it

cause: a stream whose server paused for longer than 0.9 s was closed at this server as soon as another one had a slot and a connection. If that one rejected the request, was not the addressed one, reset, closed, or sent something that does not continue the stream, and no retry or attempt was left, the caller's stream broke off although its first server would have gone on. The same request got 502, or the second server's 500, if no event had been forwarded or if it was a plain request that may be repeated. ruled out: more attempts or a larger retry budget, since both are the operator's limits on sends; staying at the silent server without a limit on the overlap, since a request may not be at two servers for 400 ms. change: the request is sent to the second server while the first one keeps it, for at most MAX_OVERLAP (250 ms, chosen). The move is done once the second server's response has begun to continue the request (the first event that follows, or the head of a plain response that is no 5xx), or once the overlap is over. A second server that fails before leaves the request where it was, and another one is looked for after the usual interval. If the first server sends a complete event or a head before, the second attempt is dropped; if it breaks, the request goes on at the second. A move of which no byte was sent returns its permit and its retry (RetryBudget::give_back). A move that was sent counts as an attempt, since max_attempts limits the servers that a request is sent to. Requests that may not be repeated never move. Moves are in traffic/moves.rs, attempts in traffic/sending.rs, reading of events in traffic/reading.rs. New log line "attempt withdrawn because the silent backend server continued" and label withdrawn of the metric repeats. "caller left" counts an attempt that is under way. Left: a second server that fails after the overlap, without a retry or attempt, still ends the stream.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -170,6 +170,11 @@
         self.budget(backend).take()
     }
 
+    /// Returns a retry that was taken for a request of which no byte was sent then.
+    pub fn return_retry(&mut self, backend: &BackendName) {
+        self.budget(backend).give_back();
+    }
+
     /// Enqueues a request again of which no byte was sent, so that it does not count as a retry.
     pub fn submit_unsent(&mut self, now: Millis, job: Job) -> (Ticket, Vec<Action>) {
         self.enqueue(now, job)
--- a/crates/dispatch/src/retries.rs
+++ b/crates/dispatch/src/retries.rs
@@ -63,6 +63,11 @@
         }
         is_granted
     }
+
+    /// Returns a retry that was taken and not sent.
+    pub fn give_back(&mut self) {
+        self.level = (self.level + 1.0).min(self.capacity);
+    }
 }
 
 fn capacity(bounds: RetryBounds, hosts: u32) -> f64 {
--- a/crates/dispatch/tests/bounds.rs
+++ b/crates/dispatch/tests/bounds.rs
@@ -66,6 +66,32 @@
     assert!(granted_retries(4, 20) >= 10);
 }
 
+/// Guards against a budget that retries which were not sent use up.
+#[test]
+fn a_retry_that_is_returned_can_be_taken_again() {
+    let bounds = RetryBounds {
+        ratio: 0.0,
+        extra: 8.0,
+    };
+    let mut budget = RetryBudget::new(bounds, 1);
+    assert!(budget.take());
+    assert!(!budget.has_retry());
+    budget.give_back();
+    assert!(budget.take());
+    assert!(!budget.has_retry());
+}
+
+/// Guards against a budget that grows beyond its capacity by retries that are returned.
+#[test]
+fn returned_retries_do_not_exceed_the_capacity() {
+    let mut budget = RetryBudget::new(BOUNDS, 33);
+    for _ in 0..5 {
+        budget.give_back();
+    }
+    let granted = std::iter::repeat_with(|| budget.take()).take_while(|is_granted| *is_granted);
+    assert_eq!(granted.count(), 1);
+}
+
 macro_rules! expect_partitioned {
     ($name:ident: $is_store_unavailable:expr, $has_unresponsive_peers:expr, $has_serving_peers:expr => $should_be_partitioned:expr) => {
         #[test]
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -1,6 +1,8 @@
 //! One attempt to send a request to one backend server.
 
-use bytes::Bytes;
+use std::pin::Pin;
+
+use bytes::{Bytes, BytesMut};
 use carawayseam_dispatch::AttemptEnd;
 use carawayseam_types::{HostId, Millis};
 use http_body_util::Full;
@@ -9,7 +11,9 @@
 use hyper::{Request, Response, StatusCode};
 
 use super::exchange::{Exchange, Placement};
+use super::moves::MovedRequest;
 use super::reservation::Slot;
+use super::resumption::Continuation;
 use super::server_state::record_server_state;
 use super::silence::{Awaited, Patience};
 use crate::http_client::{Connection, SendError};
@@ -35,6 +39,25 @@
     pub(crate) connection: Connection,
     pub(crate) slot: Slot,
     pub(crate) assignment: Assignment,
+    /// When the request was sent.
+    pub(crate) assigned_at: Millis,
+    /// The bytes of a stream that were read already.
+    pub(crate) received: BytesMut,
+}
+
+/// The head of a response that is outstanding; dropping it closes the connection.
+pub(super) type PendingResponse =
+    Pin<Box<dyn Future<Output = Result<(Response<Incoming>, Connection), SendError>> + Send>>;
+
+/// A request whose response is outstanding.
+#[derive(derive_more::Debug)]
+pub(super) struct SentRequest {
+    pub(super) slot: Slot,
+    pub(super) assignment: Assignment,
+    /// When the request was sent.
+    pub(super) assigned_at: Millis,
+    #[debug(skip)]
+    pub(super) response: PendingResponse,
 }
 
 /// The reason why an attempt returned no response to forward.
@@ -79,16 +102,15 @@
 pub(super) enum AttemptError {
     /// The attempt failed.
     Failed(Failure),
-    /// The server was silent, and another one is connected to and has a slot for the request.
-    Superseded(Box<Placement>),
+    /// The attempt failed, and the request had been sent to another server before.
+    Moved(Failure, Box<MovedRequest>),
 }
 
 impl AttemptError {
     /// Returns how the attempt failed.
     pub(super) const fn failure(&self) -> Failure {
         match self {
-            Self::Failed(failure) => *failure,
-            Self::Superseded(_) => Failure::MaybeRun(AttemptEnd::Unresponsive),
+            Self::Failed(failure) | Self::Moved(failure, _) => *failure,
         }
     }
 }
@@ -99,27 +121,52 @@
     }
 }
 
-/// Sends a request to its server, on `connection` if one is open, and waits for the head of the response.
+/// Sends a request to its server, on an open connection if there is one, and waits for the head of the response.
 pub(super) async fn send(
-    exchange: &Exchange,
-    slot: Slot,
-    assignment: Assignment,
-    connection: Option<Connection>,
-    last_event_id: Option<u64>,
+    exchange: &mut Exchange,
+    placement: Placement,
+    continuation: &Continuation,
     patience: Patience,
 ) -> Result<ServerResponse, AttemptError> {
-    let open_connection = connection.or_else(|| exchange.take_idle_connection(&assignment));
-    let on_open = match open_connection {
-        Some(connection) => send_on(exchange, connection, &assignment, last_event_id, patience).await,
+    let Placement { slot, assignment } = placement;
+    let on_idle = match exchange.take_idle_connection(&assignment) {
+        Some(connection) => send_on(exchange, connection, &assignment, continuation, patience).await,
         None => Err(Failure::NotRun(AttemptEnd::Unreachable).into()),
     };
-    let sent = match on_open {
+    let sent = match on_idle {
         // There was no open connection, or the server closed it before any byte was sent.
         Err(AttemptError::Failed(Failure::NotRun(AttemptEnd::Unreachable))) => {
-            send_on_new_connection(exchange, &assignment, last_event_id, patience).await
+            send_on_new_connection(exchange, &assignment, continuation, patience).await
         }
         other => other,
     };
+    check_sent(exchange, sent, slot, assignment)
+}
+
+/// Waits for the head of the response to a request that was sent before.
+pub(super) async fn receive(
+    exchange: &mut Exchange,
+    sent: SentRequest,
+    continuation: &Continuation,
+    patience: Patience,
+) -> Result<ServerResponse, AttemptError> {
+    let SentRequest {
+        slot,
+        assignment,
+        response,
+        ..
+    } = sent;
+    let received = await_head(exchange, &assignment, continuation, patience, response).await;
+    check_sent(exchange, received, slot, assignment)
+}
+
+/// Checks a response, or ends a failed attempt.
+fn check_sent(
+    exchange: &Exchange,
+    sent: Result<(Response<Incoming>, Connection), AttemptError>,
+    slot: Slot,
+    assignment: Assignment,
+) -> Result<ServerResponse, AttemptError> {
     match sent {
         Ok((response, connection)) => Ok(check_response(exchange, response, connection, slot, assignment)?),
         Err(e) => {
@@ -138,13 +185,13 @@
 }
 
 async fn send_on_new_connection(
-    exchange: &Exchange,
+    exchange: &mut Exchange,
     assignment: &Assignment,
-    last_event_id: Option<u64>,
+    continuation: &Continuation,
     patience: Patience,
 ) -> Result<(Response<Incoming>, Connection), AttemptError> {
     let connection = open(exchange, assignment).await?;
-    send_on(exchange, connection, assignment, last_event_id, patience).await
+    send_on(exchange, connection, assignment, continuation, patience).await
 }
 
 /// Ends a failed attempt; what a lost connection says about the server is checked first.
@@ -208,33 +255,75 @@
 }
 
 async fn send_on(
-    exchange: &Exchange,
-    mut connection: Connection,
+    exchange: &mut Exchange,
+    connection: Connection,
     assignment: &Assignment,
-    last_event_id: Option<u64>,
+    continuation: &Continuation,
     patience: Patience,
 ) -> Result<(Response<Incoming>, Connection), AttemptError> {
+    let response = start(exchange, connection, assignment, continuation)?;
+    await_head(exchange, assignment, continuation, patience, response).await
+}
+
+/// Prepares a request that is sent on a connection as soon as its response is waited for.
+///
+/// # Errors
+///
+/// The reason why the request may not be sent now.
+pub(super) fn start(
+    exchange: &Exchange,
+    mut connection: Connection,
+    assignment: &Assignment,
+    continuation: &Continuation,
+) -> Result<PendingResponse, Failure> {
     let time_left = exchange.time_left();
     if exchange.is_keyed() && !exchange.shared.may_use_keys() {
-        return Err(Failure::Stale.into());
+        return Err(Failure::Stale);
     }
     if time_left <= TIMER_SLACK {
-        return Err(Failure::NotRun(AttemptEnd::Cancelled).into());
+        return Err(Failure::NotRun(AttemptEnd::Cancelled));
     }
-    let req = outgoing_request(exchange, assignment, time_left, last_event_id);
-    let response = connection.send(req);
-    match exchange.await_server(assignment, patience, response).await {
-        Awaited::Ready(Ok(response)) => Ok((response, connection)),
-        Awaited::Ready(Err(SendError::NotSent(_))) => Err(Failure::NotRun(AttemptEnd::Unreachable).into()),
-        Awaited::Ready(Err(SendError::MaybeSent(e))) => {
-            request_log::record_lost_connection(exchange, &assignment.engine, "head", &e);
-            Err(Failure::MaybeRun(AttemptEnd::ConnectionLost).into())
+    let req = outgoing_request(exchange, assignment, time_left, continuation.last_event_id());
+    Ok(Box::pin(async move {
+        let response = connection.send(req).await?;
+        Ok((response, connection))
+    }))
+}
+
+async fn await_head(
+    exchange: &mut Exchange,
+    assignment: &Assignment,
+    continuation: &Continuation,
+    patience: Patience,
+    response: PendingResponse,
+) -> Result<(Response<Incoming>, Connection), AttemptError> {
+    match exchange
+        .await_server(assignment, patience, continuation, response)
+        .await
+    {
+        Awaited::Ready(Ok(received)) => Ok(received),
+        Awaited::Ready(Err(e)) => Err(record_send_error(exchange, assignment, &e).into()),
+        Awaited::Moved(e, moved) => {
+            let failure = e.map_or(Failure::MaybeRun(AttemptEnd::Unresponsive), |e| {
+                record_send_error(exchange, assignment, &e)
+            });
+            Err(AttemptError::Moved(failure, moved))
         }
-        Awaited::Superseded(placement) => Err(AttemptError::Superseded(placement)),
         Awaited::DeadlineExceeded => Err(Failure::DeadlineExceeded.into()),
     }
 }
 
+/// Records why a request received no response, and returns how the attempt failed.
+pub(super) fn record_send_error(exchange: &Exchange, assignment: &Assignment, e: &SendError) -> Failure {
+    match e {
+        SendError::NotSent(_) => Failure::NotRun(AttemptEnd::Unreachable),
+        SendError::MaybeSent(e) => {
+            request_log::record_lost_connection(exchange, &assignment.engine, "head", e);
+            Failure::MaybeRun(AttemptEnd::ConnectionLost)
+        }
+    }
+}
+
 fn outgoing_request(
     exchange: &Exchange,
     assignment: &Assignment,
@@ -261,7 +350,7 @@
 
 /// Returns the response to forward, or a failure if the server rejected the request or the response
 /// cannot be trusted to belong to it.
-fn check_response(
+pub(super) fn check_response(
     exchange: &Exchange,
     response: Response<Incoming>,
     connection: Connection,
@@ -301,6 +390,8 @@
             connection,
             slot,
             assignment,
+            assigned_at: exchange.assigned_at,
+            received: BytesMut::new(),
         }),
     }
 }
--- a/crates/gateway/src/traffic/events.rs
+++ b/crates/gateway/src/traffic/events.rs
@@ -7,7 +7,7 @@
 const ID_FIELD: &[u8] = b"id:";
 
 /// Buffers bytes and returns complete events.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct EventSplitter {
     pending: BytesMut,
     ids: EventIds,
@@ -113,13 +113,16 @@
         self.ids.last
     }
 
-    /// Discards the bytes of an incomplete event, and expects events of another server that follow the last one.
-    pub(crate) fn resume(&mut self) {
-        self.pending.clear();
-        self.ids.run = match self.ids.last {
+    /// Returns a splitter for another server's events, which are to follow the last complete one.
+    pub(crate) fn resumed(&self) -> Self {
+        let run = match self.ids.last {
             Some(_) => Run::Resumed,
             None => Run::First,
         };
+        Self {
+            pending: BytesMut::new(),
+            ids: EventIds { run, ..self.ids },
+        }
     }
 
     /// Returns whether the incomplete event exceeds [`MAX_EVENT_BYTES`].
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -10,18 +10,18 @@
 use carawayseam_types::{BackendName, EngineId, Millis, OrganisationId, Tier};
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
-use hyper::{Method, Request, Response, Uri};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use super::arrival::{self, refuse_stale};
-use super::attempt::{self, AttemptError, Failure, ServerResponse};
+use super::attempt::{Failure, ServerResponse};
 use super::plain::PlainResponse;
 use super::quota::ReservedTokens;
 use super::rate_limits::{self, RateLimited};
 use super::reservation::Slot;
 use super::response::{Reason, Refusal, ResponseBody};
-use super::silence::Patience;
+use super::resumption::Continuation;
 use super::slots;
 use super::stream;
 use crate::http_client::Connection;
@@ -36,9 +36,6 @@
 /// A stream still queued after this multiple of its objective is refused, since callers do not wait much
 /// longer.
 const STREAM_WAIT_OBJECTIVES: f64 = 1.5;
-/// Another server is looked for if no response to a plain request that may be repeated arrives within this multiple
-/// of its objective.
-const PLAIN_TIMEOUT_OBJECTIVES: f64 = 2.5;
 /// Another server is looked for if a stream's response or first event does not arrive within this multiple of the expected time to its
 /// first event plus the margin.
 const FIRST_EVENT_TIMEOUT_FACTOR: u64 = 3;
@@ -98,8 +95,6 @@
 pub(super) struct Placement {
     pub(super) slot: Slot,
     pub(super) assignment: Assignment,
-    /// A connection to the server, if one was opened already.
-    pub(super) connection: Option<Connection>,
 }
 
 /// A request that waits for the dispatcher's decision; dropping it withdraws it.
@@ -212,10 +207,10 @@
         let job = self.job(self.max_wait_deadline());
         let submitted = lock(&self.shared.dispatch).submit(self.shared.now(), job);
         let mut queued = self.queued(submitted);
+        let start = Continuation::start(self.head.last_event_id);
         loop {
-            let last_event_id = self.head.last_event_id;
-            queued = match self.attempt(queued, last_event_id).await? {
-                Ok(server_response) if self.is_stream(&server_response) => {
+            queued = match self.attempt(queued, &start).await? {
+                Ok(server_response) if self.is_stream(server_response.response.status()) => {
                     return Ok(Outcome::Stream(Box::new(server_response)));
                 }
                 Ok(server_response) => match self.forward_plain_response(server_response).await {
@@ -228,8 +223,9 @@
         }
     }
 
-    fn is_stream(&self, server_response: &ServerResponse) -> bool {
-        self.route_match.route.kind.is_stream() && server_response.response.status().is_success()
+    /// Returns whether a response to a request that has just begun is a stream.
+    pub(super) fn is_stream(&self, status: StatusCode) -> bool {
+        self.route_match.route.kind.is_stream() && status.is_success()
     }
 
     /// Returns the time at which a request that was never sent is refused if it is still queued.
@@ -272,66 +268,6 @@
         })
     }
 
-    /// Waits for a server and sends the request to it.
-    pub(crate) async fn attempt(
-        &mut self,
-        queued: QueuedRequest,
-        last_event_id: Option<u64>,
-    ) -> Result<Result<ServerResponse, Failure>, Refusal> {
-        let placement = self.acquire_slot(queued, None).await?;
-        Ok(self.attempt_at(placement, last_event_id).await)
-    }
-
-    /// Sends the request to the server of a placement, and to others while a server is silent.
-    pub(super) async fn attempt_at(
-        &mut self,
-        mut placement: Placement,
-        last_event_id: Option<u64>,
-    ) -> Result<ServerResponse, Failure> {
-        loop {
-            match self.send_to(placement, last_event_id).await {
-                Ok(server_response) => return Ok(server_response),
-                Err(AttemptError::Failed(failure)) => return Err(failure),
-                Err(AttemptError::Superseded(next)) => placement = *next,
-            }
-        }
-    }
-
-    async fn send_to(
-        &mut self,
-        placement: Placement,
-        last_event_id: Option<u64>,
-    ) -> Result<ServerResponse, AttemptError> {
-        let Placement {
-            mut slot,
-            assignment,
-            connection,
-        } = placement;
-        self.assigned_at = self.shared.now();
-        slot.assign(&self.backend, &assignment);
-        request_log::record_assignment(self, &assignment, slot.rate_limit());
-        let patience = self.patience(&assignment);
-        let engine = assignment.engine.clone();
-        // The caller may leave while the request is being sent, so it counts as sent until the outcome is known.
-        let may_have_run = std::mem::replace(&mut self.may_have_run, true);
-        let sent = attempt::send(self, slot, assignment, connection, last_event_id, patience).await;
-        let failure = sent.as_ref().err().map(AttemptError::failure);
-        match failure {
-            Some(failure) if failure.is_unsent() => self.unsent_attempts += 1,
-            _ => self.attempts += 1,
-        }
-        if let Some(failure) = failure {
-            request_log::record_attempt_failure(self, &engine, failure);
-        }
-        self.may_have_run = may_have_run
-            || matches!(
-                failure,
-                None | Some(Failure::MaybeRun(_) | Failure::DeadlineExceeded)
-            );
-        self.tried_engines.push(engine);
-        sent
-    }
-
     /// Waits for a server whose slot and rate limit no other host has used up in the meantime.
     ///
     /// `excluded` is the server that still has the request.
@@ -360,11 +296,7 @@
                         slot.refund_permit();
                         return Err(refusal);
                     }
-                    return Ok(Placement {
-                        slot,
-                        assignment,
-                        connection: None,
-                    });
+                    return Ok(Placement { slot, assignment });
                 }
                 Err(end) => slot.end(end),
             }
@@ -430,18 +362,6 @@
         }
     }
 
-    /// Returns how long the server may be silent before its response.
-    fn patience(&self, assignment: &Assignment) -> Patience {
-        let route = &self.route_match.route;
-        let has_next = self.attempts + 1 < route.max_attempts;
-        let limit = if route.kind.is_stream() {
-            first_event_limit(assignment)
-        } else {
-            Millis((route.objective.0 as f64 * PLAIN_TIMEOUT_OBJECTIVES) as u64)
-        };
-        Patience::new(limit, has_next && route.kind.is_retryable())
-    }
-
     /// Queues the request again after a failed attempt, or returns the final refusal.
     pub(crate) fn requeue(&self, failure: Failure) -> Result<QueuedRequest, Refusal> {
         let refusal = match failure {
@@ -476,7 +396,7 @@
 
     /// Queues the request for another server if its route and the retry budget allow a retry.
     pub(super) fn queue_retry(&self) -> Option<QueuedRequest> {
-        if self.attempts >= self.route_match.route.max_attempts {
+        if !self.has_attempt() {
             return None;
         }
         let job = self.job(self.deadline);
--- a/crates/gateway/src/traffic/plain.rs
+++ b/crates/gateway/src/traffic/plain.rs
@@ -28,6 +28,7 @@
             connection,
             mut slot,
             assignment,
+            ..
         } = server_response;
         let (mut parts, body) = response.into_parts();
         let keep_alive = keep_alive_timeout(&parts.headers);
--- /dev/null
+++ b/crates/gateway/src/traffic/reading.rs
@@ -0,0 +1,82 @@
+//! Reads the events of a backend server's stream.
+
+use bytes::{Bytes, BytesMut};
+use carawayseam_dispatch::AttemptEnd;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use super::events::{CompleteEvents, EventSplitter, OutOfOrder};
+use super::exchange::Exchange;
+use crate::request_log;
+use crate::shared::Assignment;
+
+/// Why no further events can be read.
+#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+pub(super) enum ReadError {
+    #[display("the connection broke: {_0}")]
+    Lost(hyper::Error),
+    #[display("the stream ended in the middle of an event")]
+    Incomplete,
+    #[display("an event exceeds the size limit")]
+    Overlong,
+    OutOfOrder(OutOfOrder),
+}
+
+/// Reads until complete events arrive, and returns `None` at the end of the stream; `received` was read already.
+pub(super) async fn read_events(
+    received: &mut BytesMut,
+    body: &mut Incoming,
+    splitter: &mut EventSplitter,
+) -> Result<Option<CompleteEvents>, ReadError> {
+    if let Some(events) = splitter.push(&received.split())? {
+        return Ok(Some(events));
+    }
+    read_more_events(body, splitter, |_| {}).await
+}
+
+/// Reads until complete events arrive, and returns `None` at the end of the stream; `received` collects the bytes.
+pub(super) async fn peek_events(
+    received: &mut BytesMut,
+    body: &mut Incoming,
+    mut splitter: EventSplitter,
+) -> Result<Option<CompleteEvents>, ReadError> {
+    read_more_events(body, &mut splitter, |bytes| received.extend_from_slice(bytes)).await
+}
+
+async fn read_more_events(
+    body: &mut Incoming,
+    splitter: &mut EventSplitter,
+    mut keep: impl FnMut(&Bytes),
+) -> Result<Option<CompleteEvents>, ReadError> {
+    loop {
+        let frame = match body.frame().await {
+            Some(frame) => frame?,
+            None if splitter.has_partial() => return Err(ReadError::Incomplete),
+            None => return Ok(None),
+        };
+        let Some(bytes) = frame.data_ref() else {
+            continue;
+        };
+        keep(bytes);
+        match splitter.push(bytes)? {
+            Some(events) => return Ok(Some(events)),
+            None if splitter.is_overlong() => return Err(ReadError::Overlong),
+            None => {}
+        }
+    }
+}
+
+/// Records why a server's stream was interrupted, and returns how the attempt ends.
+pub(super) fn record_read_error(exchange: &Exchange, assignment: &Assignment, e: &ReadError) -> AttemptEnd {
+    let engine = &assignment.engine;
+    match e {
+        ReadError::Lost(e) => request_log::record_lost_connection(exchange, engine, "stream", e),
+        ReadError::Incomplete => {}
+        ReadError::Overlong => log::debug!(engine:% = engine; "an event exceeds the size limit"),
+        ReadError::OutOfOrder(problem) => {
+            request_log::record_not_continued(exchange, engine, problem);
+            return AttemptEnd::Failed;
+        }
+    }
+    AttemptEnd::ConnectionLost
+}
--- a/crates/gateway/src/traffic/silence.rs
+++ b/crates/gateway/src/traffic/silence.rs
@@ -1,9 +1,9 @@
 //! Looks for another server while the one that has a request is silent.
 //!
-//! A silent server may be sound and continue, so a request leaves it only for a server that has a slot for it and is
+//! A silent server may be sound and continue, so a request moves only to a server that has a slot for it and is
 //! connected to, and only if the retry budget allows it then.
 
-use std::pin::pin;
+use std::pin::{Pin, pin};
 
 use carawayseam_dispatch::Job;
 use carawayseam_types::{EngineId, Millis};
@@ -11,6 +11,9 @@
 
 use super::attempt::{self, TIMER_SLACK};
 use super::exchange::{Exchange, Placement, QueuedRequest};
+use super::moves::MovedRequest;
+use super::resumption::Continuation;
+use crate::http_client::Connection;
 use crate::shared::{Assignment, lock};
 
 /// The pause before another server is looked for again.
@@ -41,20 +44,21 @@
 }
 
 /// The result of waiting for a server that may be silent.
-pub(super) enum Awaited<T> {
-    /// The server sent something.
-    Ready(T),
-    /// The server was silent, and another one is connected to and has a slot for the request.
-    Superseded(Box<Placement>),
+pub(super) enum Awaited<T, E> {
+    /// The server sent something, or failed.
+    Ready(Result<T, E>),
+    /// The request is at another server, because this one was silent, and may have failed since.
+    Moved(Option<E>, Box<MovedRequest>),
     /// The deadline has passed.
     DeadlineExceeded,
 }
 
 /// What ended the search for another server.
-enum Search<T> {
-    /// The silent server sent something first.
-    Ready(T),
-    Found(Box<Placement>),
+pub(super) enum Search<T, E> {
+    /// The silent server sent something first, or failed.
+    Ready(Result<T, E>),
+    /// The request is at another server, and the silent one may have failed since.
+    Moved(Option<E>, Box<MovedRequest>),
     /// No other server can take the request now.
     NotFound,
 }
@@ -63,48 +67,56 @@
     /// Waits for `event` from the server that has the request, at most until the deadline.
     ///
     /// A server that exhausts the patience is checked before it gets other requests. If the request may move, another
-    /// server is looked for, and again at intervals.
-    pub(super) async fn await_server<T>(
-        &self,
+    /// server is looked for, and again at intervals; `continuation` is the point that it is to continue from.
+    pub(super) async fn await_server<T, E>(
+        &mut self,
         Assignment { engine, via, .. }: &Assignment,
         patience: Patience,
-        event: impl Future<Output = T>,
-    ) -> Awaited<T> {
+        continuation: &Continuation,
+        event: impl Future<Output = Result<T, E>>,
+    ) -> Awaited<T, E> {
         let mut event = pin!(event);
         let mut limit = patience.limit;
         loop {
             match timeout(limit.min(self.time_left()).to_duration(), event.as_mut()).await {
-                Ok(value) => return Awaited::Ready(value),
+                Ok(result) => return Awaited::Ready(result),
                 Err(_) if self.time_left() <= TIMER_SLACK => return Awaited::DeadlineExceeded,
                 Err(_) => {}
             }
             lock(&self.shared.dispatch)
                 .dispatcher
                 .mark_silent(self.shared.now(), engine, via.as_ref());
-            if !patience.may_move {
+            if !patience.may_move || !self.has_attempt() {
                 limit = Millis::MAX;
                 continue;
             }
-            match self.search_elsewhere(engine, event.as_mut()).await {
-                Search::Ready(value) => return Awaited::Ready(value),
-                Search::Found(placement) => return Awaited::Superseded(placement),
+            match self.search_elsewhere(engine, continuation, event.as_mut()).await {
+                Search::Ready(result) => return Awaited::Ready(result),
+                Search::Moved(failure, moved) => return Awaited::Moved(failure, moved),
                 Search::NotFound => limit = SEARCH_INTERVAL,
             }
         }
     }
 
-    /// Queues the request for a server other than `engine` until it is connected to one that has a slot, or `engine`
-    /// sends something.
-    async fn search_elsewhere<T>(&self, engine: &EngineId, event: impl Future<Output = T>) -> Search<T> {
+    /// Queues the request for a server other than `engine` until it moves to one that has a slot, or `engine` sends
+    /// something.
+    async fn search_elsewhere<T, E>(
+        &mut self,
+        engine: &EngineId,
+        continuation: &Continuation,
+        mut event: Pin<&mut impl Future<Output = Result<T, E>>>,
+    ) -> Search<T, E> {
         let Some(queued) = self.queue_elsewhere(engine) else {
             return Search::NotFound;
         };
-        tokio::select! {
+        let placed = tokio::select! {
             biased;
-            value = event => Search::Ready(value),
-            placement = self.place_elsewhere(queued, engine) => {
-                placement.map_or(Search::NotFound, |placement| Search::Found(Box::new(placement)))
-            }
+            result = event.as_mut() => return Search::Ready(result),
+            placed = self.place_elsewhere(queued, engine) => placed,
+        };
+        match placed {
+            Some((placement, connection)) => self.move_to(placement, connection, continuation, event).await,
+            None => Search::NotFound,
         }
     }
 
@@ -124,13 +136,13 @@
     }
 
     /// Waits for a slot of a server other than `engine`, connects to it, and takes a retry from the budget.
-    async fn place_elsewhere(&self, queued: QueuedRequest, engine: &EngineId) -> Option<Placement> {
+    async fn place_elsewhere(
+        &self,
+        queued: QueuedRequest,
+        engine: &EngineId,
+    ) -> Option<(Placement, Connection)> {
         let placement = self.acquire_slot(queued, Some(engine)).await;
-        let Placement {
-            mut slot,
-            assignment,
-            ..
-        } = placement
+        let Placement { mut slot, assignment } = placement
             .inspect_err(|refusal| {
                 log::debug!(request = self.head.id.as_deref(), reason:% = refusal.reason; "no other server for a silent one");
             })
@@ -148,11 +160,7 @@
             return None;
         }
         self.shared.metrics.count("repeats", "moved");
-        Some(Placement {
-            slot,
-            assignment,
-            connection: Some(connection),
-        })
+        Some((Placement { slot, assignment }, connection))
     }
 
     /// Returns the job of a request that `engine` still has.
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -1,6 +1,6 @@
 //! Forwards a stream of events, and resumes it on another server if one is interrupted.
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use carawayseam_dispatch::AttemptEnd;
 use carawayseam_types::Millis;
 use futures_util::stream::unfold;
@@ -11,10 +11,12 @@
 
 use super::attempt::{Failure, ServerResponse, keep_alive_timeout, remove_hop_headers};
 use super::events::{CompleteEvents, EventSplitter, MAX_EVENT_BYTES};
-use super::exchange::{Exchange, Placement, first_event_limit};
+use super::exchange::{Exchange, first_event_limit};
+use super::moves::MovedRequest;
+use super::reading::{read_events, record_read_error};
 use super::reservation::Slot;
 use super::response::{BodyError, ResponseBody};
-use super::resumption::StreamHead;
+use super::resumption::{Continuation, StreamHead};
 use super::silence::{Awaited, Patience};
 use crate::http_client::Connection;
 use crate::request_log::{self, StreamSummary};
@@ -40,6 +42,8 @@
 
 /// A backend server's stream that is being forwarded.
 struct EngineStream {
+    /// The bytes that were read already.
+    received: BytesMut,
     body: Incoming,
     connection: Connection,
     slot: Slot,
@@ -57,6 +61,7 @@
 impl EngineStream {
     fn new(server_response: ServerResponse, keep_alive_timeout: Option<Millis>, now: Millis) -> Self {
         Self {
+            received: server_response.received,
             body: server_response.response.into_body(),
             connection: server_response.connection,
             slot: server_response.slot,
@@ -70,6 +75,52 @@
     }
 }
 
+impl EngineStream {
+    /// Reads until complete events arrive, the stream ends, or it is interrupted.
+    ///
+    /// Only a complete event resets the timeout, so a server that sends single bytes counts as stalled.
+    async fn read(
+        &mut self,
+        exchange: &mut Exchange,
+        head: &StreamHead,
+        splitter: &mut EventSplitter,
+    ) -> ReadResult {
+        self.connection.set_read_limit(MAX_EVENT_BYTES.saturating_mul(2));
+        let patience = Patience::new(
+            self.max_gap(),
+            can_continue(exchange, splitter) && exchange.has_attempt(),
+        );
+        let continuation = Continuation::after(head, splitter);
+        let events = read_events(&mut self.received, &mut self.body, splitter);
+        let awaited = exchange
+            .await_server(&self.assignment, patience, &continuation, events)
+            .await;
+        match awaited {
+            Awaited::Ready(Ok(Some(events))) => ReadResult::Events(events),
+            Awaited::Ready(Ok(None)) => ReadResult::End,
+            Awaited::Ready(Err(e)) => {
+                ReadResult::Interrupted(record_read_error(exchange, &self.assignment, &e))
+            }
+            Awaited::Moved(e, moved) => {
+                let end = e.map_or(AttemptEnd::Unresponsive, |e| {
+                    record_read_error(exchange, &self.assignment, &e)
+                });
+                ReadResult::Moved(end, moved)
+            }
+            Awaited::DeadlineExceeded => ReadResult::DeadlineExceeded,
+        }
+    }
+
+    /// Returns the time without an event after which another server is looked for.
+    fn max_gap(&self) -> Millis {
+        if self.received_events > 0 {
+            MAX_EVENT_GAP
+        } else {
+            first_event_limit(&self.assignment)
+        }
+    }
+}
+
 /// The stream to a caller, made of one or more backend servers' streams.
 struct CallerStream {
     exchange: Exchange,
@@ -87,8 +138,8 @@
     Events(CompleteEvents),
     End,
     Interrupted(AttemptEnd),
-    /// The server was silent, and another one is connected to and has a slot for the request.
-    Superseded(Box<Placement>),
+    /// The request is at another server, and this one's attempt ends this way.
+    Moved(AttemptEnd, Box<MovedRequest>),
     DeadlineExceeded,
 }
 
@@ -123,7 +174,10 @@
     async fn next(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
         loop {
             let engine_stream = self.engine_stream.as_mut()?;
-            match read_events(&self.exchange, engine_stream, &mut self.splitter).await {
+            match engine_stream
+                .read(&mut self.exchange, &self.head, &mut self.splitter)
+                .await
+            {
                 ReadResult::Events(events) => {
                     self.record_events(events.count);
                     return Some(Ok(Frame::data(events.bytes)));
@@ -143,10 +197,10 @@
                         return Some(Err(self.abort(end, cause)));
                     }
                 }
-                ReadResult::Superseded(placement) => {
-                    self.leave_server(AttemptEnd::Unresponsive);
-                    if let Err(cause) = self.resume(Some(*placement)).await {
-                        return Some(Err(self.abort(AttemptEnd::Unresponsive, cause)));
+                ReadResult::Moved(end, moved) => {
+                    self.leave_server(end);
+                    if let Err(cause) = self.resume(Some(*moved)).await {
+                        return Some(Err(self.abort(end, cause)));
                     }
                 }
             }
@@ -243,22 +297,22 @@
 
     /// Resumes the stream on another server after the last complete event.
     ///
-    /// `placement` is the other server, if one was found already.
-    async fn resume(&mut self, placement: Option<Placement>) -> Result<(), Interrupted> {
+    /// `moved` is the request at the other server, if it was sent there already.
+    async fn resume(&mut self, moved: Option<MovedRequest>) -> Result<(), Interrupted> {
         if !can_continue(&self.exchange, &self.splitter) {
             return Err(Interrupted::Lost);
         }
         let exchange = &mut self.exchange;
-        let last_event_id = self.splitter.last_id();
-        self.splitter.resume();
+        let continuation = Continuation::after(&self.head, &self.splitter);
+        self.splitter = continuation.splitter();
         let mut failure = Failure::MaybeRun(AttemptEnd::ConnectionLost);
-        let mut sent = match placement {
-            Some(placement) => Some(exchange.attempt_at(placement, last_event_id).await),
+        let mut sent = match moved {
+            Some(moved) => Some(exchange.finish_move(moved, &continuation).await),
             None => None,
         };
         loop {
             match sent {
-                Some(Ok(server_response)) => match self.head.check(&server_response.response) {
+                Some(Ok(server_response)) => match continuation.check(&server_response.response) {
                     Ok(()) => {
                         self.resumed += 1;
                         let keep_alive = keep_alive_timeout(server_response.response.headers());
@@ -278,7 +332,7 @@
                 None => {}
             }
             let queued = exchange.requeue(failure).map_err(|_refusal| Interrupted::Lost)?;
-            let attempt = exchange.attempt(queued, last_event_id).await;
+            let attempt = exchange.attempt(queued, &continuation).await;
             sent = Some(attempt.map_err(|_refusal| Interrupted::Lost)?);
         }
     }
@@ -319,61 +373,3 @@
     engine_stream.events = 0;
     engine_stream.sampled_at = now;
 }
-
-/// Reads until complete events arrive, the stream ends, or it is interrupted.
-///
-/// Only a complete event resets the timeout, so a server that sends single bytes counts as stalled.
-async fn read_events(
-    exchange: &Exchange,
-    engine_stream: &mut EngineStream,
-    splitter: &mut EventSplitter,
-) -> ReadResult {
-    let since = exchange.shared.now();
-    engine_stream
-        .connection
-        .set_read_limit(MAX_EVENT_BYTES.saturating_mul(2));
-    loop {
-        let waited = exchange.shared.now().since(since);
-        let may_resume =
-            can_continue(exchange, splitter) && exchange.attempts < exchange.route_match.route.max_attempts;
-        let max_gap = if engine_stream.received_events > 0 {
-            MAX_EVENT_GAP
-        } else {
-            first_event_limit(&engine_stream.assignment)
-        };
-        let patience = Patience::new(max_gap.since(waited), may_resume);
-        let frame = match exchange
-            .await_server(&engine_stream.assignment, patience, engine_stream.body.frame())
-            .await
-        {
-            Awaited::Ready(frame) => frame,
-            Awaited::Superseded(placement) => return ReadResult::Superseded(placement),
-            Awaited::DeadlineExceeded => return ReadResult::DeadlineExceeded,
-        };
-        match frame {
-            Some(Ok(frame)) => {
-                let events = frame.data_ref().map_or(Ok(None), |bytes| splitter.push(bytes));
-                match events {
-                    Ok(Some(events)) => return ReadResult::Events(events),
-                    Err(problem) => {
-                        let engine = &engine_stream.assignment.engine;
-                        request_log::record_not_continued(exchange, engine, &problem);
-                        return ReadResult::Interrupted(AttemptEnd::Failed);
-                    }
-                    Ok(None) if splitter.is_overlong() => {
-                        log::debug!(engine:% = engine_stream.assignment.engine; "an event exceeds the size limit");
-                        return ReadResult::Interrupted(AttemptEnd::ConnectionLost);
-                    }
-                    Ok(None) => {}
-                }
-            }
-            Some(Err(e)) => {
-                request_log::record_lost_connection(exchange, &engine_stream.assignment.engine, "stream", &e);
-                return ReadResult::Interrupted(AttemptEnd::ConnectionLost);
-            }
-            // A stream that ends in the middle of an event was interrupted.
-            None if splitter.has_partial() => return ReadResult::Interrupted(AttemptEnd::ConnectionLost),
-            None => return ReadResult::End,
-        }
-    }
-}
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -12,6 +12,8 @@
 
 /// The backend of all routes but the steps.
 pub(crate) const BACKEND: &str = "app";
+/// The maximum number of servers that a request is sent to.
+const MAX_ATTEMPTS: u32 = 2;
 /// Keys that are never taken away.
 const LASTING_KEYS: usize = 2;
 
@@ -51,6 +53,7 @@
             kind,
             backend: backend.to_owned(),
             timeout_ms: TIME_LIMIT.0,
+            max_attempts: MAX_ATTEMPTS,
         };
         let configuration = Configuration {
             revision: self.revision,
