--- a/crates/gateway/src/traffic/listener.rs
+++ b/crates/gateway/src/traffic/listener.rs
@@ -101,9 +101,9 @@
     let open = OpenOnConnection::new(&activity, &shared);
     let version = req.version();
     // After a panic the connection would close without a response.
-    let answered = AssertUnwindSafe(exchange::run(&shared, &activity, req))
-        .catch_unwind()
-        .await;
+    let serving = AssertUnwindSafe(exchange::run(&shared, &activity, req)).catch_unwind();
+    // The state of a request is too large for the connection's task.
+    let answered = Box::pin(serving).await;
     let mut response = answered.unwrap_or_else(|panic| {
         log::error!(error = panic_message(&*panic); "handling a request panicked");
         let refusal = Refusal::new(Reason::Internal);
--- a/crates/gateway/src/traffic/plain.rs
+++ b/crates/gateway/src/traffic/plain.rs
@@ -34,6 +34,7 @@
             connection,
             mut slot,
             assignment,
+            ..
         } = server_response;
         let needs_body = response.status().is_success() && ends_with_connection(&response);
         let (mut parts, body) = response.into_parts();
