Refuse a queued request shortly before its time limit, not at it

Cause: a request that was sent before, or that was not sent because its server could not be connected to, is queued until its own deadline. If no server comes, its 502 or 503 left exactly then. The caller's clock started earlier, so the answer, with its true time to come back, reached a caller that had just left, which then had got neither an answer nor a refusal.

Ruled out: refusing it at the limit for requests that were never sent (45% of the time): a server may return within the time, and a late answer of a request that may have run is better than a 502.

Change: the wait for a server ends 5% of the time limit, at most 100 ms, before the deadline. The waiting times of a request move to their own file.

Conclusion: a 504 for a server that is still at work at the deadline still comes at the deadline.

--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -31,11 +31,6 @@
 
 /// The retry delay sent to a caller whose request was rejected or not sent.
 pub(super) const RETRY_AFTER_REJECTED: Millis = Millis(300);
-/// The share of a request's time limit after which it is refused if it is still queued.
-const MAX_WAIT_SHARE: f64 = 0.45;
-/// A stream still queued after this multiple of its objective is refused, since callers do not wait much
-/// longer.
-const STREAM_WAIT_OBJECTIVES: f64 = 1.5;
 /// Another server is looked for if no response to a plain request that may be repeated arrives within this multiple
 /// of its objective.
 const PLAIN_TIMEOUT_OBJECTIVES: f64 = 2.5;
@@ -232,18 +227,6 @@
         self.route_match.route.kind.is_stream() && server_response.response.status().is_success()
     }
 
-    /// Returns the time at which a request that was never sent is refused if it is still queued.
-    fn max_wait_deadline(&self) -> Millis {
-        let time_limit = self.deadline.since(self.arrived).0 as f64;
-        let objective = self.route_match.route.objective.0 as f64;
-        let max_wait = if self.route_match.route.kind.is_stream() {
-            objective * STREAM_WAIT_OBJECTIVES
-        } else {
-            time_limit
-        };
-        self.arrived + Millis(max_wait.min(time_limit * MAX_WAIT_SHARE) as u64)
-    }
-
     pub(crate) fn job(&self, queue_deadline: Millis) -> Job {
         let prompt = self.head.prompt.as_ref();
         Job {
@@ -345,7 +328,7 @@
             let decision = tokio::select! {
                 biased;
                 refusal = self.part_blocked() => return Err(refusal),
-                decision = timeout(self.time_left().to_duration(), decision) => decision,
+                decision = timeout(self.queue_time_left().to_duration(), decision) => decision,
             };
             let assignment = match decision {
                 Ok(Ok(Decision::Start(assignment))) => assignment,
@@ -410,16 +393,6 @@
         self.route_match.route.kind.is_stream()
     }
 
-    /// Returns the time at which the request is refused if it is still queued. A request that was sent before
-    /// is queued until its deadline.
-    fn queue_deadline(&self) -> Millis {
-        if self.tried_engines.is_empty() {
-            self.max_wait_deadline()
-        } else {
-            self.deadline
-        }
-    }
-
     /// Returns the refusal of a queued request, which depends on whether an earlier attempt may have run it.
     fn queue_refusal(&self, retry_after: Millis) -> Refusal {
         let reaches_none = lock(&self.shared.dispatch).dispatcher.reaches_none(&self.backend);
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -20,6 +20,7 @@
 mod stream;
 mod unread_body;
 mod versions;
+mod waiting;
 
 pub(crate) use attempt::Failure;
 pub(crate) use connections::IdleConnections;
