--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -25,6 +25,7 @@
 mod stream;
 mod unread_body;
 mod versions;
+mod waiting;
 
 pub(crate) use attempt::Failure;
 pub(crate) use connections::IdleConnections;
