Keep a plain request at its silent server until the other one's response is complete

cause: a plain request that may be repeated left its silent server with the head of the second server's response. If that server then broke off in the body, and no retry or attempt was left, the caller got 502 although the first server would have answered. ruled out: a longer overlap; the body is read within the same 250 ms. change: during the overlap the body of a plain response is read as well, and what was read is kept for the caller; a body that breaks off or exceeds the limit leaves the request at the first server. No run on a fleet. conclusion: a second body that lasts longer than the overlap and then breaks off still ends in 502 if no retry is left.

--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -41,7 +41,7 @@
     pub(crate) assignment: Assignment,
     /// When the request was sent.
     pub(crate) assigned_at: Millis,
-    /// The bytes of a stream that were read already.
+    /// The bytes of the body that were read already.
     pub(crate) received: BytesMut,
 }
 
--- a/crates/gateway/src/traffic/moves.rs
+++ b/crates/gateway/src/traffic/moves.rs
@@ -12,7 +12,8 @@
 use super::attempt::{self, Failure, SentRequest, ServerResponse};
 use super::events::MAX_EVENT_BYTES;
 use super::exchange::{Exchange, Placement};
-use super::reading::{peek_events, record_read_error};
+use super::plain::MAX_RESPONSE_BYTES;
+use super::reading::{peek_events, peek_response, record_read_error};
 use super::resumption::Continuation;
 use super::silence::Search;
 use crate::http_client::Connection;
@@ -158,7 +159,8 @@
     }
 }
 
-/// Waits until a response has begun to continue the request; what is read of a stream is kept in the response.
+/// Waits until a stream has begun to continue the request, or until a plain response is complete; what is read is kept
+/// in the response.
 async fn begin_response(
     exchange: &Exchange,
     server_response: &mut ServerResponse,
@@ -175,17 +177,16 @@
         request_log::record_not_continued(exchange, &assignment.engine, &problem);
         return Err(Failure::MaybeRun(AttemptEnd::Failed));
     }
-    if !exchange.is_stream(response.status()) {
-        return if response.status().is_server_error() {
-            Err(Failure::MaybeRun(AttemptEnd::Failed))
-        } else {
-            Ok(())
-        };
-    }
-    connection.set_read_limit(MAX_EVENT_BYTES.saturating_mul(2));
-    let events = peek_events(received, response.body_mut(), continuation.splitter());
-    match events.await {
-        Ok(_) => Ok(()),
-        Err(e) => Err(Failure::MaybeRun(record_read_error(exchange, assignment, &e))),
+    if response.status().is_server_error() {
+        return Err(Failure::MaybeRun(AttemptEnd::Failed));
     }
+    let begun = if exchange.is_stream(response.status()) {
+        connection.set_read_limit(MAX_EVENT_BYTES.saturating_mul(2));
+        let events = peek_events(received, response.body_mut(), continuation.splitter());
+        events.await.map(drop)
+    } else {
+        connection.set_read_limit(MAX_RESPONSE_BYTES.saturating_mul(2));
+        peek_response(received, response.body_mut()).await
+    };
+    begun.map_err(|e| Failure::MaybeRun(record_read_error(exchange, assignment, &e)))
 }
--- a/crates/gateway/src/traffic/plain.rs
+++ b/crates/gateway/src/traffic/plain.rs
@@ -11,7 +11,7 @@
 use crate::request_log;
 
 /// The maximum size of a plain response, which is read completely before it is forwarded.
-const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
+pub(super) const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
 
 /// The result of reading a server's plain response.
 pub(super) enum PlainResponse {
@@ -28,15 +28,20 @@
             connection,
             mut slot,
             assignment,
+            mut received,
             ..
         } = server_response;
         let (mut parts, body) = response.into_parts();
         let keep_alive = keep_alive_timeout(&parts.headers);
         remove_hop_headers(&mut parts.headers);
         connection.set_read_limit(MAX_RESPONSE_BYTES.saturating_mul(2));
-        let reading = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+        let reading = Limited::new(body, MAX_RESPONSE_BYTES.saturating_sub(received.len())).collect();
         let body = match timeout(self.time_left().to_duration(), reading).await {
-            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Ok(rest)) if received.is_empty() => rest.to_bytes(),
+            Ok(Ok(rest)) => {
+                received.extend_from_slice(&rest.to_bytes());
+                received.freeze()
+            }
             Ok(Err(e)) => {
                 request_log::record_lost_connection(self, &assignment.engine, "body", &*e);
                 self.close_idle_connections(&assignment);
--- a/crates/gateway/src/traffic/reading.rs
+++ b/crates/gateway/src/traffic/reading.rs
@@ -1,4 +1,4 @@
-//! Reads the events of a backend server's stream.
+//! Reads the responses of backend servers.
 
 use bytes::{Bytes, BytesMut};
 use carawayseam_dispatch::AttemptEnd;
@@ -7,6 +7,7 @@
 
 use super::events::{CompleteEvents, EventSplitter, OutOfOrder};
 use super::exchange::Exchange;
+use super::plain::MAX_RESPONSE_BYTES;
 use crate::request_log;
 use crate::shared::Assignment;
 
@@ -17,7 +18,7 @@
     Lost(hyper::Error),
     #[display("the stream ended in the middle of an event")]
     Incomplete,
-    #[display("an event exceeds the size limit")]
+    #[display("an event or a response exceeds the size limit")]
     Overlong,
     OutOfOrder(OutOfOrder),
 }
@@ -43,6 +44,19 @@
     read_more_events(body, &mut splitter, |bytes| received.extend_from_slice(bytes)).await
 }
 
+/// Reads a plain response to its end; `received` collects the bytes.
+pub(super) async fn peek_response(received: &mut BytesMut, body: &mut Incoming) -> Result<(), ReadError> {
+    while let Some(frame) = body.frame().await {
+        if let Some(bytes) = frame?.data_ref() {
+            received.extend_from_slice(bytes);
+        }
+        if received.len() > MAX_RESPONSE_BYTES {
+            return Err(ReadError::Overlong);
+        }
+    }
+    Ok(())
+}
+
 async fn read_more_events(
     body: &mut Incoming,
     splitter: &mut EventSplitter,
@@ -66,13 +80,20 @@
     }
 }
 
-/// Records why a server's stream was interrupted, and returns how the attempt ends.
+/// Records why a server's response was interrupted, and returns how the attempt ends.
 pub(super) fn record_read_error(exchange: &Exchange, assignment: &Assignment, e: &ReadError) -> AttemptEnd {
     let engine = &assignment.engine;
+    let part = if exchange.route_match.route.kind.is_stream() {
+        "stream"
+    } else {
+        "body"
+    };
     match e {
-        ReadError::Lost(e) => request_log::record_lost_connection(exchange, engine, "stream", e),
+        ReadError::Lost(e) => request_log::record_lost_connection(exchange, engine, part, e),
         ReadError::Incomplete => {}
-        ReadError::Overlong => log::debug!(engine:% = engine; "an event exceeds the size limit"),
+        ReadError::Overlong => {
+            log::debug!(engine:% = engine; "an event or a response exceeds the size limit");
+        }
         ReadError::OutOfOrder(problem) => {
             request_log::record_not_continued(exchange, engine, problem);
             return AttemptEnd::Failed;
