--- a/crates/gateway/src/traffic/plain.rs
+++ b/crates/gateway/src/traffic/plain.rs
@@ -1,5 +1,6 @@
 //! Forwards a plain response.
 
+use bytes::BytesMut;
 use carawayseam_dispatch::AttemptEnd;
 use http_body_util::{BodyExt, Limited};
 use hyper::Response;
@@ -12,7 +13,7 @@
 use crate::request_log;
 
 /// The maximum size of a plain response, which is read completely before it is forwarded.
-const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
+pub(super) const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
 
 /// A success ended with its connection before its body began.
 #[derive(Debug, derive_more::Display, derive_more::Error)]
@@ -34,6 +35,7 @@
             connection,
             mut slot,
             assignment,
+            mut received,
             ..
         } = server_response;
         let needs_body = response.status().is_success() && ends_with_connection(&response);
@@ -42,11 +44,17 @@
         remove_hop_headers(&mut parts.headers);
         connection.set_read_limit(MAX_RESPONSE_BYTES.saturating_mul(2));
         let reading = async {
-            let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await?.to_bytes();
-            if needs_body && body.is_empty() {
+            let limit = MAX_RESPONSE_BYTES.saturating_sub(received.len());
+            let rest = Limited::new(body, limit).collect().await?.to_bytes();
+            if received.is_empty() {
+                received = BytesMut::from(rest);
+            } else {
+                received.extend_from_slice(&rest);
+            }
+            if needs_body && received.is_empty() {
                 return Err(BodyError::from(MissingBody));
             }
-            Ok(body)
+            Ok(received.freeze())
         };
         let body = match timeout(self.time_left().to_duration(), reading).await {
             Ok(Ok(body)) => body,
