--- a/tests/late_requests.rs
+++ b/tests/late_requests.rs
@@ -80,6 +80,13 @@
         }
     }
 
+    /// Returns the process's log lines that name one of these requests.
+    fn log_lines_of(&self, ids: &[&String]) -> String {
+        let log = std::fs::read_to_string(self.log.path()).expect("the log can be read");
+        let names_any = |line: &&str| ids.iter().any(|id| line.contains(&format!("\"{id}\"")));
+        log.lines().filter(names_any).collect::<Vec<_>>().join("\n")
+    }
+
     fn signal(&mut self) {
         let pid = Pid::from_raw(self.child.id().cast_signed()).expect("it runs");
         kill_process(pid, Signal::TERM).expect("it runs");
@@ -275,7 +282,13 @@
         .map(|received| received.request_id().to_owned())
         .collect();
     let sent_once: HashSet<&String> = sent.iter().collect();
-    assert_eq!(sent.len(), sent_once.len(), "each ran at most once");
+    let mut seen = HashSet::new();
+    let twice: Vec<&String> = sent.iter().filter(|id| !seen.insert(*id)).collect();
+    assert!(
+        twice.is_empty(),
+        "ran twice: {twice:?}\n{}",
+        stopping.log_lines_of(&twice)
+    );
     for (id, response) in &answers {
         if sent_once.contains(id) {
             assert!(may_have_run(response), "{id}: {response:?}");
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -23,6 +23,11 @@
 /// process, which is 7.6 s after the signal.
 const SLOW_READ_BYTES: usize = 64 * 1_024;
 const SLOW_READ_PAUSE: Duration = Duration::from_millis(60);
+const LONG_TIMEOUT_MS: u64 = 4_000;
+/// New streams are refused 2.8 s after the signal, and idle connections close 0.7 s later.
+const BEFORE_STREAMS_ARE_REFUSED: Duration = Duration::from_millis(2_200);
+/// A body pauses beyond both.
+const BODY_PAUSE: Duration = Duration::from_millis(1_600);
 
 fn start(settings: &str) -> (Child, tempfile::NamedTempFile) {
     let mut file = tempfile::NamedTempFile::new().expect("a file can be made");
@@ -141,3 +146,36 @@
     let exit = child.wait().expect("it ends");
     assert!(exit.success(), "{exit}");
 }
+
+/// Guards against a stream that is lost or refused because its body is under way when new streams are refused and idle
+/// connections close.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_planned_stop_answers_a_stream_whose_body_is_under_way() {
+    let engine = Engine::start(paced).await;
+    let (mut harness, settings) = GatewayHarness::prepare().await;
+    let (mut child, _file) = start(&settings);
+    harness.wait_until_listening().await;
+    harness.set_route_timeout(LONG_TIMEOUT_MS);
+    harness.register_and_configure(&[&engine]).await;
+
+    let pid = Pid::from_raw(i32::try_from(child.id()).expect("ids fit")).expect("it runs");
+    kill_process(pid, Signal::TERM).expect("it runs");
+    tokio::time::sleep(BEFORE_STREAMS_ARE_REFUSED).await;
+    let mut stream = tokio::net::TcpStream::connect(harness.gateway)
+        .await
+        .expect("the gateway accepts");
+    let request = format!(
+        "POST /guides/1 HTTP/1.1\r\nHost: firm.example\r\nX-Request-Id: request-1\r\n\
+         X-Deadline-Ms: {LONG_TIMEOUT_MS}\r\n{KEY}Content-Length: 2\r\n\r\n{{"
+    );
+    stream.write_all(request.as_bytes()).await.expect("it is read");
+    tokio::time::sleep(BODY_PAUSE).await;
+    stream.write_all(b"}").await.expect("it is read");
+    let mut received = String::new();
+    let ended = stream.read_to_string(&mut received).await;
+    assert!(ended.is_ok(), "{ended:?}");
+    assert!(received.starts_with("HTTP/1.1 200"), "{received}");
+    assert!(received.ends_with("0\r\n\r\n"), "{received}");
+    let exit = child.wait().expect("it ends");
+    assert!(exit.success(), "{exit}");
+}
