--- a/tests/late_requests.rs
+++ b/tests/late_requests.rs
@@ -53,6 +53,16 @@
     _settings: tempfile::NamedTempFile,
 }
 
+/// Ends the process of a test that failed, so that it does not run beside later tests.
+impl Drop for Stopping {
+    fn drop(&mut self) {
+        if matches!(self.child.try_wait(), Ok(None)) {
+            self.child.kill().expect("it runs");
+            self.child.wait().expect("it ends");
+        }
+    }
+}
+
 impl Stopping {
     async fn start(script: impl Fn(&ReceivedRequest, usize) -> Vec<Step> + Send + Sync + 'static) -> Self {
         let engine = Engine::start(script).await;
