Wait for a request that is arriving when a planned stop closes idle connections

cause: from 3.5 s after the signal on, a stopping process closed each connection without an open request at once. It goes on accepting connections until 0.8 of `stop_within`, so a caller that connected then was closed before its request arrived, unless both came together. A kept connection was closed in the same way while the head of a request arrived in two pieces. Callers saw a closed connection and no byte. The class: a connection is closed while bytes are under way.

ruled out: the idle limit, which already gives a head that began its whole time.

change: the stop waits for a request for at most 1 s after a connection was accepted, or after the first bytes of a head.

conclusion: a connection that never carried a request does not keep the process: if nothing else is open, the process ends soon after it stops accepting, and such a connection with it.

--- a/crates/gateway/src/traffic/idle.rs
+++ b/crates/gateway/src/traffic/idle.rs
@@ -14,9 +14,12 @@
 
 use super::response::{BodyError, ResponseBody};
 use crate::shared::{Shared, lock};
+use crate::stopping::Phase;
 
 /// The lower bound of the interval at which a connection's idle time is checked.
 const MIN_CHECK_INTERVAL: Millis = Millis(50);
+/// How long a planned shutdown waits for a request on a new connection, or after the first bytes of its head.
+const EXPECTED_REQUEST_TIME: Millis = Millis(1_000);
 
 /// Counts a connection as used until it is dropped.
 #[derive(Debug)]
@@ -79,6 +82,22 @@
         }
     }
 
+    /// Returns whether a request is likely to arrive: the connection is new, or the head of a request has begun.
+    fn is_request_expected(&self, now: Millis) -> bool {
+        let state = lock(&self.0);
+        state.open_requests == 0
+            && (state.used.is_none() || state.is_head_begun)
+            && now.since(state.idle_since) < EXPECTED_REQUEST_TIME
+    }
+
+    /// Waits until a planned shutdown may close the connection after its open request, if there is one.
+    pub(super) async fn closing(&self, shared: &Shared) {
+        shared.reached(Phase::ClosingIdle).await;
+        while self.is_request_expected(shared.now()) {
+            sleep(MIN_CHECK_INTERVAL.to_duration()).await;
+        }
+    }
+
     /// Waits until the connection has been idle for the idle timeout of the newest configuration.
     pub(super) async fn idle_timeout(&self, shared: &Shared) {
         loop {
--- a/crates/gateway/src/traffic/listener.rs
+++ b/crates/gateway/src/traffic/listener.rs
@@ -74,7 +74,7 @@
         // A request that has arrived is read before its connection counts as idle.
         biased;
         ended = connection.as_mut() => ended,
-        () = shared.reached(Phase::ClosingIdle) => {
+        () = activity.closing(&shared) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/tests/late_requests.rs
+++ b/tests/late_requests.rs
@@ -229,6 +229,74 @@
     assert_eq!(line["refused"], 1, "{line}");
 }
 
+/// Sends a request in two pieces on a connection, and returns the response.
+async fn send_in_two_pieces(
+    stopping: &Stopping,
+    mut stream: TcpStream,
+    first: &str,
+    rest_at_ms: u64,
+    rest: &str,
+) -> RawResponse {
+    stream
+        .write_all(first.as_bytes())
+        .await
+        .expect("the connection is open");
+    stopping.wait_until(rest_at_ms).await;
+    // If the connection is closed, there is no response.
+    drop(stream.write_all(rest.as_bytes()).await);
+    read_response(stream).await
+}
+
+/// Guards against a connection that is accepted late in a planned stop and closed before its request arrives.
+#[tokio::test]
+async fn a_late_connection_whose_request_arrives_a_little_later() {
+    let mut stopping = Stopping::start(delayed).await;
+    let open = stopping.send("/calls/6500", "open", LONG_LIMIT_MS);
+    stopping.wait_until_open(1).await;
+    stopping.signal();
+    stopping.wait_until(4_500).await;
+    let stream = TcpStream::connect(stopping.harness.gateway)
+        .await
+        .expect("the gateway accepts");
+    let request = request("/calls/0", "late", 1_500, 2) + "{}";
+    let response = send_in_two_pieces(&stopping, stream, "", 4_700, &request).await;
+    assert_eq!(
+        (response.status, response.body.as_str()),
+        (200, "whole"),
+        "{response:?}"
+    );
+    drop(open);
+    stopping.last_line().await;
+}
+
+/// Guards against a kept connection that is closed in a planned stop while the head of a request arrives.
+#[tokio::test]
+async fn a_head_in_two_pieces_while_idle_connections_are_closed() {
+    let mut stopping = Stopping::start(delayed).await;
+    let mut stream = TcpStream::connect(stopping.harness.gateway)
+        .await
+        .expect("the gateway accepts");
+    let first = request("/calls/0", "first", 1_500, 2) + "{}";
+    stream
+        .write_all(first.as_bytes())
+        .await
+        .expect("the connection is open");
+    let mut buf = [0; 4_096];
+    let read = stream.read(&mut buf).await.expect("there is a response");
+    assert!(buf[..read].ends_with(b"whole"), "the response is whole");
+    stopping.signal();
+    stopping.wait_until(3_300).await;
+    let late = request("/calls/0", "late", 1_500, 2) + "{}";
+    let (begin, rest) = late.split_at(late.len() / 2);
+    let response = send_in_two_pieces(&stopping, stream, begin, 3_700, rest).await;
+    assert_eq!(
+        (response.status, response.body.as_str()),
+        (200, "whole"),
+        "{response:?}"
+    );
+    stopping.last_line().await;
+}
+
 macro_rules! a_request_whose_server_is_silent_at_the_end {
     ($name:ident: $path:expr) => {
         /// Guards against a request that is cut without a response because its server is silent when the process ends.
