Refuse a stream that is interrupted before its head is sent in a planned stop

cause: while the process stops, the head of a stream is sent with its first event. If the stream was interrupted before that event (its server failed, or its time was over), the caller got the head of a 200 and an error of its body in one, of which the HTTP library sent nothing: a closed connection without a byte, neither an answer nor a refusal.

ruled out: the final responses at 0.9 of `stop_within`; the interruption comes before them.

change: such a stream gets the refusal of a lost response (502), or of its deadline (504). It may have run.

conclusion: the same can happen while the process serves, if the body of the stream fails when it is first read and no other server may be asked: its head is then not sent either. That is only read, not shown.

--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -17,7 +17,7 @@
 use super::moves::MovedRequest;
 use super::reading::{read_events, record_read_error};
 use super::reservation::Slot;
-use super::response::{BodyError, ResponseBody};
+use super::response::{BodyError, Reason, Refusal, ResponseBody};
 use super::resumption::{Continuation, StreamHead};
 use super::silence::{Awaited, Patience};
 use crate::http_client::{Connection, ends_with_connection};
@@ -185,6 +185,9 @@
             () = shared.reached(Phase::Answering) => return caller_stream.exchange.refuse_at_end(),
             first = caller_stream.next() => first,
         };
+        if let Some(Err(e)) = &first {
+            return Refusal::new(refusal_reason(e)).response();
+        }
     }
     let rest = unfold(caller_stream, |mut caller_stream| async move {
         let item = caller_stream.next_before_end().await?;
@@ -193,6 +196,14 @@
     response.map(|()| StreamBody::new(iter(first).chain(rest)).boxed_unsync())
 }
 
+/// Returns why a stream is refused that was interrupted before its head was sent.
+fn refusal_reason(e: &BodyError) -> Reason {
+    match e.downcast_ref() {
+        Some(Interrupted::DeadlineExceeded) => Reason::DeadlineExceeded,
+        _ => Reason::ResponseLost,
+    }
+}
+
 impl CallerStream {
     /// Returns the next frame for the caller, or breaks the stream off at the end of a planned shutdown.
     async fn next_before_end(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
--- a/tests/late_requests.rs
+++ b/tests/late_requests.rs
@@ -436,6 +436,27 @@
     assert_eq!(line["answered_at_end"], 1, "{line}");
 }
 
+/// Guards against a stream whose head was not sent, and that is broken off instead of refused, when its server fails
+/// before the first event during a planned stop.
+#[tokio::test]
+async fn a_stream_whose_server_fails_before_the_first_event() {
+    let mut stopping = Stopping::start(|received, _| {
+        vec![
+            Step::WaitMs(800),
+            Step::Write(stream_head(received)),
+            Step::WaitMs(500),
+            Step::Close,
+        ]
+    })
+    .await;
+    let open = stopping.send("/guides/1", "open", LONG_LIMIT_MS);
+    stopping.wait_until_open(1).await;
+    stopping.signal();
+    let response = open.await.expect("no panic");
+    assert!(may_have_run(&response), "{response:?}");
+    stopping.last_line().await;
+}
+
 /// Guards against a stream that looks complete because the process ended before it.
 #[tokio::test]
 async fn a_stream_with_events_is_broken_off_at_the_end() {
