Keep a request at the second server if the silent one wakes up and fails it

cause: while a request is at a silent server and at another one, whatever the silent one sends first withdraws the attempt at the other, also a rejection, another server's 421 or an error. Then no attempt is left (`max_attempts` 2): the caller got 502, or the error, although the second server was sound and would have responded. The class: a resource is given up before its replacement is certain.

change: the head of a response that is not forwarded, or of a server's error, counts like a lost head while another server has the request: the first attempt ends, and the second one goes on. Without another server nothing changes.

conclusion: if the second server fails as well, the caller gets 502 in place of the first server's error. Events of a stream that begin at the silent server and break off later still cost the withdrawn attempt.

--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt to send a request to one backend server.
 
 use std::pin::Pin;
+use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
 use carawayseam_dispatch::AttemptEnd;
@@ -17,7 +18,7 @@
 use super::server_state::record_server_state;
 use super::silence::{Awaited, Patience};
 use crate::http_client::{Connection, SendError};
-use crate::platform::OutgoingHead;
+use crate::platform::{OutgoingHead, ResponseHead};
 use crate::relay;
 use crate::request_log;
 use crate::shared::Assignment;
@@ -290,6 +291,15 @@
     }))
 }
 
+/// Why another server that has the request too keeps it.
+#[derive(Debug)]
+enum HeadError {
+    /// No head was received.
+    NotReceived(SendError),
+    /// The response is a failure.
+    Failure(Box<(Response<Incoming>, Connection)>),
+}
+
 async fn await_head(
     exchange: &mut Exchange,
     assignment: &Assignment,
@@ -297,16 +307,32 @@
     patience: Patience,
     response: PendingResponse,
 ) -> Result<(Response<Incoming>, Connection), AttemptError> {
+    let (shared, id) = (Arc::clone(&exchange.shared), exchange.head.id.clone());
+    let head = async move {
+        let (response, connection) = response.await.map_err(HeadError::NotReceived)?;
+        let head = shared.headers.read_response(response.headers());
+        let status = response.status();
+        match failure_of(status, &head, head.id == id) {
+            None if !status.is_server_error() => Ok((response, connection)),
+            _ => Err(HeadError::Failure(Box::new((response, connection)))),
+        }
+    };
     match exchange
-        .await_server(assignment, patience, continuation, response)
+        .await_server(assignment, patience, continuation, head)
         .await
     {
         Awaited::Ready(Ok(received)) => Ok(received),
-        Awaited::Ready(Err(e)) => Err(record_send_error(exchange, assignment, &e).into()),
+        Awaited::Ready(Err(HeadError::Failure(received))) => Ok(*received),
+        Awaited::Ready(Err(HeadError::NotReceived(e))) => {
+            Err(record_send_error(exchange, assignment, &e).into())
+        }
         Awaited::Moved(e, moved) => {
-            let failure = e.map_or(Failure::MaybeRun(AttemptEnd::Unresponsive), |e| {
-                record_send_error(exchange, assignment, &e)
-            });
+            let failure = match e {
+                None => Failure::MaybeRun(AttemptEnd::Unresponsive),
+                Some(HeadError::NotReceived(e)) => record_send_error(exchange, assignment, &e),
+                Some(HeadError::Failure(received)) => record_head(exchange, &received.0, assignment)
+                    .unwrap_or(Failure::MaybeRun(AttemptEnd::Failed)),
+            };
             Err(AttemptError::Moved(failure, moved))
         }
         Awaited::DeadlineExceeded => Err(Failure::DeadlineExceeded.into()),
@@ -348,29 +374,9 @@
     req
 }
 
-/// Returns the response to forward, or a failure if the server rejected the request or the response
-/// cannot be trusted to belong to it.
-pub(super) fn check_response(
-    exchange: &Exchange,
-    response: Response<Incoming>,
-    connection: Connection,
-    slot: Slot,
-    assignment: Assignment,
-) -> Result<ServerResponse, Failure> {
-    let head = exchange.shared.headers.read_response(response.headers());
-    let status = response.status();
-    let is_for_request = head.id == exchange.head.id;
-    if !is_for_request {
-        log::info!(
-            request = exchange.head.id.as_deref(), engine:% = assignment.engine,
-            response_id = head.id.as_deref(), status = status.as_u16();
-            "a backend server's response does not bear the request's id"
-        );
-    }
-    if is_for_request && status != StatusCode::MISDIRECTED_REQUEST {
-        record_server_state(exchange, &assignment, status, &head);
-    }
-    let failure = match status {
+/// Returns why a response is not forwarded, if it is not.
+fn failure_of(status: StatusCode, head: &ResponseHead, is_for_request: bool) -> Option<Failure> {
+    match status {
         _ if !is_for_request => Some(Failure::MaybeRun(AttemptEnd::ConnectionLost)),
         StatusCode::MISDIRECTED_REQUEST => Some(Failure::NotRun(AttemptEnd::Misdirected)),
         _ if head.is_not_run => Some(Failure::NotRun(AttemptEnd::Rejected)),
@@ -384,8 +390,41 @@
             Some(Failure::MaybeRun(AttemptEnd::Failed))
         }
         _ => None,
-    };
-    match failure {
+    }
+}
+
+/// Records what a response says of its server, and returns why it is not forwarded, if it is not.
+fn record_head(
+    exchange: &Exchange,
+    response: &Response<Incoming>,
+    assignment: &Assignment,
+) -> Option<Failure> {
+    let head = exchange.shared.headers.read_response(response.headers());
+    let status = response.status();
+    let is_for_request = head.id == exchange.head.id;
+    if !is_for_request {
+        log::info!(
+            request = exchange.head.id.as_deref(), engine:% = assignment.engine,
+            response_id = head.id.as_deref(), status = status.as_u16();
+            "a backend server's response does not bear the request's id"
+        );
+    }
+    if is_for_request && status != StatusCode::MISDIRECTED_REQUEST {
+        record_server_state(exchange, assignment, status, &head);
+    }
+    failure_of(status, &head, is_for_request)
+}
+
+/// Returns the response to forward, or a failure if the server rejected the request or the response
+/// cannot be trusted to belong to it.
+pub(super) fn check_response(
+    exchange: &Exchange,
+    response: Response<Incoming>,
+    connection: Connection,
+    slot: Slot,
+    assignment: Assignment,
+) -> Result<ServerResponse, Failure> {
+    match record_head(exchange, &response, &assignment) {
         Some(failure) => Err(end_failed(exchange, slot, &assignment, failure)),
         None => Ok(ServerResponse {
             response,
