--- a/crates/gateway/src/stopping.rs
+++ b/crates/gateway/src/stopping.rs
@@ -68,13 +68,13 @@
         }
     }
 
-    /// Returns whether a stream that has arrived at `now` is admitted.
+    /// Returns whether a stream whose head has arrived at `arrived` is admitted.
     ///
     /// Its time limit does not matter: it may be broken off at the end, and until the balancer has noticed the
     /// shutdown its caller may not find another host.
     #[must_use]
-    pub fn admits_stream(&self, now: Millis) -> bool {
-        now < self.refuse_streams_at
+    pub fn admits_stream(&self, arrived: Millis) -> bool {
+        arrived < self.refuse_streams_at
     }
 
     /// Returns whether a request with a plain response is admitted whose time limit ends at `deadline`.
--- a/crates/gateway/src/traffic/arrival.rs
+++ b/crates/gateway/src/traffic/arrival.rs
@@ -124,7 +124,7 @@
         .time_limit
         .unwrap_or(Millis::MAX)
         .min(route_match.route.timeout);
-    stop_refusals::check_admission(shared, &route_match, arrived + limit)?;
+    stop_refusals::check_admission(shared, &route_match, arrived, limit)?;
     let backend = pick_target(&route_match.route.targets)
         .ok_or_else(|| Refusal::with_retry_after(Reason::Unreachable, RETRY_AFTER_REJECTED))?;
     Ok(Admitted {
@@ -159,7 +159,7 @@
         () = shared.reached(Phase::Answering) => return Err(stop_refusals::final_refusal(shared, false)),
     };
     // The shutdown may have begun while the body arrived.
-    stop_refusals::check_admission(shared, &admitted.route_match, arrived + admitted.limit)?;
+    stop_refusals::check_admission(shared, &admitted.route_match, arrived, admitted.limit)?;
     Ok(body)
 }
 
--- a/crates/gateway/src/traffic/stop_refusals.rs
+++ b/crates/gateway/src/traffic/stop_refusals.rs
@@ -9,15 +9,18 @@
 use crate::shared::Shared;
 
 /// Refuses a request that may not end before the process does; its caller has time to use another host.
+///
+/// `arrived` is when the head of the request arrived, `limit` its time limit.
 pub(super) fn check_admission(
     shared: &Shared,
     route_match: &RouteMatch,
-    deadline: Millis,
+    arrived: Millis,
+    limit: Millis,
 ) -> Result<(), Refusal> {
     let is_admitted = match shared.stop_plan.get() {
         None => true,
-        Some(plan) if route_match.route.kind.is_stream() => plan.admits_stream(shared.now()),
-        Some(plan) => plan.admits_plain(deadline),
+        Some(plan) if route_match.route.kind.is_stream() => plan.admits_stream(arrived),
+        Some(plan) => plan.admits_plain(arrived + limit),
     };
     if is_admitted {
         return Ok(());
