Let callers' time decide who waits, who is refused and who goes first

Callers saw: of a higher tier whose route had a goal of 50 ms 3 of 24 were served beside a lower tier at 1.5 times of what the service bears; of 60 requests at once that had 3 s each, 5 were served with a goal of 100 ms; without a server callers with 1 s were refused after 0.45 s. All follow from a route's goal, or from shares of it: late requests ranked behind lower tiers and left 12 in 100 of the slots free, new ones were refused at 1.3 times the time to the goal, and waited for 1.5 goals or 0.45 of their time, while those that had been sent before waited until their deadline.

Cause: the latency objective was taken for the time at which a caller leaves.

Change: the new module dispatch::caller_time knows when a caller leaves and by when its request has to start. The queue is ordered by tier, then by latest start. A request is refused as soon as its expected turn is later than that, the last of the lowest tier first; first attempts, retries and unsent ones go the same way. Refused callers are told when a place is expected that was not promised to another caller, the true time also where it is beyond their own. The reserved slots and the start rates are gone.

--- a/crates/dispatch/src/catalog.rs
+++ b/crates/dispatch/src/catalog.rs
@@ -76,8 +76,8 @@
     pub timeout: Millis,
     /// The latency objective for the response, or for a stream's first event.
     pub objective: Millis,
-    /// The objective for the gap between a stream's events.
-    pub gap_objective: Option<Millis>,
+    /// The time without an event after which the caller of a stream leaves, also before the first one.
+    pub max_event_gap: Option<Millis>,
     /// The tier of its requests.
     pub tier: Tier,
     /// The backends that its requests are sent to.
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -8,33 +8,23 @@
 
 use std::collections::HashMap;
 
-use carawayseam_types::{BackendName, EngineId, HostId, Millis, Tier, ZoneId};
+use carawayseam_types::{BackendName, EngineId, HostId, Millis, ZoneId};
+use rand::SeedableRng;
 use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
 
 use crate::brittle_servers::BrittleServers;
+use crate::caller_time::Work;
 use crate::draining_servers::DrainingServers;
 use crate::engine::{AttemptEnd, Engine, EngineEntry, PromptPart};
 use crate::job::{Action, Job, Ticket};
 use crate::peer_loads::PeerLoads;
-use crate::pool::{Pool, SchedulingContext, Waiting, saturating_sum};
+use crate::pool::{Pool, SchedulingContext, Unservable, Waiting};
 use crate::reach::ReachRounds;
 use crate::retries::{RetryBounds, RetryBudget};
+use crate::speed::Pace;
 
 pub use relay::RelayTarget;
 
-/// Lower bound of the retry delay sent to a refused caller.
-const MIN_RETRY_AFTER: Millis = Millis(400);
-/// Upper bound of the retry delay sent to a refused caller, before jitter.
-const MAX_RETRY_AFTER: Millis = Millis(2_000);
-
-/// Upper bound of the random factor on retry delays, which keeps refused callers from retrying all at
-/// once.
-const MAX_RETRY_JITTER_FACTOR: f64 = 1.4;
-/// A new request is refused at once if its expected wait exceeds the time to its objective by more than
-/// this factor.
-const MAX_WAIT_RATIO: f64 = 1.3;
-
 /// An attempt that was sent to a backend server and has not ended.
 #[derive(Debug)]
 struct Running {
@@ -42,7 +32,6 @@
     engine: EngineId,
     /// Peer through which the request was sent; `None` if it was sent directly.
     via: Option<HostId>,
-    tier: Tier,
     started: Millis,
     /// Prompt tokens that the server reads before the first event, including those of this request.
     tokens_ahead: f64,
@@ -124,36 +113,19 @@
         self.dispatch_all_waiting()
     }
 
-    /// Enqueues a new request, or refuses it if it cannot meet its objective.
+    /// Enqueues a new request.
+    ///
+    /// It is refused at once if it cannot start early enough to be answered within its caller's time.
     pub fn submit(&mut self, now: Millis, job: Job) -> (Ticket, Vec<Action>) {
         self.budget(&job.backend).on_request();
-        let (backend, tier, objective) = (job.backend.clone(), job.tier, job.objective);
-        let (ticket, mut actions) = self.enqueue(now, job);
-        if let Some(retry_after) = self.retry_delay_if_unservable(ticket, &backend, tier, objective) {
-            self.withdraw(ticket);
-            actions.push(Action::Refuse { ticket, retry_after });
-        }
-        (ticket, actions)
+        self.enqueue(now, job)
     }
 
-    /// Returns the retry delay if a new request would wait too long to meet its objective.
-    fn retry_delay_if_unservable(
-        &mut self,
-        ticket: Ticket,
-        backend: &BackendName,
-        tier: Tier,
-        objective: Millis,
-    ) -> Option<Millis> {
-        if !self.waiting_backends.contains_key(&ticket) {
-            return None;
-        }
-        let pool = self.pools.get(backend)?;
-        let wait = pool.expected_wait(self.now, tier);
-        let time_left = objective.since(self.now);
-        let is_unservable = wait.0 as f64 > time_left.0 as f64 * MAX_WAIT_RATIO;
-        let jitter_factor = self.rng.random_range(1.0..MAX_RETRY_JITTER_FACTOR);
-        let delay_ms = wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER).0 as f64 * jitter_factor;
-        is_unservable.then_some(Millis(delay_ms as u64))
+    /// Returns the expected duration of a request on a server of its backend.
+    #[must_use]
+    pub fn expected_work(&self, job: &Job) -> Work {
+        let pool = self.pools.get(&job.backend);
+        job.work(pool.map_or(Pace::ASSUMED, |pool| pool.baseline))
     }
 
     /// Enqueues a retry, or returns `None` if the retry budget is used up.
@@ -191,7 +163,9 @@
         let pool = self.pools.entry(backend.clone()).or_insert_with(Pool::new);
         pool.waiting.push(Waiting { ticket, job });
         let mut actions = Vec::new();
-        self.dispatch_waiting(&backend, &mut actions);
+        // Its turn may have come, even if the estimate of its work leaves no time.
+        self.start_waiting(&backend, &mut actions);
+        self.refuse_unservable(&backend, &mut actions);
         (ticket, actions)
     }
 
@@ -251,12 +225,6 @@
         let Some(pool) = self.pools.get_mut(&running.backend) else {
             return actions;
         };
-        if matches!(
-            end,
-            AttemptEnd::NoSlot | AttemptEnd::RateLimited | AttemptEnd::RelayFailed
-        ) {
-            pool.discard_start(running.tier);
-        }
         if let Some(engine) = pool.engine_mut(&running.engine) {
             engine.running = engine.running.saturating_sub(1);
             if running.is_loss_checked {
@@ -289,16 +257,14 @@
         }
     }
 
-    /// Advances the clock: drops expired loads of peers, starts requests and refuses overdue ones.
+    /// Advances the clock: drops expired loads of peers, starts requests and refuses those that cannot start in time.
     pub fn tick(&mut self, now: Millis) -> Vec<Action> {
         self.now = self.now.max(now);
         self.peers.expire(self.now);
         for pool in self.pools.values_mut() {
             pool.update_reach(self.now);
         }
-        let mut actions = self.dispatch_all_waiting();
-        self.refuse_expired(&mut actions);
-        actions
+        self.dispatch_all_waiting()
     }
 
     fn budget(&mut self, backend: &BackendName) -> &mut RetryBudget {
@@ -323,9 +289,14 @@
         actions
     }
 
-    /// Starts the waiting requests of a backend for which a server has capacity.
+    /// Refuses the waiting requests of a backend that cannot start in time, and starts those that can now.
     fn dispatch_waiting(&mut self, backend: &BackendName, actions: &mut Vec<Action>) {
-        self.refuse_while_closed(backend, actions);
+        self.refuse_unservable(backend, actions);
+        self.start_waiting(backend, actions);
+    }
+
+    /// Starts the waiting requests of a backend for which a server has capacity.
+    fn start_waiting(&mut self, backend: &BackendName, actions: &mut Vec<Action>) {
         let Some(pool) = self.pools.get_mut(backend) else {
             return;
         };
@@ -338,7 +309,6 @@
         };
         while let Some((waiting, ix)) = pool.take_next(&cx, &mut self.rng) {
             self.waiting_backends.remove(&waiting.ticket);
-            pool.record_start(self.now, waiting.job.tier);
             let engine = &mut pool.engines[ix];
             let via = engine
                 .reach
@@ -357,7 +327,6 @@
                 backend: backend.clone(),
                 engine: engine.entry.id.clone(),
                 via: via.clone(),
-                tier: job.tier,
                 started: self.now,
                 tokens_ahead,
                 own_tokens,
@@ -380,55 +349,24 @@
         }
     }
 
-    /// Refuses the requests that cannot wait for their turn after the first server reopens, if all are closed
-    /// to this host.
-    fn refuse_while_closed(&mut self, backend: &BackendName, actions: &mut Vec<Action>) {
-        let now = self.now;
+    /// Refuses the waiting requests of a backend that cannot start early enough for their callers.
+    fn refuse_unservable(&mut self, backend: &BackendName, actions: &mut Vec<Action>) {
         let Some(pool) = self.pools.get_mut(backend) else {
             return;
         };
-        let Some(reopens_at) = pool.reopens_at(now) else {
-            return;
+        let cx = SchedulingContext {
+            now: self.now,
+            zone: &self.zone,
+            peers: &self.peers,
+            brittle_servers: &self.brittle_servers,
+            peers_waiting: self.peers.waiting_for(backend).collect(),
         };
-        let interval = pool.limited_start_interval(now, self.host_count);
-        for Waiting { ticket, .. } in pool.take_unservable(now, reopens_at, interval) {
+        for Unservable { ticket, retry_at } in pool.take_unservable(&cx, self.host_count) {
             self.waiting_backends.remove(&ticket);
-            let jitter_factor = self.rng.random_range(1.0..MAX_RETRY_JITTER_FACTOR);
-            let retry_after = match interval {
-                Some(interval) => pool.schedule_return(reopens_at, interval).since(now),
-                None => Millis((reopens_at.since(now).0 as f64 * jitter_factor) as u64),
-            };
+            let retry_after = retry_at.since(self.now);
             actions.push(Action::Refuse { ticket, retry_after });
         }
     }
-
-    /// Refuses the requests whose queue deadline has passed.
-    fn refuse_expired(&mut self, actions: &mut Vec<Action>) {
-        let now = self.now;
-        for pool in self.pools.values_mut() {
-            let retry_after = retry_after(now, pool);
-            pool.waiting.retain(|waiting| {
-                let is_kept = now < waiting.job.queue_deadline;
-                if !is_kept {
-                    self.waiting_backends.remove(&waiting.ticket);
-                    actions.push(Action::Refuse {
-                        ticket: waiting.ticket,
-                        retry_after,
-                    });
-                }
-                is_kept
-            });
-        }
-    }
-}
-
-/// Returns the time in which the queue of a pool should drain, assuming 32 events per request.
-fn retry_after(now: Millis, pool: &Pool) -> Millis {
-    let working = pool.engines.iter().filter(|engine| engine.can_work(now));
-    let slots = saturating_sum(working.map(|engine| engine.entry.slots));
-    let request_ms = pool.baseline.event * 32.0;
-    let wait_ms = pool.waiting.len() as f64 * request_ms / f64::from(slots.max(1));
-    Millis(wait_ms as u64).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
 }
 
 /// Updates the servers of a pool to match the listed entries.
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -4,8 +4,10 @@
 
 use carawayseam_types::{BackendName, EngineId, HostId, Millis, Tier, VersionId};
 
+use crate::caller_time::{CallerTime, Work};
 use crate::engine::PromptPart;
 use crate::rollouts::VersionRule;
+use crate::speed::Pace;
 
 /// Identifies a request while it waits or runs on this host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display)]
@@ -20,14 +22,10 @@
     pub version: VersionRule,
     /// Tier of the request; higher tiers are served first.
     pub tier: Tier,
-    /// Target time for the first event or the plain response.
-    pub objective: Millis,
-    /// Time at which the request is refused if it is still waiting.
-    pub queue_deadline: Millis,
-    /// Time by which the response has to be complete.
-    pub deadline: Millis,
-    /// Target for the longest gap between two events.
-    pub gap_objective: Option<Millis>,
+    /// When the caller leaves.
+    pub caller: CallerTime,
+    /// Time without an event after which the callers of such streams leave; `None` for plain responses.
+    pub max_event_gap: Option<Millis>,
     /// Expected number of events; 0 for plain responses.
     pub expected_events: u32,
     /// Number of tokens per event.
@@ -43,17 +41,20 @@
 }
 
 impl Job {
-    /// Returns until when the request may wait for a server to reopen.
-    ///
-    /// This is the objective for a new request. A request that was sent before may already have run, so a
-    /// late response is better than a refusal and it may wait until its queue deadline.
-    pub(crate) fn waits_until(&self) -> Millis {
-        if self.tried.is_empty() {
-            self.objective.min(self.queue_deadline)
-        } else {
-            self.queue_deadline
+    /// Returns the expected duration on a server that has this pace and nothing else to read.
+    pub(crate) fn work(&self, pace: Pace) -> Work {
+        let first_event_ms = pace.first_event_ms(f64::from(self.prompt));
+        let total_ms = f64::from(self.expected_events).mul_add(pace.event, first_event_ms);
+        Work {
+            first_event: Millis(first_event_ms as u64),
+            total: Millis(total_ms as u64),
         }
     }
+
+    /// Returns the latest time at which the request can start and still be answered within its caller's time.
+    pub(crate) fn latest_start(&self, pace: Pace) -> Millis {
+        self.caller.latest_start(self.work(pace))
+    }
 }
 
 /// An action that the host has to carry out.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! | module | purpose |
 //! | --- | --- |
+//! | [`caller_time`] | when a caller leaves, and by when its request has to start |
 //! | [`catalog`] | routes, organisations and keys of one configuration |
 //! | [`freshness`] | how old the last confirmation of the configuration may be |
 //! | [`rollouts`] | rollouts of a backend's traffic to another version |
@@ -44,6 +45,7 @@
 
 mod accounts;
 pub mod brittle_servers;
+pub mod caller_time;
 pub mod catalog;
 pub mod crash_check;
 pub mod dispatcher;
@@ -72,6 +74,7 @@
 pub mod server_limits;
 mod speed;
 
+pub use caller_time::{CallerTime, Work};
 pub use catalog::{Catalog, Configuration};
 pub use dispatcher::Dispatcher;
 pub use engine::{AttemptEnd, EngineEntry};
--- a/crates/gateway/src/traffic/arrival.rs
+++ b/crates/gateway/src/traffic/arrival.rs
@@ -88,6 +88,7 @@
         version_draw: rand::rng().random(),
         backend,
         arrived,
+        last_event_at: arrived,
         deadline: arrived + limit,
         attempts: 0,
         unsent_attempts: 0,
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -57,6 +57,8 @@
     /// Decides, from 0 to 1, whether the request is in the canary share of a rollout.
     pub(super) version_draw: f64,
     pub(crate) arrived: Millis,
+    /// When the caller was last sent an event; the arrival of the request before the first one.
+    pub(crate) last_event_at: Millis,
     pub(crate) deadline: Millis,
     pub(crate) attempts: u32,
     pub(crate) unsent_attempts: u32,
@@ -222,7 +224,7 @@
         self.reject_poison()?;
         self.admit_parts()?;
         self.reserve_quota().await?;
-        let job = self.job(self.max_wait_deadline());
+        let job = self.job();
         let submitted = lock(&self.shared.dispatch).submit(self.shared.now(), job);
         let mut queued = self.queued(submitted);
         let start = Continuation::start(self.head.last_event_id);
@@ -246,7 +248,7 @@
         self.route_match.route.kind.is_stream() && status.is_success()
     }
 
-    pub(crate) fn job(&self, queue_deadline: Millis) -> Job {
+    pub(crate) fn job(&self) -> Job {
         let prompt = self.head.prompt.as_ref();
         Job {
             backend: self.backend.clone(),
@@ -257,11 +259,9 @@
                 self.version_draw,
             ),
             tier: self.tier(),
-            objective: self.arrived + self.route_match.route.objective,
-            queue_deadline,
-            deadline: self.deadline,
-            gap_objective: self.route_match.route.gap_objective,
-            expected_events: self.expected_output() / self.tokens_per_event,
+            caller: self.caller_time(),
+            max_event_gap: self.route_match.route.max_event_gap,
+            expected_events: (self.expected_output() / self.tokens_per_event).saturating_sub(self.events),
             tokens_per_event: self.tokens_per_event,
             prompt: prompt.map_or(0, |prompt| prompt.tokens),
             parts: prompt.map(|prompt| prompt.parts.clone()).unwrap_or_default(),
@@ -298,7 +298,7 @@
             let decision = tokio::select! {
                 biased;
                 refusal = self.part_blocked() => return Err(refusal),
-                decision = timeout(self.queue_time_left().to_duration(), decision) => decision,
+                decision = timeout(self.refusal_time_left().to_duration(), decision) => decision,
             };
             let assignment = match decision {
                 Ok(Ok(Decision::Start(assignment))) => assignment,
@@ -319,7 +319,7 @@
             }
             let job = match excluded {
                 Some(engine) => self.job_elsewhere(engine),
-                None => self.job(self.queue_deadline()),
+                None => self.job(),
             };
             let submitted = lock(&self.shared.dispatch).submit_unsent(self.shared.now(), job);
             queued = self.queued(submitted);
@@ -391,7 +391,7 @@
             Failure::NotRun(AttemptEnd::Unreachable | AttemptEnd::RelayFailed)
                 if self.unsent_attempts < MAX_UNSENT_ATTEMPTS =>
             {
-                let job = self.job(self.deadline);
+                let job = self.job();
                 let submitted = lock(&self.shared.dispatch).submit_unsent(now, job);
                 Ok(self.queued(submitted))
             }
@@ -406,7 +406,7 @@
         if !self.has_attempt() {
             return None;
         }
-        let job = self.job(self.deadline);
+        let job = self.job();
         let submitted = lock(&self.shared.dispatch).submit_retry(self.shared.now(), job);
         let label = if submitted.is_some() {
             "sent"
--- a/crates/gateway/src/traffic/silence.rs
+++ b/crates/gateway/src/traffic/silence.rs
@@ -165,7 +165,7 @@
 
     /// Returns the job of a request that `engine` still has.
     pub(super) fn job_elsewhere(&self, engine: &EngineId) -> Job {
-        let mut job = self.job(self.deadline);
+        let mut job = self.job();
         job.tried.push(engine.clone());
         job.excluded = Some(engine.clone());
         job
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -143,7 +143,6 @@
     engine_stream: Option<EngineStream>,
     splitter: EventSplitter,
     first_event_at: Option<Millis>,
-    last_event_at: Millis,
     longest_gap: Millis,
     resumed: u32,
 }
@@ -176,7 +175,6 @@
         splitter: EventSplitter::after(exchange.head.last_event_id),
         exchange,
         first_event_at: None,
-        last_event_at: now,
         longest_gap: Millis::ZERO,
         resumed: 0,
     };
@@ -299,9 +297,9 @@
             let metrics = &self.exchange.shared.metrics;
             metrics.record_time("first_event", self.exchange.tier(), waited);
         } else {
-            self.longest_gap = self.longest_gap.max(now.since(self.last_event_at));
+            self.longest_gap = self.longest_gap.max(now.since(self.exchange.last_event_at));
         }
-        self.last_event_at = now;
+        self.exchange.last_event_at = now;
         let Some(engine_stream) = &mut self.engine_stream else {
             return;
         };
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -2,7 +2,7 @@
 
 use carawayseam_platform_standins::Store;
 use carawayseam_platform_standins::documents::{
-    CONFIGURATION_KEY, Configuration, Limits, Route as ConfiguredRoute, RouteKind, rollout_order,
+    CONFIGURATION_KEY, Configuration, GOAL_MS, Limits, Route as ConfiguredRoute, RouteKind, rollout_order,
     rollout_status_key,
 };
 
@@ -54,6 +54,8 @@
             backend: backend.to_owned(),
             timeout_ms: TIME_LIMIT.0,
             max_attempts: MAX_ATTEMPTS,
+            goal_ms: GOAL_MS,
+            priority: 0,
         };
         let configuration = Configuration {
             revision: self.revision,
--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use carawayseam_platform_standins::documents::ServerEntry;
+use carawayseam_platform_standins::documents::{SLOTS, ServerEntry};
 use carawayseam_platform_standins::engine::{
     chunk, draining, event, misdirected, rate_limited, rejected, rejected_with_retry_after, response_to,
     stream_head,
@@ -132,6 +132,7 @@
             version: self.identity.version.clone(),
             draining,
             started_unix_ms: self.identity.number as u64 + 1,
+            slots: SLOTS,
         }
     }
 
