Leave a silent server by its expected work and the caller's time

Callers saw: another server was asked for a plain request after 2.5 goals, 127 ms with a goal of 50 ms though a sound server may pause for 800 ms, and with a goal of 1 s not before a caller with 2 s had left. A stream's server was left after 900 ms without an event, whatever time its caller had.

Cause: the patience with a server was a multiple of the goal, or fixed, though the expected work is known.

Change: a server is left when it is silent beyond three times the expected time and the pause of a sound server, or at the last moment at which another server, given as much time, can still answer. Plain requests, first events and later events ask the same function. Routes no longer have objectives: nothing uses them.

Tests: caller_time::a_silent_server_is_left_* failed before (127 ms) and pass with goals of 50 ms and 1 s alike; pausing_servers, slow_streams and resumed_streams pass.

--- a/crates/dispatch/src/catalog.rs
+++ b/crates/dispatch/src/catalog.rs
@@ -74,8 +74,6 @@
     pub kind: RouteKind,
     /// The maximum duration of a request.
     pub timeout: Millis,
-    /// The latency objective for the response, or for a stream's first event.
-    pub objective: Millis,
     /// The time without an event after which the caller of a stream leaves, also before the first one.
     pub max_event_gap: Option<Millis>,
     /// The tier of its requests.
--- a/crates/dispatch/tests/catalog.rs
+++ b/crates/dispatch/tests/catalog.rs
@@ -12,7 +12,6 @@
         path_prefix: prefix.into(),
         kind: RouteKind::Idempotent,
         timeout: Millis::from_secs(2),
-        objective: Millis(100),
         max_event_gap: None,
         tier: Tier(2),
         targets: vec![Target {
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -35,10 +35,6 @@
 
 /// The retry delay sent to a caller whose request was rejected or not sent.
 pub(super) const RETRY_AFTER_REJECTED: Millis = Millis(300);
-/// Another server is looked for if a stream's response or first event does not arrive within this multiple of the expected time to its
-/// first event plus the margin.
-const FIRST_EVENT_TIMEOUT_FACTOR: u64 = 3;
-const FIRST_EVENT_TIMEOUT_MARGIN: Millis = Millis(800);
 /// The maximum number of failed connections for one request.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
 
@@ -120,11 +116,6 @@
     Stream(Box<ServerResponse>),
 }
 
-/// Returns the time without a first event after which another server is looked for.
-pub(super) fn first_event_limit(assignment: &Assignment) -> Millis {
-    assignment.expected_first_event.times(FIRST_EVENT_TIMEOUT_FACTOR) + FIRST_EVENT_TIMEOUT_MARGIN
-}
-
 /// Serves one request and returns the response.
 pub(super) async fn run(
     shared: &Arc<Shared>,
--- a/crates/gateway/src/traffic/sending.rs
+++ b/crates/gateway/src/traffic/sending.rs
@@ -1,10 +1,9 @@
 //! Sends a request to servers, and counts the attempts.
 
 use carawayseam_dispatch::rollouts::ResponseSource;
-use carawayseam_types::Millis;
 
 use super::attempt::{self, AttemptError, Failure, ServerResponse};
-use super::exchange::{Exchange, Placement, QueuedRequest, first_event_limit};
+use super::exchange::{Exchange, Placement, QueuedRequest};
 use super::moves::MovedRequest;
 use super::response::Refusal;
 use super::resumption::Continuation;
@@ -12,10 +11,6 @@
 use crate::request_log;
 use crate::shared::Assignment;
 
-/// Another server is looked for if no response to a plain request that may be repeated arrives within this multiple
-/// of its objective.
-const PLAIN_TIMEOUT_OBJECTIVES: f64 = 2.5;
-
 impl Exchange {
     /// Waits for a server and sends the request to it.
     pub(super) async fn attempt(
@@ -126,13 +121,8 @@
 
     /// Returns how long the server may be silent before its response.
     fn patience(&self, assignment: &Assignment) -> Patience {
-        let route = &self.route_match.route;
-        let limit = if route.kind.is_stream() {
-            first_event_limit(assignment)
-        } else {
-            Millis((route.objective.0 as f64 * PLAIN_TIMEOUT_OBJECTIVES) as u64)
-        };
-        Patience::new(limit, self.has_attempt() && route.kind.is_retryable())
+        let may_move = self.has_attempt() && self.route_match.route.kind.is_retryable();
+        Patience::new(self.silence_limit(assignment.expected_first_event), may_move)
     }
 
     /// Returns whether the request may be sent to another server.
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -13,7 +13,7 @@
 
 use super::attempt::{Failure, ServerResponse, keep_alive_timeout, remove_hop_headers};
 use super::events::{CompleteEvents, EventSplitter, MAX_EVENT_BYTES};
-use super::exchange::{Exchange, first_event_limit};
+use super::exchange::Exchange;
 use super::moves::MovedRequest;
 use super::reading::{read_events, record_read_error};
 use super::reservation::Slot;
@@ -28,8 +28,6 @@
 
 /// The number of events over which the mean time between events is sampled.
 const EVENTS_PER_SAMPLE: u32 = 12;
-/// The time without an event after which another server is looked for to resume the stream.
-const MAX_EVENT_GAP: Millis = Millis(900);
 
 /// The number of events from which an answer has begun: a server that crashes at the first event may still send
 /// it.
@@ -99,7 +97,7 @@
     ) -> ReadResult {
         self.connection.set_read_limit(MAX_EVENT_BYTES.saturating_mul(2));
         let patience = Patience::new(
-            self.max_gap(),
+            exchange.silence_limit(self.expected_gap()),
             can_continue(exchange, splitter) && exchange.has_attempt(),
         );
         let continuation = Continuation::after(head, splitter);
@@ -126,12 +124,12 @@
         }
     }
 
-    /// Returns the time without an event after which another server is looked for.
-    fn max_gap(&self) -> Millis {
+    /// Returns the expected time until the next event.
+    const fn expected_gap(&self) -> Millis {
         if self.received_events > 0 {
-            MAX_EVENT_GAP
+            Millis(self.assignment.typical_event_ms as u64)
         } else {
-            first_event_limit(&self.assignment)
+            self.assignment.expected_first_event
         }
     }
 }
