Let a body wait for room while its caller can be answered

Callers saw: a body that found no room in the host's memory was refused after 500 ms with 3 s left, though room came after 1 s; one with 400 ms left got 400, as if it had not come, when its time was over.

Cause: the wait was fixed, whatever time the caller had.

Change: a request's body waits until it could no longer be sent on and be answered in time, a response as long as its caller waits, an event no longer than its server may be silent.

Tests: both cases of room_for_bodies failed before (503 after 502 ms; 400) and pass.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -121,11 +121,13 @@
         self.enqueue(now, job)
     }
 
-    /// Returns the expected duration of a request on a server of its backend.
+    /// Returns the expected duration of a request on a server of a backend, for a prompt in tokens and a number of
+    /// events.
     #[must_use]
-    pub fn expected_work(&self, job: &Job) -> Work {
-        let pool = self.pools.get(&job.backend);
-        job.work(pool.map_or(Pace::ASSUMED, |pool| pool.baseline))
+    pub fn expected_work(&self, backend: &BackendName, prompt: u32, events: u32) -> Work {
+        let pool = self.pools.get(backend);
+        let pace = pool.map_or(Pace::ASSUMED, |pool| pool.baseline);
+        pace.work(prompt, events)
     }
 
     /// Enqueues a retry, or returns `None` if the retry budget is used up.
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -43,12 +43,7 @@
 impl Job {
     /// Returns the expected duration on a server that has this pace and nothing else to read.
     pub(crate) fn work(&self, pace: Pace) -> Work {
-        let first_event_ms = pace.first_event_ms(f64::from(self.prompt));
-        let total_ms = f64::from(self.expected_events).mul_add(pace.event, first_event_ms);
-        Work {
-            first_event: Millis(first_event_ms as u64),
-            total: Millis(total_ms as u64),
-        }
+        pace.work(self.prompt, self.expected_events)
     }
 
     /// Returns the latest time at which the request can start and still be answered within its caller's time.
--- a/crates/dispatch/src/speed.rs
+++ b/crates/dispatch/src/speed.rs
@@ -2,6 +2,8 @@
 
 use carawayseam_types::Millis;
 
+use crate::caller_time::Work;
+
 /// Weight of a new sample in the exponential average of a server.
 const SAMPLE_WEIGHT: f64 = 0.3;
 /// Time without samples after which the deviation of a slow server from the baseline has halved.
@@ -36,6 +38,16 @@
     pub(crate) fn first_event_ms(&self, tokens: f64) -> f64 {
         tokens.mul_add(self.token, self.base)
     }
+
+    /// Returns the expected duration of a request on a server that has nothing else to read.
+    pub(crate) fn work(&self, prompt: u32, events: u32) -> Work {
+        let first_event_ms = self.first_event_ms(f64::from(prompt));
+        let total_ms = f64::from(events).mul_add(self.event, first_event_ms);
+        Work {
+            first_event: Millis(first_event_ms as u64),
+            total: Millis(total_ms as u64),
+        }
+    }
 }
 
 /// An exponential average of samples; values slower than the backend's baseline decay towards it.
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -3,6 +3,8 @@
 #[path = "support/refusals.rs"]
 mod refusals;
 mod support;
+#[path = "support/waits.rs"]
+mod waits;
 
 use carawayseam_dispatch::engine::{PromptPart, ServerLoad};
 use carawayseam_dispatch::load::{HostLoad, WaitingCount};
@@ -11,6 +13,7 @@
 use carawayseam_types::{EngineKey, Millis, Tier};
 use refusals::refused;
 use support::{EVENT_GAP_MS, dispatcher, engine, id, job, started};
+use waits::latest_start;
 
 #[test]
 fn a_request_starts_at_once_where_a_slot_is_free() {
@@ -63,7 +66,7 @@
     let mut dispatcher = dispatcher(&[("a", 1)]);
     dispatcher.submit(Millis(1), job(1, 0));
     let waiting = job(2, 0);
-    let latest_start = waiting.caller.latest_start(dispatcher.expected_work(&waiting));
+    let latest_start = latest_start(&dispatcher, &waiting);
     assert!(
         latest_start < Millis(2 + EVENT_GAP_MS),
         "the work and the way back take time"
@@ -341,9 +344,7 @@
             let mut dispatcher = dispatcher(&[("a", 1)]);
             dispatcher.submit(Millis(1), job(1, 0));
             let waiting = job(2, 0);
-            let latest_start = waiting
-                .caller
-                .latest_start(dispatcher.expected_work(&waiting));
+            let latest_start = latest_start(&dispatcher, &waiting);
             let (ticket, actions) = submit(&mut dispatcher, Millis(2), waiting);
             assert!(actions.is_empty());
             assert!(dispatcher.tick(latest_start).is_empty());
@@ -372,7 +373,13 @@
 #[test]
 fn refused_callers_are_told_when_a_place_is_expected() {
     let mut dispatcher = dispatcher(&[("a", 1)]);
-    let work = dispatcher.expected_work(&job(1, 0));
+    let Job {
+        backend,
+        prompt,
+        expected_events,
+        ..
+    } = job(1, 0);
+    let work = dispatcher.expected_work(&backend, prompt, expected_events);
     dispatcher.submit(Millis(1), job(1, 0));
     let caller = CallerTime::until(Millis(60_000)).with_next_event_by(Millis(EVENT_GAP_MS));
     let submitted = (0..40).flat_map(|_| {
--- a/crates/dispatch/tests/lost_backends.rs
+++ b/crates/dispatch/tests/lost_backends.rs
@@ -3,12 +3,15 @@
 #[path = "support/partitions.rs"]
 mod partitions;
 mod support;
+#[path = "support/waits.rs"]
+mod waits;
 
 use carawayseam_dispatch::reach::{ReachChange, ReachKind};
 use carawayseam_dispatch::{AttemptEnd, Dispatcher};
 use carawayseam_types::{BackendName, EngineId, Millis};
 use partitions::{Sent, host, keys, lose_all, sent, zone};
 use support::{dispatcher, engine, id, job, started};
+use waits::latest_start;
 
 /// Interval between two probes of a server.
 const PROBE_MS: u64 = 350;
@@ -232,7 +235,7 @@
     let mut local = dispatcher(&[("a", 4)]);
     lose_all(&mut local, 1, 1);
     let waiting = job(10, 0);
-    let latest_start = waiting.caller.latest_start(local.expected_work(&waiting));
+    let latest_start = latest_start(&local, &waiting);
     let (ticket, actions) = local.submit(Millis(10), waiting);
     assert!(actions.is_empty());
     assert!(local.tick(latest_start).is_empty());
--- a/crates/gateway/src/body_memory.rs
+++ b/crates/gateway/src/body_memory.rs
@@ -7,11 +7,11 @@
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
-use carawayseam_types::{Bytes as Size, Millis};
+use carawayseam_types::Bytes as Size;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
 /// The size up to which a body needs no room.
 pub(crate) const SMALL_BODY_BYTES: usize = 64 * 1_024;
@@ -21,8 +21,6 @@
 const HEADROOM_BYTES: usize = 64 * 1_024;
 /// The share of the process's memory that larger bodies may hold together.
 const BODY_SHARE: f64 = 0.3;
-/// How long a body waits for room.
-const MAX_WAIT: Millis = Millis(500);
 
 /// Why a body was not read to its end.
 #[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
@@ -62,17 +60,21 @@
         }
     }
 
-    /// Waits for room for this many bytes, or all room if there is less.
+    /// Waits for room for this many bytes, or all room if there is less, until `room_by`.
     ///
     /// # Errors
     ///
-    /// [`BodyReadError::NoRoom`] if there is none in time.
-    pub(crate) async fn reserve(&self, bytes: usize) -> Result<OwnedSemaphorePermit, BodyReadError> {
+    /// [`BodyReadError::NoRoom`] if there is none by then.
+    pub(crate) async fn reserve(
+        &self,
+        bytes: usize,
+        room_by: Instant,
+    ) -> Result<OwnedSemaphorePermit, BodyReadError> {
         let units = bytes.div_ceil(UNIT_BYTES).min(self.units);
         let units = u32::try_from(units).unwrap_or(u32::MAX);
         let reserving = Arc::clone(&self.room).acquire_many_owned(units);
         // The semaphore is never closed, so only the time limit ends the wait without room.
-        if let Ok(Ok(permit)) = timeout(MAX_WAIT.to_duration(), reserving).await {
+        if let Ok(Ok(permit)) = timeout_at(room_by, reserving).await {
             return Ok(permit);
         }
         log::warn!(bytes = bytes; "no memory left for a body");
@@ -119,7 +121,9 @@
         self.bytes.split()
     }
 
-    /// Reads the rest of a body; nothing that was read is lost if the future is dropped.
+    /// Reads the rest of a body, and waits for room until `room_by`.
+    ///
+    /// Nothing that was read is lost if the future is dropped.
     ///
     /// # Errors
     ///
@@ -129,6 +133,7 @@
         memory: &BodyMemory,
         body: &mut Incoming,
         max_bytes: usize,
+        room_by: Instant,
     ) -> Result<(), BodyReadError> {
         let known_length = body.size_hint().exact();
         if let Some(left) = known_length {
@@ -136,12 +141,12 @@
             if left > max_bytes.saturating_sub(self.len()) {
                 return Err(BodyReadError::Overlong);
             }
-            self.grow(memory, self.len() + left).await?;
+            self.grow(memory, self.len() + left, room_by).await?;
             self.bytes.reserve(left);
         }
         loop {
             if known_length.is_none() && self.len() + HEADROOM_BYTES > self.room_bytes() {
-                self.grow(memory, self.len().saturating_mul(2)).await?;
+                self.grow(memory, self.len().saturating_mul(2), room_by).await?;
                 self.bytes.reserve(self.room_bytes().saturating_sub(self.len()));
             }
             let Some(frame) = body.frame().await else {
@@ -170,8 +175,13 @@
         room.map_or(SMALL_BODY_BYTES, |room| room.num_permits() * UNIT_BYTES)
     }
 
-    /// Waits until there is room for this many bytes in all.
-    async fn grow(&mut self, memory: &BodyMemory, bytes: usize) -> Result<(), BodyReadError> {
+    /// Waits until there is room for this many bytes in all, at most until `room_by`.
+    async fn grow(
+        &mut self,
+        memory: &BodyMemory,
+        bytes: usize,
+        room_by: Instant,
+    ) -> Result<(), BodyReadError> {
         if bytes <= self.room_bytes() {
             return Ok(());
         }
@@ -180,7 +190,7 @@
         if units <= held {
             return Ok(());
         }
-        let more = memory.reserve((units - held) * UNIT_BYTES).await?;
+        let more = memory.reserve((units - held) * UNIT_BYTES, room_by).await?;
         match &mut self.room {
             Some(room) => room.merge(more),
             None => self.room = Some(more),
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -14,7 +14,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use crate::body_memory::{BodyBuf, BodyMemory};
 use crate::read_limit::{ReadBudget, ReadLimited};
@@ -257,7 +257,12 @@
     let (parts, mut body) = response.into_parts();
     let memory = BodyMemory::with_room(MAX_CALL_RESPONSE_BYTES);
     let mut buf = BodyBuf::default();
-    match buf.read_to_end(&memory, &mut body, MAX_CALL_RESPONSE_BYTES).await {
+    // The supply is this response's own.
+    let room_by = Instant::now();
+    match buf
+        .read_to_end(&memory, &mut body, MAX_CALL_RESPONSE_BYTES, room_by)
+        .await
+    {
         Ok(()) => Ok(Response::from_parts(parts, buf.freeze())),
         Err(e) => Err(CallError::NoResponse(e.to_string())),
     }
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -99,6 +99,15 @@
     pub parts: Vec<PromptPart>,
 }
 
+impl Prompt {
+    /// Returns the expected length of the output, in tokens.
+    #[must_use]
+    pub fn likely_output(&self) -> u32 {
+        let expected = self.expected_output.unwrap_or(self.max_output);
+        expected.min(self.max_output)
+    }
+}
+
 /// The values that the gateway sets in a forwarded request's headers.
 #[derive(Debug, Clone, Copy)]
 pub struct OutgoingHead<'a> {
--- a/crates/gateway/src/traffic/arrival.rs
+++ b/crates/gateway/src/traffic/arrival.rs
@@ -12,16 +12,17 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Uri};
 use rand::RngExt;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use super::attempt::remove_hop_headers;
 use super::exchange::{Exchange, RETRY_AFTER_REJECTED};
 use super::idle::{Activity, OpenOnConnection};
 use super::response::{Reason, Refusal};
+use super::waiting::caller_time;
 use super::{stop_refusals, unread_body};
 use crate::body_memory::{BodyBuf, BodyMemory, BodyReadError};
-use crate::platform::RequestHead;
-use crate::shared::{OpenRequest, Shared};
+use crate::platform::{Prompt, RequestHead};
+use crate::shared::{OpenRequest, Shared, lock};
 use crate::stopping::Phase;
 
 /// A request with an unknown route or key is rejected as such only if the configuration was confirmed
@@ -68,6 +69,7 @@
         route_match,
         backend,
         limit,
+        ..
     } = admitted;
     let mut request_headers = parts.headers;
     remove_hop_headers(&mut request_headers);
@@ -82,9 +84,7 @@
         request_headers,
         body,
         route_match,
-        tokens_per_event: catalog
-            .backend(&backend)
-            .map_or(1, |backend| backend.tokens_per_event),
+        tokens_per_event: tokens_per_event(&catalog, &backend),
         version_draw: rand::rng().random(),
         backend,
         arrived,
@@ -110,6 +110,8 @@
     backend: BackendName,
     /// The time limit of the request.
     limit: Millis,
+    /// Until when the body may wait for room in this host's memory: afterwards the request could not be answered in time.
+    room_by: Instant,
 }
 
 /// Decides by a request's head whether its body is read.
@@ -131,14 +133,29 @@
     stop_refusals::check_admission(shared, &route_match, arrived, limit)?;
     let backend = pick_target(&route_match.route.targets)
         .ok_or_else(|| Refusal::with_retry_after(Reason::Unreachable, RETRY_AFTER_REJECTED))?;
+    let caller = caller_time(&route_match.route, arrived + limit, arrived);
+    let events = head.prompt.as_ref().map_or(0, Prompt::likely_output) / tokens_per_event(&catalog, &backend);
+    let prompt = head.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
+    let work = lock(&shared.dispatch)
+        .dispatcher
+        .expected_work(&backend, prompt, events);
+    let room_wait = caller.latest_start(work).since(arrived);
     Ok(Admitted {
         catalog,
         route_match,
         backend,
         limit,
+        room_by: Instant::now() + room_wait.to_duration(),
     })
 }
 
+/// Returns the number of tokens in one event of a backend's streams; 1 if it is not configured.
+fn tokens_per_event(catalog: &Catalog, backend: &BackendName) -> u32 {
+    catalog
+        .backend(backend)
+        .map_or(1, |backend| backend.tokens_per_event)
+}
+
 /// Returns the size of a request head without optional white space.
 fn head_bytes(parts: &Parts) -> u64 {
     const REQUEST_LINE_BYTES: usize = "  HTTP/1.1\r\n".len();
@@ -171,7 +188,7 @@
 async fn read_body(memory: &BodyMemory, body: &mut Incoming, admitted: &Admitted) -> Result<Bytes, Refusal> {
     let max_bytes = usize::try_from(admitted.catalog.limits.max_body.0).unwrap_or(usize::MAX);
     let mut buf = BodyBuf::default();
-    let reading = buf.read_to_end(memory, body, max_bytes);
+    let reading = buf.read_to_end(memory, body, max_bytes, admitted.room_by);
     match timeout(admitted.limit.to_duration(), reading).await {
         Ok(Ok(())) => Ok(buf.freeze()),
         Ok(Err(BodyReadError::Overlong)) => Err(Refusal::new(Reason::BodyTooLarge)),
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -28,7 +28,7 @@
 use super::stream;
 use super::versions;
 use crate::http_client::Connection;
-use crate::platform::RequestHead;
+use crate::platform::{Prompt, RequestHead};
 use crate::request_log;
 use crate::shared::{Assignment, Decision, OpenRequest, Shared, lock};
 use crate::stopping::Phase;
@@ -270,10 +270,7 @@
     /// Returns the expected length of the response in tokens.
     pub(crate) fn expected_output(&self) -> u32 {
         let prompt = self.head.prompt.as_ref();
-        prompt.map_or(0, |prompt| {
-            let hint = prompt.expected_output.unwrap_or(prompt.max_output);
-            hint.min(prompt.max_output)
-        })
+        prompt.map_or(0, Prompt::likely_output)
     }
 
     /// Waits for a server whose slot and rate limit no other host has used up in the meantime.
--- a/crates/gateway/src/traffic/moves.rs
+++ b/crates/gateway/src/traffic/moves.rs
@@ -181,15 +181,16 @@
         return Err(Failure::MaybeRun(AttemptEnd::Failed));
     }
     let memory = &exchange.shared.body_memory;
+    let room_by = exchange.room_by();
     let begun = if exchange.is_stream(response.status()) {
         connection.set_read_limit(MAX_EVENT_BYTES.saturating_mul(2));
         let may_end = !ends_with_connection(response);
         let splitter = continuation.splitter();
-        let events = peek_events(memory, received, response.body_mut(), splitter, may_end);
+        let events = peek_events(memory, received, response.body_mut(), splitter, may_end, room_by);
         events.await.map(drop)
     } else {
         connection.set_read_limit(MAX_RESPONSE_BYTES.saturating_mul(2));
-        let reading = received.read_to_end(memory, response.body_mut(), MAX_RESPONSE_BYTES);
+        let reading = received.read_to_end(memory, response.body_mut(), MAX_RESPONSE_BYTES, room_by);
         reading.await.map_err(ReadError::from)
     };
     begun.map_err(|e| Failure::MaybeRun(record_read_error(exchange, assignment, &e)))
--- a/crates/gateway/src/traffic/plain.rs
+++ b/crates/gateway/src/traffic/plain.rs
@@ -44,7 +44,7 @@
         connection.set_read_limit(MAX_RESPONSE_BYTES.saturating_mul(2));
         let reading = async {
             let memory = &self.shared.body_memory;
-            let rest = received.read_to_end(memory, &mut body, MAX_RESPONSE_BYTES);
+            let rest = received.read_to_end(memory, &mut body, MAX_RESPONSE_BYTES, self.room_by());
             rest.await?;
             if needs_body && received.is_empty() {
                 return Err(BodyError::from(MissingBody));
--- a/crates/gateway/src/traffic/reading.rs
+++ b/crates/gateway/src/traffic/reading.rs
@@ -4,6 +4,7 @@
 use carawayseam_dispatch::AttemptEnd;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::time::Instant;
 
 use super::events::{CompleteEvents, EventSplitter, MAX_EVENT_BYTES, OutOfOrder};
 use super::exchange::Exchange;
@@ -22,18 +23,19 @@
 
 /// Reads until complete events arrive, and returns `None` at the end of the stream; `received` was read already.
 ///
-/// A stream that may not end yet is incomplete if it does.
+/// A stream that may not end yet is incomplete if it does. A large event waits for room until `room_by`.
 pub(super) async fn read_events(
     memory: &BodyMemory,
     received: &mut BodyBuf,
     body: &mut Incoming,
     splitter: &mut EventSplitter,
     may_end: bool,
+    room_by: Instant,
 ) -> Result<Option<CompleteEvents>, ReadError> {
     if let Some(events) = splitter.push(&received.split())? {
         return Ok(Some(events));
     }
-    read_more_events(memory, body, splitter, may_end, |_| {}).await
+    read_more_events(memory, body, splitter, may_end, room_by, |_| {}).await
 }
 
 /// Reads until complete events arrive, and returns `None` at the end of the stream; `received` collects the bytes.
@@ -43,8 +45,12 @@
     body: &mut Incoming,
     mut splitter: EventSplitter,
     may_end: bool,
+    room_by: Instant,
 ) -> Result<Option<CompleteEvents>, ReadError> {
-    read_more_events(memory, body, &mut splitter, may_end, |bytes| received.push(bytes)).await
+    read_more_events(memory, body, &mut splitter, may_end, room_by, |bytes| {
+        received.push(bytes);
+    })
+    .await
 }
 
 async fn read_more_events(
@@ -52,12 +58,13 @@
     body: &mut Incoming,
     splitter: &mut EventSplitter,
     may_end: bool,
+    room_by: Instant,
     mut keep: impl FnMut(&Bytes),
 ) -> Result<Option<CompleteEvents>, ReadError> {
     let mut room = None;
     loop {
         if room.is_none() && splitter.partial_bytes() > SMALL_BODY_BYTES {
-            room = Some(memory.reserve(MAX_EVENT_BYTES).await?);
+            room = Some(memory.reserve(MAX_EVENT_BYTES, room_by).await?);
         }
         let frame = match body.frame().await {
             Some(frame) => frame.map_err(BodyReadError::from)?,
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -10,6 +10,7 @@
 use hyper::Response;
 use hyper::body::{Frame, Incoming};
 use hyper::header::CONTENT_LENGTH;
+use tokio::time::Instant;
 
 use super::attempt::{Failure, ServerResponse, keep_alive_timeout, remove_hop_headers};
 use super::events::{CompleteEvents, EventSplitter, MAX_EVENT_BYTES};
@@ -104,7 +105,10 @@
         let may_end = !self.is_unbegun();
         let shared = Arc::clone(&exchange.shared);
         let memory = &shared.body_memory;
-        let events = read_events(memory, &mut self.received, &mut self.body, splitter, may_end);
+        // A server is not to be taken for silent because this host has no room.
+        let room_by = Instant::now() + patience.limit.to_duration();
+        let (received, body) = (&mut self.received, &mut self.body);
+        let events = read_events(memory, received, body, splitter, may_end, room_by);
         let awaited = exchange
             .await_server(&self.assignment, patience, &continuation, events)
             .await;
--- a/crates/gateway/src/traffic/waiting.rs
+++ b/crates/gateway/src/traffic/waiting.rs
@@ -1,7 +1,9 @@
 //! How long a request may wait before it is sent to a server.
 
+use carawayseam_dispatch::catalog::Route;
 use carawayseam_dispatch::{CallerTime, Work};
 use carawayseam_types::Millis;
+use tokio::time::Instant;
 
 use super::exchange::Exchange;
 use crate::shared::lock;
@@ -11,21 +13,31 @@
 /// Time for which a sound server may pause.
 const SOUND_SERVER_PAUSE: Millis = Millis(800);
 
+/// Returns when the caller of a route leaves, if it was last sent an event, or sent its request, at `last_event_at`.
+pub(super) fn caller_time(route: &Route, deadline: Millis, last_event_at: Millis) -> CallerTime {
+    let caller = CallerTime::until(deadline);
+    match route.max_event_gap {
+        Some(gap) => caller.with_next_event_by(last_event_at + gap),
+        None => caller,
+    }
+}
+
 impl Exchange {
     /// Returns when the caller leaves.
     pub(super) fn caller_time(&self) -> CallerTime {
-        let caller = CallerTime::until(self.deadline);
-        match self.route_match.route.max_event_gap {
-            Some(gap) => caller.with_next_event_by(self.last_event_at + gap),
-            None => caller,
-        }
+        caller_time(&self.route_match.route, self.deadline, self.last_event_at)
+    }
+
+    /// Returns the expected duration of the rest of the request on a server of its backend.
+    fn expected_work(&self) -> Work {
+        let job = self.job();
+        let dispatcher = &lock(&self.shared.dispatch).dispatcher;
+        dispatcher.expected_work(&job.backend, job.prompt, job.expected_events)
     }
 
     /// Returns the latest time at which the request can be sent and still be answered within its caller's time.
     pub(super) fn latest_start(&self) -> Millis {
-        let job = self.job();
-        let work = lock(&self.shared.dispatch).dispatcher.expected_work(&job);
-        job.caller.latest_start(work)
+        self.caller_time().latest_start(self.expected_work())
     }
 
     /// Returns how long a server may be silent that is expected to send something within `expected`.
@@ -34,13 +46,15 @@
     /// before the caller leaves. If that moment has passed, another server is of no use, and it may pause.
     pub(super) fn silence_limit(&self, expected: Millis) -> Millis {
         let paused = expected.times(SILENCE_FACTOR) + SOUND_SERVER_PAUSE;
-        let job = self.job();
-        let work = lock(&self.shared.dispatch).dispatcher.expected_work(&job);
+        let work = self.expected_work();
         let elsewhere = Work {
             first_event: work.first_event.times(SILENCE_FACTOR),
             ..work
         };
-        let latest_move = job.caller.latest_start(elsewhere).since(self.shared.now());
+        let latest_move = self
+            .caller_time()
+            .latest_start(elsewhere)
+            .since(self.shared.now());
         if latest_move > expected.times(SILENCE_FACTOR) {
             paused.min(latest_move)
         } else {
@@ -48,6 +62,11 @@
         }
     }
 
+    /// Returns until when a response waits for room in this host's memory.
+    pub(super) fn room_by(&self) -> Instant {
+        Instant::now() + self.refusal_time_left().to_duration()
+    }
+
     /// Returns the time for which a refusal still reaches the caller.
     pub(super) fn refusal_time_left(&self) -> Millis {
         self.caller_time().latest_response().since(self.shared.now())
