Tell rejected callers when a place is expected

Callers saw: one whose request a server rejected for 2 s was told to return after 0.3 s. Callers of a stopping host were told 0.3 s though another host could serve them at once.

Cause: refusals outside the queue bore a fixed delay.

Change: they ask the queue for the next place that was promised to nobody; a stopping host, and one whose route names no backend, tell what a host tells that cannot serve a caller.

Test: caller_time::a_rejected_caller_is_told_when_the_server_takes_requests_again failed before (0.3 s) and passes.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -19,7 +19,7 @@
 use crate::job::{Action, Job, Ticket};
 use crate::peer_loads::PeerLoads;
 use crate::pool::{Pool, SchedulingContext, Unservable, Waiting};
-use crate::reach::ReachRounds;
+use crate::reach::{PROBE_INTERVAL, ReachRounds};
 use crate::retries::{RetryBounds, RetryBudget};
 use crate::speed::Pace;
 
@@ -130,6 +130,23 @@
         pace.work(prompt, events)
     }
 
+    /// Returns the delay after which a place is expected for a request that is refused without having waited.
+    pub fn retry_delay(&mut self, now: Millis, job: &Job) -> Millis {
+        self.now = self.now.max(now);
+        let Some(pool) = self.pools.get_mut(&job.backend) else {
+            return PROBE_INTERVAL;
+        };
+        let cx = SchedulingContext {
+            now: self.now,
+            zone: &self.zone,
+            peers: &self.peers,
+            brittle_servers: &self.brittle_servers,
+            host_count: self.host_count,
+            peers_waiting: self.peers.waiting_for(&job.backend).collect(),
+        };
+        pool.promise_place(&cx, job).since(self.now)
+    }
+
     /// Enqueues a retry, or returns `None` if the retry budget is used up.
     pub fn submit_retry(&mut self, now: Millis, job: Job) -> Option<(Ticket, Vec<Action>)> {
         let granted = self.budget(&job.backend).take();
@@ -307,6 +324,7 @@
             zone: &self.zone,
             peers: &self.peers,
             brittle_servers: &self.brittle_servers,
+            host_count: self.host_count,
             peers_waiting: self.peers.waiting_for(backend).collect(),
         };
         while let Some((waiting, ix)) = pool.take_next(&cx, &mut self.rng) {
@@ -361,9 +379,10 @@
             zone: &self.zone,
             peers: &self.peers,
             brittle_servers: &self.brittle_servers,
+            host_count: self.host_count,
             peers_waiting: self.peers.waiting_for(backend).collect(),
         };
-        for Unservable { ticket, retry_at } in pool.take_unservable(&cx, self.host_count) {
+        for Unservable { ticket, retry_at } in pool.take_unservable(&cx) {
             self.waiting_backends.remove(&ticket);
             let retry_after = retry_at.since(self.now);
             actions.push(Action::Refuse { ticket, retry_after });
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -225,6 +225,11 @@
         Some(self.closed_until.max(self.limited_until)).filter(|until| now < *until)
     }
 
+    /// Returns when the server accepts requests again that it did not reject; now if it is not paused.
+    pub(crate) fn resumes_at(&self, now: Millis) -> Millis {
+        self.paused_until.max(now)
+    }
+
     /// Records that the server is silent; it gets no requests until a connection attempt succeeds.
     pub(crate) fn mark_silent(&mut self, now: Millis) {
         self.reach.lose(now, false);
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -50,6 +50,8 @@
     pub(crate) zone: &'a ZoneId,
     pub(crate) peers: &'a PeerLoads,
     pub(crate) brittle_servers: &'a BrittleServers,
+    /// Number of hosts that share the servers.
+    pub(crate) host_count: u32,
     /// Number of requests waiting at peers, by tier.
     pub(crate) peers_waiting: Vec<(Tier, u32)>,
 }
--- a/crates/dispatch/src/pool/queue.rs
+++ b/crates/dispatch/src/pool/queue.rs
@@ -5,7 +5,7 @@
 use super::{Pool, SchedulingContext, Waiting, capacity, rank, saturating_sum};
 use crate::caller_time::{CallerTime, Work};
 use crate::engine::Engine;
-use crate::job::Ticket;
+use crate::job::{Job, Ticket};
 use crate::reach::PROBE_INTERVAL;
 
 /// A waiting request that cannot start in time.
@@ -16,6 +16,14 @@
     pub(crate) retry_at: Millis,
 }
 
+/// A place for a refused request.
+#[derive(Debug, Clone, Copy)]
+struct Place {
+    at: Millis,
+    /// Time until this host has the next place.
+    interval: Millis,
+}
+
 /// The expected starts of waiting requests, in their order.
 struct Turns<'a> {
     now: Millis,
@@ -25,6 +33,8 @@
     free: u32,
     /// Slots of the servers that these requests wait for.
     slots: u32,
+    /// Hosts that share the slots; at least 1.
+    host_count: u32,
     /// Shortest interval between two starts that the servers' rate limits admit.
     limit_interval: Millis,
     /// Time for which the requests ahead hold a slot, in milliseconds.
@@ -77,19 +87,28 @@
         self.ahead_ms += work.total.0 as f64 * (1.0 + peers_share);
         self.ahead += 1;
     }
+
+    /// Returns the place of a request whose turn would come at `turn`.
+    fn place(&self, turn: Millis, work: Work) -> Place {
+        let slot_interval = work.total.0 * u64::from(self.host_count) / u64::from(self.slots.max(1));
+        Place {
+            at: self.opens_at.map_or(self.now + PROBE_INTERVAL, |_| turn),
+            interval: Millis(slot_interval).max(self.limit_interval),
+        }
+    }
 }
 
 impl Pool {
     /// Removes and returns the requests that cannot start early enough to be answered within their callers' time.
     ///
     /// Those of the lowest tier are removed first.
-    pub(crate) fn take_unservable(&mut self, cx: &SchedulingContext<'_>, host_count: u32) -> Vec<Unservable> {
+    pub(crate) fn take_unservable(&mut self, cx: &SchedulingContext<'_>) -> Vec<Unservable> {
         if self.waiting.is_empty() {
             return Vec::new();
         }
         let baseline = self.baseline;
         self.waiting.sort_by_cached_key(|waiting| rank(waiting, baseline));
-        let mut turns = self.turns(cx, host_count);
+        let mut turns = self.turns(cx);
         let mut unservable = Vec::new();
         for waiting in std::mem::take(&mut self.waiting) {
             let Waiting { ticket, job } = &waiting;
@@ -100,11 +119,8 @@
                 self.waiting.push(waiting);
                 continue;
             }
-            let place_interval =
-                Millis(work.total.0 * u64::from(host_count.max(1)) / u64::from(turns.slots.max(1)));
-            let interval = place_interval.max(turns.limit_interval);
-            let place_at = turns.opens_at.map_or(cx.now + PROBE_INTERVAL, |_| turn);
-            let retry_at = self.schedule_return(cx.now, place_at, interval, job.caller);
+            let place = turns.place(turn, work);
+            let retry_at = self.promise(cx.now, place, job.caller);
             unservable.push(Unservable {
                 ticket: *ticket,
                 retry_at,
@@ -113,14 +129,38 @@
         unservable
     }
 
-    fn turns<'a>(&self, cx: &'a SchedulingContext<'_>, host_count: u32) -> Turns<'a> {
+    /// Returns when a place is expected for a request that is refused without having waited here.
+    pub(crate) fn promise_place(&mut self, cx: &SchedulingContext<'_>, job: &Job) -> Millis {
+        let baseline = self.baseline;
+        self.waiting.sort_by_cached_key(|waiting| rank(waiting, baseline));
+        let mut turns = self.turns(cx);
+        let ahead = self
+            .waiting
+            .iter()
+            .filter(|waiting| !job.tier.outranks(waiting.job.tier));
+        for Waiting { job, .. } in ahead {
+            let work = job.work(baseline);
+            turns.next(job.tier, work);
+            turns.advance(job.tier, work);
+        }
+        let work = job.work(baseline);
+        let turn = turns.next(job.tier, work);
+        let place = turns.place(turn, work);
+        self.promise(cx.now, place, job.caller)
+    }
+
+    fn turns<'a>(&self, cx: &'a SchedulingContext<'_>) -> Turns<'a> {
         let now = cx.now;
         let has_only_plain_jobs = self.has_only_plain_jobs();
         let working = || self.engines.iter().filter(|engine| engine.can_work(now));
         let is_open = |engine: &&Engine| engine.closed_until(now).is_none();
         let reopens_at = working().filter_map(|engine| engine.closed_until(now)).min();
         let has_open = working().any(|engine| is_open(&engine));
-        let opens_at = if has_open { Some(now) } else { reopens_at };
+        let resumes_at = working()
+            .filter(is_open)
+            .map(|engine| engine.resumes_at(now))
+            .min();
+        let opens_at = resumes_at.or(reopens_at);
         let used = working().filter(|engine| !has_open || is_open(engine));
         let slots = saturating_sum(used.map(|engine| capacity(cx, engine, has_only_plain_jobs)));
         let free = saturating_sum(self.candidates(cx).iter().map(|candidate| candidate.free));
@@ -136,7 +176,8 @@
             opens_at,
             free,
             slots,
-            limit_interval: self.limited_start_interval(now, host_count),
+            host_count: cx.host_count.max(1),
+            limit_interval: self.limited_start_interval(now, cx.host_count),
             ahead_ms: 0.0,
             ahead: 0,
             peers_waiting: &cx.peers_waiting,
@@ -160,16 +201,10 @@
     /// Returns when a refused caller should retry: when a place is expected that was promised to no other caller.
     ///
     /// The place of a caller that is told a time too late for it stays free for others.
-    fn schedule_return(
-        &mut self,
-        now: Millis,
-        place_at: Millis,
-        interval: Millis,
-        caller: CallerTime,
-    ) -> Millis {
-        let at = self.next_return.max(place_at);
+    fn promise(&mut self, now: Millis, place: Place, caller: CallerTime) -> Millis {
+        let at = self.next_return.max(place.at);
         if at <= caller.latest_return(now) {
-            self.next_return = at + interval;
+            self.next_return = at + place.interval;
         }
         at
     }
--- a/crates/gateway/src/traffic/arrival.rs
+++ b/crates/gateway/src/traffic/arrival.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::attempt::remove_hop_headers;
-use super::exchange::{Exchange, RETRY_AFTER_REJECTED};
+use super::exchange::Exchange;
 use super::idle::{Activity, OpenOnConnection};
 use super::response::{Reason, Refusal};
 use super::waiting::caller_time;
@@ -132,7 +132,7 @@
         .min(route_match.route.timeout);
     stop_refusals::check_admission(shared, &route_match, arrived, limit)?;
     let backend = pick_target(&route_match.route.targets)
-        .ok_or_else(|| Refusal::with_retry_after(Reason::Unreachable, RETRY_AFTER_REJECTED))?;
+        .ok_or_else(|| Refusal::with_retry_after(Reason::Unreachable, shared.retry_delay()))?;
     let caller = caller_time(&route_match.route, arrived + limit, arrived);
     let events = head.prompt.as_ref().map_or(0, Prompt::likely_output) / tokens_per_event(&catalog, &backend);
     let prompt = head.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -33,8 +33,6 @@
 use crate::shared::{Assignment, Decision, OpenRequest, Shared, lock};
 use crate::stopping::Phase;
 
-/// The retry delay sent to a caller whose request was rejected or not sent.
-pub(super) const RETRY_AFTER_REJECTED: Millis = Millis(300);
 /// The maximum number of failed connections for one request.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
 
@@ -293,7 +291,7 @@
                 Ok(Ok(Decision::Refuse { retry_after })) => {
                     return Err(self.queue_refusal(retry_after));
                 }
-                Ok(Err(_)) | Err(_) => return Err(self.queue_refusal(RETRY_AFTER_REJECTED)),
+                Ok(Err(_)) | Err(_) => return Err(self.queue_refusal(self.retry_delay())),
             };
             match self.reserve(&mut slot, &assignment).await {
                 Ok(()) => {
@@ -367,9 +365,9 @@
             _ if self.may_have_run => Refusal::new(Reason::ResponseLost),
             Failure::Stale => return Err(refuse_stale(&self.shared)),
             Failure::NotRun(AttemptEnd::Unreachable | AttemptEnd::RelayFailed) => {
-                Refusal::with_retry_after(Reason::Unreachable, RETRY_AFTER_REJECTED)
+                Refusal::with_retry_after(Reason::Unreachable, self.retry_delay())
             }
-            _ => Refusal::with_retry_after(Reason::Rejected, RETRY_AFTER_REJECTED),
+            _ => Refusal::with_retry_after(Reason::Rejected, self.retry_delay()),
         };
         let now = self.shared.now();
         match failure {
--- a/crates/gateway/src/traffic/stop_refusals.rs
+++ b/crates/gateway/src/traffic/stop_refusals.rs
@@ -3,7 +3,6 @@
 use carawayseam_dispatch::catalog::RouteMatch;
 use carawayseam_types::Millis;
 
-use super::exchange::RETRY_AFTER_REJECTED;
 use super::response::{Reason, Refusal};
 use crate::request_log::StopOutcome;
 use crate::shared::Shared;
@@ -26,7 +25,7 @@
         return Ok(());
     }
     StopOutcome::Refused.count(shared);
-    Err(Refusal::with_retry_after(Reason::Stopping, RETRY_AFTER_REJECTED))
+    Err(Refusal::with_retry_after(Reason::Stopping, shared.retry_delay()))
 }
 
 /// Returns the final refusal of a request that is open shortly before the end of the process.
@@ -35,6 +34,6 @@
     if may_have_run {
         Refusal::new(Reason::StoppingMayHaveRun)
     } else {
-        Refusal::with_retry_after(Reason::Stopping, RETRY_AFTER_REJECTED)
+        Refusal::with_retry_after(Reason::Stopping, shared.retry_delay())
     }
 }
--- a/crates/gateway/src/traffic/waiting.rs
+++ b/crates/gateway/src/traffic/waiting.rs
@@ -62,6 +62,13 @@
         }
     }
 
+    /// Returns when a place at a server is expected, for a caller whose request did not run.
+    pub(super) fn retry_delay(&self) -> Millis {
+        let job = self.job();
+        let dispatcher = &mut lock(&self.shared.dispatch).dispatcher;
+        dispatcher.retry_delay(self.shared.now(), &job)
+    }
+
     /// Returns until when a response waits for room in this host's memory.
     pub(super) fn room_by(&self) -> Instant {
         Instant::now() + self.refusal_time_left().to_duration()
