--- a/crates/dispatch/src/caller_time.rs
+++ b/crates/dispatch/src/caller_time.rs
@@ -7,8 +7,8 @@
 
 /// Time that a request takes from its caller to this host, and the response back.
 const CALLER_TRANSIT: Millis = Millis(50);
-/// Fraction of the remaining time up to which callers honour `Retry-After`, as the protocol promises.
-const HONOURED_RETRY_FRACTION: u64 = 3;
+/// Callers honour a retry delay up to the remaining time divided by this, as the protocol promises.
+const HONOURED_RETRY_DIVISOR: u64 = 3;
 
 /// The expected duration of a request on a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -66,7 +66,7 @@
     /// A caller that is told a later time does not return.
     #[must_use]
     pub fn latest_return(self, now: Millis) -> Millis {
-        now + Millis(self.deadline.since(now).0 / HONOURED_RETRY_FRACTION)
+        now + Millis(self.deadline.since(now).0 / HONOURED_RETRY_DIVISOR)
     }
 
     /// Returns the time that is left for the complete response.
--- a/crates/dispatch/src/pool/queue.rs
+++ b/crates/dispatch/src/pool/queue.rs
@@ -90,10 +90,11 @@
 
     /// Returns the place of a request whose turn would come at `turn`.
     fn place(&self, turn: Millis, work: Work) -> Place {
-        let slot_interval = work.total.0 * u64::from(self.host_count) / u64::from(self.slots.max(1));
+        let shared = work.total.times(u64::from(self.host_count));
+        let slot_interval = Millis(shared.0 / u64::from(self.slots.max(1)));
         Place {
             at: self.opens_at.map_or(self.now + PROBE_INTERVAL, |_| turn),
-            interval: Millis(slot_interval).max(self.limit_interval),
+            interval: slot_interval.max(self.limit_interval),
         }
     }
 }
