--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -136,14 +136,14 @@
         let Some(pool) = self.pools.get_mut(&job.backend) else {
             return PROBE_INTERVAL;
         };
-        let cx = SchedulingContext {
-            now: self.now,
-            zone: &self.zone,
-            peers: &self.peers,
-            brittle_servers: &self.brittle_servers,
-            host_count: self.host_count,
-            peers_waiting: self.peers.waiting_for(&job.backend).collect(),
-        };
+        let cx = SchedulingContext::new(
+            self.now,
+            &self.zone,
+            &self.peers,
+            &self.brittle_servers,
+            self.host_count,
+            &job.backend,
+        );
         pool.promise_place(&cx, job).since(self.now)
     }
 
@@ -319,14 +319,14 @@
         let Some(pool) = self.pools.get_mut(backend) else {
             return;
         };
-        let cx = SchedulingContext {
-            now: self.now,
-            zone: &self.zone,
-            peers: &self.peers,
-            brittle_servers: &self.brittle_servers,
-            host_count: self.host_count,
-            peers_waiting: self.peers.waiting_for(backend).collect(),
-        };
+        let cx = SchedulingContext::new(
+            self.now,
+            &self.zone,
+            &self.peers,
+            &self.brittle_servers,
+            self.host_count,
+            backend,
+        );
         while let Some((waiting, ix)) = pool.take_next(&cx, &mut self.rng) {
             self.waiting_backends.remove(&waiting.ticket);
             let engine = &mut pool.engines[ix];
@@ -374,14 +374,14 @@
         let Some(pool) = self.pools.get_mut(backend) else {
             return;
         };
-        let cx = SchedulingContext {
-            now: self.now,
-            zone: &self.zone,
-            peers: &self.peers,
-            brittle_servers: &self.brittle_servers,
-            host_count: self.host_count,
-            peers_waiting: self.peers.waiting_for(backend).collect(),
-        };
+        let cx = SchedulingContext::new(
+            self.now,
+            &self.zone,
+            &self.peers,
+            &self.brittle_servers,
+            self.host_count,
+            backend,
+        );
         for Unservable { ticket, retry_at } in pool.take_unservable(&cx) {
             self.waiting_backends.remove(&ticket);
             let retry_after = retry_at.since(self.now);
--- a/crates/dispatch/src/peer_loads.rs
+++ b/crates/dispatch/src/peer_loads.rs
@@ -167,14 +167,10 @@
     }
 
     /// Iterates over the number of requests that wait for a backend at peers, by tier.
-    pub(crate) fn waiting_for<'a>(
-        &'a self,
-        backend: &'a BackendName,
-    ) -> impl Iterator<Item = (Tier, u32)> + 'a {
+    pub(crate) fn waiting_for(&self, backend: &BackendName) -> Vec<(Tier, u32)> {
         let waiting = self.sums.waiting.iter();
-        waiting
-            .filter(move |((other, _), _)| other == backend)
-            .map(|((_, tier), count)| (*tier, *count))
+        let of_backend = waiting.filter(|((other, _), _)| other == backend);
+        of_backend.map(|((_, tier), count)| (*tier, *count)).collect()
     }
 
     /// Returns the number of entries kept, over all peers and servers.
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -3,7 +3,7 @@
 mod queue;
 mod reach;
 
-use carawayseam_types::{EngineId, Millis, Tier, ZoneId};
+use carawayseam_types::{BackendName, EngineId, Millis, Tier, ZoneId};
 use rand::RngExt;
 use rand::rngs::StdRng;
 
@@ -56,7 +56,25 @@
     pub(crate) peers_waiting: Vec<(Tier, u32)>,
 }
 
-impl SchedulingContext<'_> {
+impl<'a> SchedulingContext<'a> {
+    pub(crate) fn new(
+        now: Millis,
+        zone: &'a ZoneId,
+        peers: &'a PeerLoads,
+        brittle_servers: &'a BrittleServers,
+        host_count: u32,
+        backend: &BackendName,
+    ) -> Self {
+        Self {
+            now,
+            zone,
+            peers,
+            brittle_servers,
+            host_count,
+            peers_waiting: peers.waiting_for(backend),
+        }
+    }
+
     /// Returns the number of requests of higher tiers that wait at peers.
     fn peers_waiting_above(&self, tier: Tier) -> u32 {
         let above = self
--- a/crates/gateway/src/traffic/arrival.rs
+++ b/crates/gateway/src/traffic/arrival.rs
@@ -18,7 +18,7 @@
 use super::exchange::Exchange;
 use super::idle::{Activity, OpenOnConnection};
 use super::response::{Reason, Refusal};
-use super::waiting::caller_time;
+use super::waiting::{caller_time, instant_after};
 use super::{stop_refusals, unread_body};
 use crate::body_memory::{BodyBuf, BodyMemory, BodyReadError};
 use crate::platform::{Prompt, RequestHead};
@@ -145,7 +145,7 @@
         route_match,
         backend,
         limit,
-        room_by: Instant::now() + room_wait.to_duration(),
+        room_by: instant_after(room_wait),
     })
 }
 
--- a/crates/gateway/src/traffic/stream.rs
+++ b/crates/gateway/src/traffic/stream.rs
@@ -10,7 +10,6 @@
 use hyper::Response;
 use hyper::body::{Frame, Incoming};
 use hyper::header::CONTENT_LENGTH;
-use tokio::time::Instant;
 
 use super::attempt::{Failure, ServerResponse, keep_alive_timeout, remove_hop_headers};
 use super::events::{CompleteEvents, EventSplitter, MAX_EVENT_BYTES};
@@ -21,6 +20,7 @@
 use super::response::{BodyError, Reason, Refusal, ResponseBody};
 use super::resumption::{Continuation, StreamHead};
 use super::silence::{Awaited, Patience};
+use super::waiting::instant_after;
 use crate::body_memory::BodyBuf;
 use crate::http_client::{Connection, ends_with_connection};
 use crate::request_log::{self, StopOutcome, StreamSummary};
@@ -106,7 +106,7 @@
         let shared = Arc::clone(&exchange.shared);
         let memory = &shared.body_memory;
         // A server is not to be taken for silent because this host has no room.
-        let room_by = Instant::now() + patience.limit.to_duration();
+        let room_by = instant_after(patience.limit);
         let (received, body) = (&mut self.received, &mut self.body);
         let events = read_events(memory, received, body, splitter, may_end, room_by);
         let awaited = exchange
--- a/crates/gateway/src/traffic/waiting.rs
+++ b/crates/gateway/src/traffic/waiting.rs
@@ -13,6 +13,16 @@
 /// Time for which a sound server may pause.
 const SOUND_SERVER_PAUSE: Millis = Millis(800);
 
+/// Longer than any request.
+const FAR_AWAY: Millis = Millis::from_secs(365 * 24 * 60 * 60);
+
+/// Returns the time in `span` from now, or one far away if it cannot be represented.
+pub(super) fn instant_after(span: Millis) -> Instant {
+    let now = Instant::now();
+    now.checked_add(span.to_duration())
+        .unwrap_or(now + FAR_AWAY.to_duration())
+}
+
 /// Returns when the caller of a route leaves, if it was last sent an event, or sent its request, at `last_event_at`.
 pub(super) fn caller_time(route: &Route, deadline: Millis, last_event_at: Millis) -> CallerTime {
     let caller = CallerTime::until(deadline);
@@ -71,7 +81,7 @@
 
     /// Returns until when a response waits for room in this host's memory.
     pub(super) fn room_by(&self) -> Instant {
-        Instant::now() + self.refusal_time_left().to_duration()
+        instant_after(self.refusal_time_left())
     }
 
     /// Returns the time for which a refusal still reaches the caller.
