Promise a place only to a caller that is refused, and estimate work without a copy of the request

Cause, found on reading the change: each failed attempt that was then queued again took a promised place from the callers who are refused, since the refusal was built before it was needed; and each event of a stream copied its request, prompt parts included, and locked the rollouts to estimate the work that is left.

Change: refusals are built where they are sent; the estimate takes the prompt's length and the events that are left. The division of the expected output into events stands once, in Prompt::likely_events.

No test brings the taken places about.

--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -106,6 +106,12 @@
         let expected = self.expected_output.unwrap_or(self.max_output);
         expected.min(self.max_output)
     }
+
+    /// Returns the expected number of events, each of which holds this many tokens.
+    #[must_use]
+    pub fn likely_events(&self, tokens_per_event: u32) -> u32 {
+        self.likely_output() / tokens_per_event.max(1)
+    }
 }
 
 /// The values that the gateway sets in a forwarded request's headers.
--- a/crates/gateway/src/traffic/arrival.rs
+++ b/crates/gateway/src/traffic/arrival.rs
@@ -21,7 +21,7 @@
 use super::waiting::{caller_time, instant_after};
 use super::{stop_refusals, unread_body};
 use crate::body_memory::{BodyBuf, BodyMemory, BodyReadError};
-use crate::platform::{Prompt, RequestHead};
+use crate::platform::RequestHead;
 use crate::shared::{OpenRequest, Shared, lock};
 use crate::stopping::Phase;
 
@@ -134,8 +134,10 @@
     let backend = pick_target(&route_match.route.targets)
         .ok_or_else(|| Refusal::with_retry_after(Reason::Unreachable, shared.retry_delay()))?;
     let caller = caller_time(&route_match.route, arrived + limit, arrived);
-    let events = head.prompt.as_ref().map_or(0, Prompt::likely_output) / tokens_per_event(&catalog, &backend);
-    let prompt = head.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
+    let per_event = tokens_per_event(&catalog, &backend);
+    let prompt = head.prompt.as_ref();
+    let events = prompt.map_or(0, |prompt| prompt.likely_events(per_event));
+    let prompt = prompt.map_or(0, |prompt| prompt.tokens);
     let work = lock(&shared.dispatch)
         .dispatcher
         .expected_work(&backend, prompt, events);
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -250,7 +250,7 @@
             tier: self.tier(),
             caller: self.caller_time(),
             max_event_gap: self.route_match.route.max_event_gap,
-            expected_events: (self.expected_output() / self.tokens_per_event).saturating_sub(self.events),
+            expected_events: self.expected_events(),
             tokens_per_event: self.tokens_per_event,
             prompt: prompt.map_or(0, |prompt| prompt.tokens),
             parts: prompt.map(|prompt| prompt.parts.clone()).unwrap_or_default(),
@@ -265,6 +265,13 @@
         JudgedRoute::new(&route.name, route.kind)
     }
 
+    /// Returns the expected number of events that have not been forwarded yet; 0 for plain responses.
+    pub(super) fn expected_events(&self) -> u32 {
+        let prompt = self.head.prompt.as_ref();
+        let events = prompt.map_or(0, |prompt| prompt.likely_events(self.tokens_per_event));
+        events.saturating_sub(self.events)
+    }
+
     /// Returns the expected length of the response in tokens.
     pub(crate) fn expected_output(&self) -> u32 {
         let prompt = self.head.prompt.as_ref();
@@ -289,9 +296,9 @@
             let assignment = match decision {
                 Ok(Ok(Decision::Start(assignment))) => assignment,
                 Ok(Ok(Decision::Refuse { retry_after })) => {
-                    return Err(self.queue_refusal(retry_after));
+                    return Err(self.queue_refusal(|| retry_after));
                 }
-                Ok(Err(_)) | Err(_) => return Err(self.queue_refusal(self.retry_delay())),
+                Ok(Err(_)) | Err(_) => return Err(self.queue_refusal(|| self.retry_delay())),
             };
             match self.reserve(&mut slot, &assignment).await {
                 Ok(()) => {
@@ -346,24 +353,20 @@
     }
 
     /// Returns the refusal of a queued request, which depends on whether an earlier attempt may have run it.
-    fn queue_refusal(&self, retry_after: Millis) -> Refusal {
+    fn queue_refusal(&self, retry_after: impl FnOnce() -> Millis) -> Refusal {
         let reaches_none = lock(&self.shared.dispatch).dispatcher.reaches_none(&self.backend);
         match reaches_none {
             _ if self.may_have_run => Refusal::new(Reason::ResponseLost),
-            true => Refusal::with_retry_after(Reason::Unreachable, retry_after),
-            false => Refusal::with_retry_after(Reason::Busy, retry_after),
+            true => Refusal::with_retry_after(Reason::Unreachable, retry_after()),
+            false => Refusal::with_retry_after(Reason::Busy, retry_after()),
         }
     }
 
     /// Queues the request again after a failed attempt, or returns the final refusal.
     pub(crate) fn requeue(&self, failure: Failure) -> Result<QueuedRequest, Refusal> {
-        let refusal = match failure {
-            Failure::DeadlineExceeded => return Err(Refusal::new(Reason::DeadlineExceeded)),
-            Failure::NotRun(AttemptEnd::Cancelled) if self.may_have_run => {
-                return Err(Refusal::new(Reason::DeadlineExceeded));
-            }
+        // A place is promised only to a caller that is refused.
+        let refusal = || match failure {
             _ if self.may_have_run => Refusal::new(Reason::ResponseLost),
-            Failure::Stale => return Err(refuse_stale(&self.shared)),
             Failure::NotRun(AttemptEnd::Unreachable | AttemptEnd::RelayFailed) => {
                 Refusal::with_retry_after(Reason::Unreachable, self.retry_delay())
             }
@@ -371,9 +374,14 @@
         };
         let now = self.shared.now();
         match failure {
-            _ if now >= self.deadline => Err(refusal),
+            Failure::DeadlineExceeded => Err(Refusal::new(Reason::DeadlineExceeded)),
+            Failure::NotRun(AttemptEnd::Cancelled) if self.may_have_run => {
+                Err(Refusal::new(Reason::DeadlineExceeded))
+            }
+            Failure::Stale if !self.may_have_run => Err(refuse_stale(&self.shared)),
+            _ if now >= self.deadline => Err(refusal()),
             // Neither a later configuration nor more time is to be expected before the deadline.
-            Failure::Stale | Failure::NotRun(AttemptEnd::Cancelled) => Err(refusal),
+            Failure::Stale | Failure::NotRun(AttemptEnd::Cancelled) => Err(refusal()),
             Failure::NotRun(AttemptEnd::Unreachable | AttemptEnd::RelayFailed)
                 if self.unsent_attempts < MAX_UNSENT_ATTEMPTS =>
             {
@@ -381,9 +389,9 @@
                 let submitted = lock(&self.shared.dispatch).submit_unsent(now, job);
                 Ok(self.queued(submitted))
             }
-            Failure::MaybeRun(_) if !self.route_match.route.kind.is_retryable() => Err(refusal),
-            Failure::MaybeRun(AttemptEnd::ConnectionLost) if self.has_suspected_part() => Err(refusal),
-            _ => self.queue_retry().ok_or(refusal),
+            Failure::MaybeRun(_) if !self.route_match.route.kind.is_retryable() => Err(refusal()),
+            Failure::MaybeRun(AttemptEnd::ConnectionLost) if self.has_suspected_part() => Err(refusal()),
+            _ => self.queue_retry().ok_or_else(refusal),
         }
     }
 
--- a/crates/gateway/src/traffic/waiting.rs
+++ b/crates/gateway/src/traffic/waiting.rs
@@ -40,9 +40,9 @@
 
     /// Returns the expected duration of the rest of the request on a server of its backend.
     fn expected_work(&self) -> Work {
-        let job = self.job();
+        let prompt = self.head.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
         let dispatcher = &lock(&self.shared.dispatch).dispatcher;
-        dispatcher.expected_work(&job.backend, job.prompt, job.expected_events)
+        dispatcher.expected_work(&self.backend, prompt, self.expected_events())
     }
 
     /// Returns the latest time at which the request can be sent and still be answered within its caller's time.
