Add a setting for the largest fleet in which all hosts exchange heartbeats

Cause: heartbeats of each host to all others grow with the square of the fleet: 165,120 datagrams a second at 129 hosts before any request. Ways to exchange less differ from those of small fleets, and need one place that tells the sizes apart.

Ruled out: a size that is fixed in the code; operators of hosts with more processor time can keep the full mesh longer.

Change: `full_mesh_hosts`, 2 to 64, default 16, and `ControlState::uses_full_mesh`; the log line `peers counted` shows it. Nothing else depends on it yet.

--- a/crates/gateway/src/control/state/group.rs
+++ b/crates/gateway/src/control/state/group.rs
@@ -16,6 +16,13 @@
 const STORE_FOLLOWERS_KEY: &str = "store";
 
 impl ControlState {
+    /// Returns whether the fleet is small enough for each host to send heartbeats to all others.
+    pub(super) fn uses_full_mesh(&self) -> bool {
+        let own_host = &self.shared.settings.host;
+        let hosts = self.hosts.other_known_count(own_host) as usize + 1;
+        hosts <= self.shared.settings.full_mesh_hosts
+    }
+
     /// Recomputes the group of hosts that share quotas, rate limits and the retry budget, and applies it if it changed.
     pub(super) fn update_group(&mut self, now: Millis) {
         let own_host = &self.shared.settings.host;
@@ -35,7 +42,7 @@
         if group == self.group {
             return;
         }
-        log::info!(known = group.known, heard = group.live, reachable = group.reachable.len(); "peers counted");
+        log::info!(known = group.known, heard = group.live, reachable = group.reachable.len(), full_mesh = self.uses_full_mesh(); "peers counted");
         let mut dispatch = lock(&self.shared.dispatch);
         dispatch.quotas.set_group(now, group.clone());
         dispatch.server_limits.set_group(now, group.clone());
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,6 +1,7 @@
 //! The settings file of a gateway process, in YAML.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::Path;
 
 use carawayseam_node::{SettingsError, parse_settings, read_settings_file};
@@ -9,6 +10,9 @@
 use serde::Deserialize;
 use serde_with::{DisplayFromStr, serde_as};
 
+/// The numbers of hosts that may send heartbeats to each other; below two there is nothing to exchange, and above
+/// this many, heartbeats take more than a small host's share of its processor.
+const FULL_MESH_HOSTS: RangeInclusive<usize> = 2..=64;
 /// The least memory that a process needs.
 const MIN_MEMORY: Bytes = Bytes(16 * 1_024 * 1_024);
 
@@ -57,6 +61,10 @@
     #[serde_as(as = "DisplayFromStr")]
     #[serde(default = "default_memory")]
     pub memory: Bytes,
+    /// The largest number of hosts that send heartbeats to all others; in a larger fleet, each host exchanges
+    /// messages with a few of the others at a time.
+    #[serde(default = "default_full_mesh_hosts")]
+    pub full_mesh_hosts: usize,
 }
 
 /// Limits on sending requests to another backend server after a failed attempt, over all hosts.
@@ -96,6 +104,9 @@
             s if s.quota_tolerance.is_nan() || s.quota_tolerance < 0.0 => {
                 Err(invalid("quota_tolerance", "0 tokens or more"))
             }
+            s if !FULL_MESH_HOSTS.contains(&s.full_mesh_hosts) => {
+                Err(invalid("full_mesh_hosts", "from 2 to 64 hosts"))
+            }
             s if s.memory < MIN_MEMORY => Err(invalid("memory", "16MiB or more")),
             s if !is_fraction(s.retries.ratio) => Err(invalid("retries.ratio", "a share from 0 to 1")),
             s if s.retries.extra.is_nan() || s.retries.extra < 0.0 => {
@@ -114,6 +125,10 @@
     Bytes(96 * 1_024 * 1_024)
 }
 
+const fn default_full_mesh_hosts() -> usize {
+    16
+}
+
 const fn default_traffic_threads() -> usize {
     1
 }
