membership: configurable timing, local health and a listed set of peers

Cause: the gateway hosts are to use this membership in place of heartbeats to all. Its periods were constants for processes that may find a loss after several seconds, a process without live peers probed all seeds at once, and a process with a full link declared sound peers dead.

Change: `Timing` and the number of peers for broadcasts are configured, `Event::Listed` makes the platform's list the only source of peers, the time-outs grow with a local health count (failed probes, refuted suspicions), `is_isolated` tells a process that hears nobody, and rejoin probes are at most four at a time. New role `Gateway`, at the end of the enum.

--- a/crates/membership/src/incoming.rs
+++ b/crates/membership/src/incoming.rs
@@ -26,6 +26,7 @@
             self.refuse(Refusal::UnknownHost { from }, actions);
             return;
         }
+        self.heard_at = self.time;
         self.merge(&sender);
         let reported = self.reported_peer(&sender, &updates);
         for update in updates {
@@ -40,16 +41,23 @@
     /// foreign one. Such senders are accepted, so that hosts can join while the
     /// list is unavailable.
     fn admits(&self, from: SocketAddr, sender: &Peer) -> bool {
-        let list_is_stale = self
-            .hosts_read_at
-            .is_none_or(|at| self.time.since(at) > HOST_LIST_TTL);
+        let list_is_stale = self.listed.is_none()
+            && self
+                .hosts_read_at
+                .is_none_or(|at| self.time.since(at) > HOST_LIST_TTL);
         list_is_stale
             || sender.host == self.peers.me.host
+            || self.is_listed(&PeerId::of(sender))
             || self.hosts.contains_key(&sender.host)
             || self.seeds.contains(&from)
             || self.peers.get(&PeerId::of(sender)).is_some()
     }
 
+    /// Returns whether the platform lists a process.
+    fn is_listed(&self, id: &PeerId) -> bool {
+        self.listed.as_ref().is_some_and(|listed| listed.contains(id))
+    }
+
     fn handle_body(
         &mut self,
         sender: &Peer,
@@ -138,10 +146,19 @@
 
     /// Merges an update about a peer, and forwards it if it is new.
     fn merge(&mut self, peer: &Peer) {
+        let id = PeerId::of(peer);
+        let is_known = id == PeerId::of(&self.peers.me) || self.peers.get(&id).is_some();
+        // What peers say of a process that is not listed must not make it a peer.
+        if self.listed.is_some() && !is_known && !self.is_listed(&id) {
+            return;
+        }
         match self.peers.merge(self.time, peer) {
             Merge::Stale => {}
             Merge::Joined | Merge::Changed => self.queue.enqueue(GossipUpdate::Peer(peer.clone())),
-            Merge::Refuted => self.announce_incarnation(),
+            Merge::Refuted => {
+                self.prober.lower_local_health();
+                self.announce_incarnation();
+            }
         }
     }
 
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -50,7 +50,7 @@
 mod updates;
 mod watch;
 
-pub use config::MembershipConfig;
+pub use config::{MembershipConfig, Timing};
 pub use dump::{MembershipDump, RefusalCounts};
 pub use membership::Membership;
 pub use protocol::{Action, Event, Refusal};
--- a/crates/membership/src/limits.rs
+++ b/crates/membership/src/limits.rs
@@ -2,20 +2,16 @@
 
 use carawayseam_types::Millis;
 
-/// Interval between probes; each goes to one random peer.
-pub(crate) const PROBE_PERIOD: Millis = Millis(500);
-/// Time without an ack after which a probe is repeated through other peers.
-pub(crate) const DIRECT_TIMEOUT: Millis = Millis(200);
-/// Time without an ack after which the target of a probe becomes suspect.
-pub(crate) const PROBE_TIMEOUT: Millis = Millis(600);
 /// Number of peers that are asked to probe an unresponsive one.
 pub(crate) const INDIRECT_PROBES: usize = 3;
 /// One of this many probes goes to another zone, the rest to the own zone.
 pub(crate) const OTHER_ZONE_PROBE_INTERVAL: u64 = 3;
-/// Time after which a suspect that has not refuted is declared dead.
-///
-/// It is multiplied by the number of decimal digits of the number of live peers.
-pub(crate) const SUSPICION_TIMEOUT: Millis = Millis(2_000);
+/// Upper bound of the local health count, by which the time-outs grow.
+pub(crate) const MAX_LOCAL_HEALTH: u32 = 4;
+/// Time without any datagram after which a process that probes is isolated.
+pub(crate) const ISOLATION_TIMEOUT: Millis = Millis(1_000);
+/// Maximum number of seeds and dead peers that a process without live peers probes at a time.
+pub(crate) const MAX_REJOIN_PROBES: usize = 4;
 /// Interval between checks for peers whose state has expired.
 pub(crate) const EXPIRE_PERIOD: Millis = Millis(200);
 /// Time after which a leaving peer is declared dead.
@@ -36,8 +32,6 @@
 /// which its peers did not answer.
 pub(crate) const MAX_CLOCK_STEP: Millis = Millis(500);
 
-/// Maximum number of live peers at which urgent updates are sent to all of them at once.
-pub(crate) const MAX_BROADCAST_PEERS: usize = 32;
 /// Number of random peers to which urgent updates are sent at once if there are more.
 pub(crate) const FANOUT: usize = 4;
 /// Number of times that an update is sent, multiplied by the binary logarithm of the number of peers.
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -5,15 +5,15 @@
 
 use carawayseam_external::hosts::{HostList, HostState};
 use carawayseam_types::{HostId, Millis};
-use carawayseam_wire::{Body, GossipUpdate, Head, Item, ItemKey, PeerState, Record, RecordKey, Topic};
+use carawayseam_wire::{Body, GossipUpdate, Head, Item, ItemKey, Peer, PeerState, Record, RecordKey, Topic};
 use rand::SeedableRng;
 use rand::rngs::Xoshiro256PlusPlus;
 
 use crate::dump::RefusalCounts;
 use crate::items::{Audience, Items, audience, max_value_bytes};
 use crate::limits::{
-    DIRECTED_RESENDS, EXPIRE_PERIOD, MAX_CLOCK_STEP, MAX_JOIN_ROUNDS, MIN_SYNCED_PEERS, REJOIN_PERIOD,
-    RESEND_PERIOD,
+    DIRECTED_RESENDS, EXPIRE_PERIOD, ISOLATION_TIMEOUT, MAX_CLOCK_STEP, MAX_JOIN_ROUNDS, MAX_REJOIN_PROBES,
+    MIN_SYNCED_PEERS, REJOIN_PERIOD, RESEND_PERIOD,
 };
 use crate::parts::Assemblies;
 use crate::peers::{PeerId, Peers};
@@ -22,7 +22,7 @@
 use crate::records::{LearnOutcome, Records};
 use crate::rotation::Rotation;
 use crate::updates::{UpdateKey, UpdateQueue};
-use crate::{Action, Event, MembershipConfig, MembershipDump, Refusal};
+use crate::{Action, Event, MembershipConfig, MembershipDump, Refusal, Timing};
 
 /// The peers, records and published values known to one process.
 #[derive(Debug)]
@@ -34,6 +34,12 @@
     pub(crate) rng: Xoshiro256PlusPlus,
     pub(crate) peers: Peers,
     pub(crate) prober: Prober,
+    pub(crate) timing: Timing,
+    pub(crate) max_broadcast_peers: usize,
+    /// The listed processes; `None` if any process that a peer knows becomes a peer.
+    pub(crate) listed: Option<BTreeSet<PeerId>>,
+    /// When the last datagram was received.
+    pub(crate) heard_at: Millis,
     /// Peers that have sent all their heads, at most [`MIN_SYNCED_PEERS`].
     pub(crate) synced_peers: BTreeSet<PeerId>,
     pub(crate) queue: UpdateQueue,
@@ -69,7 +75,11 @@
             seeds: config.seeds,
             rng: Xoshiro256PlusPlus::seed_from_u64(config.seed),
             peers,
-            prober: Prober::default(),
+            prober: Prober::new(config.timing),
+            timing: config.timing,
+            max_broadcast_peers: config.max_broadcast_peers,
+            listed: None,
+            heard_at: Millis::ZERO,
             synced_peers: BTreeSet::new(),
             queue: UpdateQueue::default(),
             push_queue: PushQueue::default(),
@@ -81,7 +91,7 @@
             hosts: BTreeMap::new(),
             hosts_read_at: None,
             rejoin_at: Millis::ZERO,
-            joins_left: MAX_JOIN_ROUNDS,
+            joins_left: if config.joins { MAX_JOIN_ROUNDS } else { 0 },
             expire_at: Millis::ZERO,
             resend_at: Millis::ZERO,
             resends: BTreeMap::new(),
@@ -95,6 +105,7 @@
         match event {
             Event::Datagram { from, datagram } => self.handle_datagram(from, datagram, actions),
             Event::HostList(list) => self.update_hosts(list),
+            Event::Listed(peers) => self.update_listed(&peers),
             Event::Publish { topic, name, payload } => self.publish(topic, name, payload, actions),
             Event::Record(record) => self.learn(record, actions),
             Event::Heads { from, heads } => self.observe_heads(from, &heads, actions),
@@ -153,6 +164,31 @@
         source.first().map(|peer| peer.address)
     }
 
+    /// Iterates over the peers that are alive: neither suspect nor leaving.
+    pub fn alive(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.all().filter(|peer| peer.state == PeerState::Alive)
+    }
+
+    /// Returns the peers that are alive or only suspected.
+    #[must_use]
+    pub fn live(&self) -> &[Peer] {
+        self.peers.live()
+    }
+
+    /// Returns whether this process receives nothing from any peer though it probes.
+    ///
+    /// It does not know then whether its peers are lost or it is cut off from them.
+    #[must_use]
+    pub fn is_isolated(&self) -> bool {
+        self.prober.has_probes() && self.time.since(self.heard_at) >= ISOLATION_TIMEOUT
+    }
+
+    /// Returns by how much this process takes itself for slow; 0 is healthy.
+    #[must_use]
+    pub const fn local_health(&self) -> u32 {
+        self.prober.local_health()
+    }
+
     /// Returns the state for the state dump.
     #[must_use]
     pub fn dump(&self) -> MembershipDump {
@@ -216,6 +252,18 @@
             .collect();
     }
 
+    /// Makes the listed processes the peers of this one, and drops dead ones that are no longer listed.
+    fn update_listed(&mut self, peers: &[Peer]) {
+        let me = PeerId::of(&self.peers.me);
+        let ids: BTreeSet<PeerId> = peers.iter().map(PeerId::of).collect();
+        self.peers
+            .retain(|peer| ids.contains(&PeerId::of(peer)) || peer.state != PeerState::Dead);
+        self.listed = Some(ids);
+        for peer in peers.iter().filter(|peer| PeerId::of(peer) != me) {
+            self.peers.merge(self.time, peer);
+        }
+    }
+
     fn publish(&mut self, topic: Topic, name: String, payload: Vec<u8>, actions: &mut Vec<Action>) {
         let found = payload.len() + name.len();
         let limit = max_value_bytes(topic);
@@ -262,6 +310,7 @@
             .peers
             .get(id)
             .is_some_and(|peer| peer.state == PeerState::Alive);
+        self.prober.lower_local_health();
         let worsened = is_alive.then(|| self.peers.worsen(self.time, id, PeerState::Suspect));
         if let Some(peer) = worsened.flatten() {
             self.queue.enqueue(GossipUpdate::Peer(peer.clone()));
@@ -276,7 +325,8 @@
             return;
         }
         self.expire_at = self.time + EXPIRE_PERIOD;
-        for peer in self.peers.expire(self.time) {
+        let suspicion_timeout = self.prober.scaled(self.timing.suspicion_timeout);
+        for peer in self.peers.expire(self.time, suspicion_timeout) {
             self.queue.enqueue(GossipUpdate::Peer(peer));
         }
         let hosts = &self.hosts;
@@ -307,9 +357,9 @@
             .filter(|seed| *seed != self.peers.me.address && !is_live(seed))
             .chain(dead.map(|peer| peer.address))
             .collect();
-        // Without live peers, all candidates are probed.
+        // Without live peers, several candidates are probed; their number does not grow with the fleet.
         let count = if self.peers.live().is_empty() {
-            candidates.len()
+            MAX_REJOIN_PROBES
         } else {
             1
         };
--- a/crates/membership/src/peers.rs
+++ b/crates/membership/src/peers.rs
@@ -5,7 +5,7 @@
 use carawayseam_types::{HostId, Millis};
 use carawayseam_wire::{Item, Peer, PeerRole, PeerState};
 
-use crate::limits::{DEAD_TTL, LEAVING_TTL, SUSPICION_TIMEOUT};
+use crate::limits::{DEAD_TTL, LEAVING_TTL};
 
 /// Identifies a process across its restarts.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -112,8 +112,10 @@
     }
 
     /// Declares suspect and leaving peers dead after their time-outs, and returns them.
-    pub(crate) fn expire(&mut self, now: Millis) -> Vec<Peer> {
-        let suspicion = SUSPICION_TIMEOUT.times(u64::from(decimal_digits(self.live.len())));
+    ///
+    /// `suspicion_timeout` is multiplied by the number of decimal digits of the number of live peers.
+    pub(crate) fn expire(&mut self, now: Millis, suspicion_timeout: Millis) -> Vec<Peer> {
+        let suspicion = suspicion_timeout.times(u64::from(decimal_digits(self.live.len())));
         let is_expired = |member: &&Member| match member.peer.state {
             PeerState::Suspect => now.since(member.since) >= suspicion,
             PeerState::Leaving => now.since(member.since) >= LEAVING_TTL,
@@ -130,6 +132,13 @@
             .collect()
     }
 
+    /// Removes the peers that are not kept.
+    pub(crate) fn retain(&mut self, is_kept: impl Fn(&Peer) -> bool) {
+        let before = self.members.len();
+        self.members.retain(|_, member| is_kept(&member.peer));
+        self.live_changed |= self.members.len() < before;
+    }
+
     /// Removes peers that have been dead for [`DEAD_TTL`], except listed ones, and returns their ids.
     pub(crate) fn forget(&mut self, now: Millis, is_listed: impl Fn(&HostId) -> bool) -> Vec<PeerId> {
         let is_forgettable = |member: &&Member| {
--- a/crates/membership/src/prober.rs
+++ b/crates/membership/src/prober.rs
@@ -8,7 +8,8 @@
 use rand::seq::SliceRandom;
 use rand::{Rng, RngExt};
 
-use crate::limits::{DIRECT_TIMEOUT, OTHER_ZONE_PROBE_INTERVAL, PROBE_PERIOD, PROBE_TIMEOUT};
+use crate::Timing;
+use crate::limits::{MAX_LOCAL_HEALTH, OTHER_ZONE_PROBE_INTERVAL};
 use crate::peers::{PeerId, Peers};
 
 /// A probe in flight.
@@ -39,8 +40,13 @@
 }
 
 /// Probes one peer each period; every peer of a zone group is probed once before any is probed again.
-#[derive(Debug, Default)]
+///
+/// A process whose own link or processor is busy misses acks of sound peers. Its time-outs grow with its local health
+/// count, so that it does not declare these dead.
+#[derive(Debug)]
 pub(crate) struct Prober {
+    timing: Timing,
+    local_health: u32,
     seq: u64,
     rounds: u64,
     next_at: Millis,
@@ -51,13 +57,47 @@
 }
 
 impl Prober {
+    pub(crate) fn new(timing: Timing) -> Self {
+        Self {
+            timing,
+            local_health: 0,
+            seq: 0,
+            rounds: 0,
+            next_at: Millis::ZERO,
+            own_zone: Vec::new(),
+            other_zones: Vec::new(),
+            probes: BTreeMap::new(),
+            relays: BTreeMap::new(),
+        }
+    }
+
+    /// Returns whether probes are unanswered so far.
+    pub(crate) fn has_probes(&self) -> bool {
+        !self.probes.is_empty()
+    }
+
+    /// Returns a time-out, multiplied by the local health count plus one.
+    pub(crate) fn scaled(&self, timeout: Millis) -> Millis {
+        timeout.times(u64::from(self.local_health) + 1)
+    }
+
+    /// Records that this process may be the slow one: a probe was not answered, or peers suspected it.
+    pub(crate) fn lower_local_health(&mut self) {
+        self.local_health = (self.local_health + 1).min(MAX_LOCAL_HEALTH);
+    }
+
+    /// Returns the local health count; 0 is healthy.
+    pub(crate) const fn local_health(&self) -> u32 {
+        self.local_health
+    }
+
     /// Appends the actions that are due at `now`.
     pub(crate) fn tick(&mut self, now: Millis, peers: &Peers, rng: &mut impl Rng, due: &mut Vec<Due>) {
         self.check_timeouts(now, peers, due);
         if now < self.next_at {
             return;
         }
-        self.next_at = now + PROBE_PERIOD;
+        self.next_at = now + self.timing.probe_period;
         if let Some(target) = self.next_target(peers, rng) {
             let seq = self.next_seq();
             let id = PeerId::of(&target);
@@ -80,7 +120,9 @@
     }
 
     fn check_timeouts(&mut self, now: Millis, peers: &Peers, due: &mut Vec<Due>) {
-        let is_expired = |at: Millis| now.since(at) >= PROBE_TIMEOUT;
+        let probe_timeout = self.scaled(self.timing.probe_timeout);
+        let direct_timeout = self.scaled(self.timing.direct_timeout);
+        let is_expired = |at: Millis| now.since(at) >= probe_timeout;
         self.relays.retain(|_, relay| !is_expired(relay.sent_at));
         self.probes.retain(|_, probe| {
             let timed_out = is_expired(probe.sent_at);
@@ -90,7 +132,7 @@
             !timed_out
         });
         for (seq, probe) in &mut self.probes {
-            let is_unanswered = !probe.sent_indirectly && now.since(probe.sent_at) >= DIRECT_TIMEOUT;
+            let is_unanswered = !probe.sent_indirectly && now.since(probe.sent_at) >= direct_timeout;
             let target = peers.get(&probe.target).filter(|_| is_unanswered);
             if let Some(target) = target.cloned() {
                 probe.sent_indirectly = true;
@@ -104,6 +146,7 @@
         let is_expected = self.probes.get(&seq).is_some_and(|probe| probe.target == *peer);
         if is_expected {
             self.probes.remove(&seq);
+            self.local_health = self.local_health.saturating_sub(1);
         }
     }
 
--- a/crates/membership/src/protocol.rs
+++ b/crates/membership/src/protocol.rs
@@ -18,6 +18,10 @@
     },
     /// The platform's host list was read.
     HostList(HostList),
+    /// The processes that the platform lists, which are its peers; replaces the earlier list.
+    ///
+    /// Those that are not known count as alive. After this event only listed processes become peers.
+    Listed(Vec<Peer>),
     /// This process publishes a value, which replaces its earlier one under the same topic and name.
     Publish {
         /// The topic of the value.
--- a/crates/membership/src/push.rs
+++ b/crates/membership/src/push.rs
@@ -8,9 +8,7 @@
 
 use crate::Action;
 use crate::items::{Audience, audience, is_critical};
-use crate::limits::{
-    BULK_BURST_BYTES, BULK_BYTES_PER_SECOND, FANOUT, HOLDER_TTL, MAX_BROADCAST_PEERS, PACKET_OVERHEAD_BYTES,
-};
+use crate::limits::{BULK_BURST_BYTES, BULK_BYTES_PER_SECOND, FANOUT, HOLDER_TTL, PACKET_OVERHEAD_BYTES};
 use crate::membership::Membership;
 use crate::parts::split;
 use crate::peers::PeerId;
@@ -81,7 +79,7 @@
             self.queue.enqueue(GossipUpdate::Item(item.clone()));
         }
         // With few live peers, the publisher has sent the value to all of them itself.
-        let forwards = is_critical(topic) && self.peers.live().len() > MAX_BROADCAST_PEERS;
+        let forwards = is_critical(topic) && self.peers.live().len() > self.max_broadcast_peers;
         let key = UpdateKey::Item(item.key.clone());
         match topic {
             _ if !is_own && !forwards => {}
@@ -202,7 +200,7 @@
     /// Returns the addresses of all live peers, or of [`FANOUT`] random ones of any zone if there are many.
     fn broadcast_targets(&mut self) -> Vec<SocketAddr> {
         let live = self.peers.live();
-        if live.len() <= MAX_BROADCAST_PEERS {
+        if live.len() <= self.max_broadcast_peers {
             return live.iter().map(|peer| peer.address).collect();
         }
         let targets = sample(live, FANOUT, &mut self.rng);
@@ -211,7 +209,8 @@
 
     fn entry_targets(&self) -> Vec<SocketAddr> {
         let live = self.peers.live();
-        let is_in_scope = |peer: &&Peer| live.len() <= MAX_BROADCAST_PEERS || peer.zone == self.peers.me.zone;
+        let is_in_scope =
+            |peer: &&Peer| live.len() <= self.max_broadcast_peers || peer.zone == self.peers.me.zone;
         live.iter()
             .filter(|peer| peer.role == PeerRole::Entry)
             .filter(is_in_scope)
@@ -231,7 +230,7 @@
         };
         live.iter()
             .filter(|peer| peer.role == PeerRole::Control)
-            .filter(|peer| live.len() <= MAX_BROADCAST_PEERS || is_holder(peer))
+            .filter(|peer| live.len() <= self.max_broadcast_peers || is_holder(peer))
             .map(|peer| peer.address)
             .collect()
     }
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -81,6 +81,9 @@
     /// Holds leases and drives rollouts.
     #[display("control")]
     Control,
+    /// Serves requests of callers on the users' platform, where one process does all tasks of a host.
+    #[display("gateway")]
+    Gateway,
 }
 
 /// The membership state of a peer; at the same incarnation, a later variant overrides an earlier one.
