--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -2,13 +2,14 @@
 
 mod availability;
 mod brittle;
+mod measured_loads;
 mod peers;
 mod reach;
 mod relay;
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
-use carawayseam_types::{BackendName, EngineId, HostId, Millis, ZoneId};
+use carawayseam_types::{BackendName, EngineId, EngineKey, HostId, Millis, ZoneId};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -22,7 +23,9 @@
 use crate::reach::{PROBE_INTERVAL, ReachRounds};
 use crate::retries::{RetryBounds, RetryBudget};
 use crate::speed::Pace;
+use measured_loads::{HeldConfirmations, RefusedClaims};
 
+pub use measured_loads::{ClaimedSlot, HeldLoad};
 pub use relay::RelayTarget;
 
 /// An attempt that was sent to a backend server and has not ended.
@@ -61,6 +64,10 @@
     brittle_servers: BrittleServers,
     last_dispatch_at: Millis,
     reach_rounds: ReachRounds,
+    refused_claims: RefusedClaims,
+    /// The servers whose slots this host owns, if hosts claim slots from their owners.
+    owned_slots: BTreeSet<EngineKey>,
+    held_confirmations: HeldConfirmations,
 }
 
 impl Dispatcher {
@@ -83,6 +90,9 @@
             brittle_servers: BrittleServers::default(),
             last_dispatch_at: Millis::ZERO,
             reach_rounds: ReachRounds::default(),
+            refused_claims: RefusedClaims::default(),
+            owned_slots: BTreeSet::new(),
+            held_confirmations: HeldConfirmations::default(),
         }
     }
 
@@ -246,6 +256,7 @@
         };
         if let Some(engine) = pool.engine_mut(&running.engine) {
             engine.running = engine.running.saturating_sub(1);
+            self.peers.measured.record_end(now, engine.key);
             if running.is_loss_checked {
                 engine.end_loss_check();
             }
@@ -327,17 +338,22 @@
             self.host_count,
             backend,
         );
+        let mut started = Vec::new();
         while let Some((waiting, ix)) = pool.take_next(&cx, &mut self.rng) {
             self.waiting_backends.remove(&waiting.ticket);
             let engine = &mut pool.engines[ix];
             let via = engine
                 .reach
                 .choose_relay(self.now, &self.zone, &engine.entry.zone, &mut self.rng);
-            let peer_tokens_ahead = self.peers.load_on(engine.key).prompt_ahead;
+            let peer_tokens_ahead = self
+                .peers
+                .load_on(self.now, engine.key, engine.own_load())
+                .prompt_ahead;
             let job = waiting.job;
             let own_tokens = f64::from(job.prompt.saturating_sub(engine.cached_tokens(&job.parts)));
             engine.running += 1;
             engine.prompt_ahead += own_tokens;
+            started.push(engine.key);
             let tokens_ahead = engine.prompt_ahead + f64::from(peer_tokens_ahead);
             let expected = engine
                 .speed
@@ -367,6 +383,9 @@
                 typical_event_ms: pool.baseline.event,
             });
         }
+        for engine in started {
+            self.peers.measured.record_start(self.now, engine);
+        }
     }
 
     /// Refuses the waiting requests of a backend that cannot start early enough for their callers.
--- a/crates/dispatch/src/dispatcher/availability.rs
+++ b/crates/dispatch/src/dispatcher/availability.rs
@@ -45,6 +45,12 @@
         self.draining_servers.gossip_updates(now, has_new_peer)
     }
 
+    /// Returns the draining servers to pass on in a gossip round, at most `limit`.
+    #[must_use]
+    pub fn forwarded_draining_servers(&self, now: Millis, limit: usize) -> Vec<DrainingServer> {
+        self.draining_servers.forwarded_updates(now, limit)
+    }
+
     /// Sends a server no requests for `span`, as it asked for.
     ///
     /// If all servers of a backend are closed, requests that cannot wait for the first one to reopen are
--- a/crates/dispatch/src/dispatcher/brittle.rs
+++ b/crates/dispatch/src/dispatcher/brittle.rs
@@ -52,7 +52,10 @@
     fn used_slots(&self, id: &EngineId) -> u32 {
         let mut engines = self.pools.values().flat_map(|pool| &pool.engines);
         let known = engines.find(|known| known.entry.id == *id);
-        known.map_or(0, |known| known.running + self.peers.load_on(known.key).running)
+        known.map_or(0, |known| {
+            let peers = self.peers.load_on(self.now, known.key, known.own_load());
+            known.running.saturating_add(peers.running)
+        })
     }
 
     /// Records that a brittle server rejected a request of this host, and pauses the server.
--- a/crates/dispatch/src/dispatcher/peers.rs
+++ b/crates/dispatch/src/dispatcher/peers.rs
@@ -10,7 +10,7 @@
 use crate::load::{EngineDump, HostLoad, WaitingCount};
 
 /// Minimum interval between two dispatch passes that are triggered by load updates from peers.
-const MIN_DISPATCH_INTERVAL: Millis = Millis(10);
+pub(super) const MIN_DISPATCH_INTERVAL: Millis = Millis(10);
 
 impl Dispatcher {
     /// Records the load that a peer announced.
@@ -30,10 +30,12 @@
     pub fn grant_slot(&mut self, now: Millis, host: &HostId, engine: EngineKey) -> Option<bool> {
         let mut engines = self.pools.values().flat_map(|pool| &pool.engines);
         let known = engines.find(|known| known.key == engine)?;
-        let used = known.running + self.peers.load_on(engine).running;
+        let used = known
+            .running
+            .saturating_add(self.peers.announced_load(engine).running);
         let is_free = used < known.entry.slots && self.brittle_servers.grant(now, &known.entry.id, used);
         if is_free {
-            self.peers.grant_slot(now, host, engine);
+            self.peers.grant_slot(now, host, engine, 0);
         }
         Some(is_free)
     }
@@ -99,7 +101,7 @@
                     version: engine.entry.version.clone(),
                     takes_work: engine.takes_work(now),
                     running: engine.running,
-                    used: engine.running + self.peers.load_on(engine.key).running,
+                    used: engine.running + self.peers.load_on(now, engine.key, engine.own_load()).running,
                     failure_share: engine.failure_share(now),
                     event_ms: pace.event,
                     thousand_tokens_ms: pace.token * 1_000.0,
--- a/crates/dispatch/src/draining_servers.rs
+++ b/crates/dispatch/src/draining_servers.rs
@@ -75,9 +75,22 @@
             let age = now.since(notice.received_at);
             (notice.is_from_server && age <= GOSSIP_PERIOD) || (has_new_peer && age <= NEW_PEER_GOSSIP_PERIOD)
         };
+        self.updates(is_due, MAX_GOSSIP_UPDATES)
+    }
+
+    /// Returns the draining servers to pass on in a gossip round: those of which this host learned within
+    /// `GOSSIP_PERIOD`, from the server or from a peer.
+    #[must_use]
+    pub fn forwarded_updates(&self, now: Millis, limit: usize) -> Vec<DrainingServer> {
+        let is_due = |notice: &Notice| now.since(notice.received_at) <= GOSSIP_PERIOD;
+        self.updates(is_due, limit)
+    }
+
+    /// Returns the draining servers of which a report `is_due`, the latest first.
+    fn updates(&self, is_due: impl Fn(&Notice) -> bool, limit: usize) -> Vec<DrainingServer> {
         let mut due: Vec<_> = self.0.iter().filter(|(_, notice)| is_due(notice)).collect();
         due.sort_by_key(|(_, notice)| std::cmp::Reverse(notice.received_at));
-        let updates = due.into_iter().take(MAX_GOSSIP_UPDATES);
+        let updates = due.into_iter().take(limit);
         updates
             .map(|(engine, notice)| DrainingServer {
                 engine: engine.clone(),
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -189,6 +189,14 @@
         }
     }
 
+    /// Returns the load of this host on the server.
+    pub(crate) fn own_load(&self) -> ServerLoad {
+        ServerLoad {
+            running: self.running,
+            prompt_ahead: self.prompt_ahead as u32,
+        }
+    }
+
     pub(crate) fn takes_work(&self, now: Millis) -> bool {
         self.can_work(now) && now >= self.paused_until && self.closed_until(now).is_none()
     }
--- a/crates/dispatch/src/group.rs
+++ b/crates/dispatch/src/group.rs
@@ -1,6 +1,8 @@
 //! The hosts that are reachable from each other, and which of them owns a shared resource.
 
-use carawayseam_types::{Digest, HostId};
+use std::collections::BTreeMap;
+
+use carawayseam_types::{Digest, HostId, ZoneId};
 
 /// The hosts as this host knows them.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -56,6 +58,58 @@
     }
 }
 
+/// The hosts that own the slots of backend servers.
+///
+/// In a large fleet the owner of a server's slots is a host of the server's availability zone, so that a claim does not
+/// leave the zone, and a zone that is partitioned from the others keeps the owners of its servers.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct SlotOwners {
+    all: Vec<HostId>,
+    by_zone: BTreeMap<ZoneId, Vec<HostId>>,
+}
+
+impl SlotOwners {
+    /// Returns the owners among `reachable` hosts, whatever their zones.
+    #[must_use]
+    pub const fn of_any_zone(reachable: Vec<HostId>) -> Self {
+        Self {
+            all: reachable,
+            by_zone: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the owners among `reachable` hosts, each for the servers of its zone.
+    #[must_use]
+    pub fn by_zone(reachable: Vec<HostId>, zones: &BTreeMap<HostId, ZoneId>) -> Self {
+        let mut by_zone: BTreeMap<ZoneId, Vec<HostId>> = BTreeMap::new();
+        for host in &reachable {
+            if let Some(zone) = zones.get(host) {
+                by_zone.entry(zone.clone()).or_default().push(host.clone());
+            }
+        }
+        Self {
+            all: reachable,
+            by_zone,
+        }
+    }
+
+    /// Returns whether the owners take claims that name a tier; those of small fleets and earlier builds do not.
+    #[must_use]
+    pub fn takes_claims(&self) -> bool {
+        !self.by_zone.is_empty()
+    }
+
+    /// Returns the owner of the slots of a server, by rendezvous hashing.
+    ///
+    /// A zone without a reachable host has its servers' slots owned by the hosts of all zones.
+    #[must_use]
+    pub fn owner(&self, engine: &str, zone: Option<&ZoneId>) -> Option<&HostId> {
+        let hosts = zone.and_then(|zone| self.by_zone.get(zone)).unwrap_or(&self.all);
+        let name = Digest::of(engine.as_bytes());
+        hosts.iter().max_by_key(|host| weight(host, name))
+    }
+}
+
 /// Returns the peers of a host in an order that differs between hosts.
 pub(crate) fn order_for<'a>(host: &HostId, mut peers: Vec<&'a HostId>) -> Vec<&'a HostId> {
     let name = Digest::of(host.as_str().as_bytes());
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -21,6 +21,8 @@
 //! | [`engine`] | this host's state of one backend server |
 //! | [`group`] | the reachable hosts, and which of them own shared tasks |
 //! | [`peers`] | the other hosts' heartbeats, and which of them are live |
+//! | [`gossip`] | rounds in which the hosts of a large fleet send to a few others |
+//! | [`server_loads`] | loads of servers as measured by the owners of their slots |
 //! | [`reach`] | which servers this host reaches directly, through a peer, or not at all |
 //! | [`hosts`] | the known hosts and their addresses |
 //! | [`history`] | the store's latest changes, for peers that follow the store through this host |
@@ -52,6 +54,7 @@
 pub mod draining_servers;
 pub mod engine;
 pub mod freshness;
+pub mod gossip;
 pub mod group;
 pub mod history;
 pub mod hosts;
@@ -72,6 +75,7 @@
 pub mod rollouts;
 mod rotation;
 pub mod server_limits;
+pub mod server_loads;
 mod speed;
 
 pub use caller_time::{CallerTime, Work};
--- a/crates/dispatch/src/peer_loads.rs
+++ b/crates/dispatch/src/peer_loads.rs
@@ -1,4 +1,4 @@
-//! The loads that peers announced, summed by server.
+//! The loads of peers, summed by server: as they announced them, or as the owners of slots measured them.
 //!
 //! Heartbeats arrive far more often than servers are chosen from scratch, so the sums are updated
 //! incrementally as announcements arrive and expire. The cost of a heartbeat is proportional to
@@ -9,7 +9,9 @@
 use carawayseam_types::{BackendName, EngineKey, HostId, Millis, Tier};
 
 use crate::engine::ServerLoad;
+use crate::gossip::Statuses;
 use crate::load::{HostLoad, WaitingCount};
+use crate::server_loads::ServerLoads;
 
 /// How long a peer's announced load is counted after it was received.
 const LOAD_TTL: Millis = Millis(1_500);
@@ -31,16 +33,30 @@
 struct Announcement {
     updated_at: Millis,
     engines: Vec<(EngineKey, ServerLoad)>,
-    /// Servers on which a slot was granted to the peer since the announcement, one entry per slot.
-    granted: Vec<EngineKey>,
+    /// Slots that were granted to the peer since the announcement.
+    granted: Vec<GrantedSlot>,
     waiting: Vec<WaitingCount>,
 }
 
-/// The announced loads of all peers.
+/// A slot that this host granted to a peer.
+#[derive(Debug, Clone, Copy)]
+struct GrantedSlot {
+    engine: EngineKey,
+    /// The id of the peer's request for it.
+    request_id: u64,
+}
+
+/// The loads of all peers.
 #[derive(Debug, Default)]
 pub(crate) struct PeerLoads {
     announcements: HashMap<HostId, Announcement>,
     sums: Sums,
+    /// The loads of servers whose slots other hosts own, if hosts exchange these in gossip rounds.
+    pub(crate) measured: ServerLoads,
+    /// The waiting requests of peers, if hosts exchange these in gossip rounds.
+    pub(crate) statuses: Statuses,
+    /// The number of live peers for which the statuses stand.
+    pub(crate) live_peers: u32,
 }
 
 /// Totals over the announcements of all peers.
@@ -67,8 +83,8 @@
         for (engine, load) in &announcement.engines {
             self.subtract_from(*engine, *load);
         }
-        for engine in &announcement.granted {
-            self.subtract_from(*engine, ONE_REQUEST);
+        for granted in &announcement.granted {
+            self.subtract_from(granted.engine, ONE_REQUEST);
         }
     }
 
@@ -113,11 +129,39 @@
         self.sums.add(announcement);
     }
 
-    /// Records a slot that was granted to a peer.
-    pub(crate) fn grant_slot(&mut self, now: Millis, host: &HostId, engine: EngineKey) {
+    /// Replaces what a peer holds, except for the slots that were granted for its requests after `as_of_request`.
+    pub(crate) fn confirm_held(
+        &mut self,
+        now: Millis,
+        host: &HostId,
+        as_of_request: u64,
+        engines: Vec<(EngineKey, ServerLoad)>,
+    ) {
+        let earlier = self
+            .announcements
+            .get(host)
+            .map(|announcement| &announcement.granted);
+        let later: Vec<GrantedSlot> = earlier
+            .into_iter()
+            .flatten()
+            .filter(|granted| granted.request_id > as_of_request)
+            .copied()
+            .collect();
+        let load = HostLoad {
+            engines,
+            waiting: Vec::new(),
+        };
+        self.record_load(now, host, load);
+        for granted in later {
+            self.grant_slot(now, host, granted.engine, granted.request_id);
+        }
+    }
+
+    /// Records a slot that was granted for a peer's request.
+    pub(crate) fn grant_slot(&mut self, now: Millis, host: &HostId, engine: EngineKey, request_id: u64) {
         let announcement = self.announcements.entry(host.clone()).or_default();
         announcement.updated_at = now;
-        announcement.granted.push(engine);
+        announcement.granted.push(GrantedSlot { engine, request_id });
         self.sums.engines.entry(engine).or_default().running += 1;
     }
 
@@ -129,7 +173,7 @@
         let granted = announcement
             .granted
             .iter()
-            .position(|granted_engine| *granted_engine == engine);
+            .position(|granted| granted.engine == engine);
         let running = announcement
             .engines
             .iter_mut()
@@ -146,6 +190,7 @@
 
     /// Drops announced loads and waiting counts that are too old to be counted.
     pub(crate) fn expire(&mut self, now: Millis) {
+        self.measured.expire(now);
         let sums = &mut self.sums;
         self.announcements.retain(|_, announcement| {
             let age = now.since(announcement.updated_at);
@@ -161,16 +206,36 @@
         });
     }
 
-    /// Returns the load of all peers on a server.
-    pub(crate) fn load_on(&self, engine: EngineKey) -> ServerLoad {
+    /// Returns the load of all peers on a server, beside this host's `own` load.
+    ///
+    /// A measurement by the owner of the server's slots goes before what peers announced to this host: they announce
+    /// to the owner only.
+    pub(crate) fn load_on(&self, now: Millis, engine: EngineKey, own: ServerLoad) -> ServerLoad {
+        match self.measured.load_on(now, engine) {
+            Some(all) => ServerLoad {
+                running: all.running.saturating_sub(own.running),
+                prompt_ahead: all.prompt_ahead.saturating_sub(own.prompt_ahead),
+            },
+            None => self.announced_load(engine),
+        }
+    }
+
+    /// Returns the load of all peers on a server as they announced it to this host.
+    pub(crate) fn announced_load(&self, engine: EngineKey) -> ServerLoad {
         self.sums.engines.get(&engine).copied().unwrap_or_default()
     }
 
-    /// Iterates over the number of requests that wait for a backend at peers, by tier.
-    pub(crate) fn waiting_for(&self, backend: &BackendName) -> Vec<(Tier, u32)> {
+    /// Returns the number of requests that wait for a backend at peers, by tier.
+    pub(crate) fn waiting_for(&self, now: Millis, backend: &BackendName) -> Vec<(Tier, u32)> {
         let waiting = self.sums.waiting.iter();
         let of_backend = waiting.filter(|((other, _), _)| other == backend);
-        of_backend.map(|((_, tier), count)| (*tier, *count)).collect()
+        let announced = of_backend.map(|((_, tier), count)| (*tier, *count));
+        let mut sums: BTreeMap<Tier, u32> = announced.collect();
+        for (tier, count) in self.statuses.waiting_for(now, backend, self.live_peers) {
+            let sum = sums.entry(tier).or_default();
+            *sum = sum.saturating_add(count);
+        }
+        sums.into_iter().collect()
     }
 
     /// Returns the number of entries kept, over all peers and servers.
--- a/crates/dispatch/src/poison_parts/gossip.rs
+++ b/crates/dispatch/src/poison_parts/gossip.rs
@@ -64,11 +64,21 @@
     /// announced, whoever observed them: the host that observed a crash may have ended. What does not fit one
     /// update is in a later one.
     pub fn gossip_update(&mut self, now: Millis, has_new_peer: bool) -> PartsUpdate {
-        let is_due = |suspect: &Suspect| {
+        self.update_of(now, |suspect| {
             let observed_at = suspect.observed_at;
             let is_recent = observed_at.is_some_and(|at| now.since(at) <= GOSSIP_PERIOD);
             is_recent || has_new_peer
-        };
+        })
+    }
+
+    /// Returns what to pass on in a gossip round: what became known to this host within `GOSSIP_PERIOD`, by its own
+    /// observation or from a peer.
+    pub fn forwarded_update(&mut self, now: Millis) -> PartsUpdate {
+        self.update_of(now, |suspect| now.since(suspect.changed_at) <= GOSSIP_PERIOD)
+    }
+
+    /// Returns an update on the parts that are due; what does not fit is in a later one.
+    fn update_of(&mut self, now: Millis, is_due: impl Fn(&Suspect) -> bool) -> PartsUpdate {
         let due: Vec<_> = self
             .suspects
             .iter()
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -71,12 +71,16 @@
             peers,
             brittle_servers,
             host_count,
-            peers_waiting: peers.waiting_for(backend),
+            peers_waiting: peers.waiting_for(now, backend),
         }
     }
 
     /// Returns the number of requests of higher tiers that wait at peers.
     fn peers_waiting_above(&self, tier: Tier) -> u32 {
+        // The owners of the slots prefer higher tiers themselves.
+        if !self.peers.measured.is_empty() {
+            return 0;
+        }
         let above = self
             .peers_waiting
             .iter()
@@ -151,9 +155,13 @@
         engines
             .filter(|(_, engine)| engine.takes_work(now))
             .map(|(ix, engine)| {
-                let peers = cx.peers.load_on(engine.key);
+                let peers = cx.peers.load_on(now, engine.key, engine.own_load());
                 let used = engine.running.saturating_add(peers.running);
-                let capacity = capacity(cx, engine, has_only_plain_jobs);
+                let capacity = if cx.peers.measured.is_full(now, engine.key) {
+                    0
+                } else {
+                    capacity(cx, engine, has_only_plain_jobs)
+                };
                 Candidate {
                     ix,
                     pace: engine.speed.pace(now, &self.baseline),
--- a/crates/dispatch/src/rollouts.rs
+++ b/crates/dispatch/src/rollouts.rs
@@ -16,6 +16,7 @@
 use carawayseam_types::{BackendName, HostId, Millis, StoreRevision, VersionId};
 
 use crate::pace::{PaceBaseline, PaceRating, PaceReport, ResponseTime};
+use crate::rotation::Rotation;
 use rollout::Rollout;
 use routes::{RouteEvidence, RouteHistory};
 
@@ -180,6 +181,8 @@
     pace_baselines: BTreeMap<BackendName, PaceBaseline>,
     /// The responses of each backend on each route, other than those of a rollout.
     histories: BTreeMap<BackendName, RouteHistory>,
+    /// The peers whose counts of slow responses were passed on.
+    forwarded_pace: Rotation,
 }
 
 impl Rollouts {
@@ -193,6 +196,7 @@
             replaced: BTreeMap::new(),
             pace_baselines: BTreeMap::new(),
             histories: BTreeMap::new(),
+            forwarded_pace: Rotation::new(),
         }
     }
 
@@ -400,6 +404,30 @@
         updates.collect()
     }
 
+    /// Returns counts of slow responses to pass on in a gossip round: this host's own, and those of some peers, which
+    /// take turns.
+    pub fn forwarded_pace(&mut self, limit: usize) -> Vec<(HostId, PaceUpdate)> {
+        let own = self.pace_updates().into_iter();
+        let mut updates: Vec<_> = own.map(|update| (self.process.host.clone(), update)).collect();
+        let mut peers = Vec::new();
+        for (backend, rollout) in &self.by_backend {
+            if rollout.is_decided() {
+                continue;
+            }
+            peers.extend(rollout.peer_pace.iter().map(|(host, report)| {
+                let update = PaceUpdate {
+                    backend: backend.clone(),
+                    revision: rollout.order.revision,
+                    report: *report,
+                };
+                (host.clone(), update)
+            }));
+        }
+        peers.sort_by(|(host, _), (other, _)| host.cmp(other));
+        updates.extend(self.forwarded_pace.take(&peers, limit));
+        updates
+    }
+
     /// Records a peer's counts, and the time of the order if the peer knows an earlier one.
     pub fn record_peer_update(&mut self, now: Millis, host: &HostId, update: &RolloutUpdate) {
         let rollout = self.by_backend.get_mut(&update.backend);
--- a/crates/dispatch/src/rotation.rs
+++ b/crates/dispatch/src/rotation.rs
@@ -7,6 +7,11 @@
 }
 
 impl Rotation {
+    /// Returns the position at the begin of a list.
+    pub(crate) const fn new() -> Self {
+        Self { taken: 0 }
+    }
+
     /// Returns up to `limit` records; those that do not fit are in later updates.
     pub(crate) fn take<T: Clone>(&mut self, records: &[T], limit: usize) -> Vec<T> {
         let count = records.len().min(limit);
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -1,6 +1,8 @@
 //! The control state of this host: configuration, backend servers, peers and rollouts.
 
 mod configuration;
+mod gossip;
+mod members;
 mod ownership;
 mod peers;
 mod poison_contents;
@@ -17,6 +19,7 @@
 mod updates;
 
 pub(crate) use configuration::fetch_configurations;
+pub(crate) use gossip::decode_claimed;
 pub(crate) use peers::{receive, send_heartbeats};
 pub(crate) use registration::{HostRecord, register};
 pub(crate) use rollouts::write_rollout_decisions;
--- a/crates/gateway/src/control/poison_parts.rs
+++ b/crates/gateway/src/control/poison_parts.rs
@@ -12,6 +12,15 @@
 /// Returns the announcement of what this host knows of parts, or `None` if there is nothing to announce.
 pub(super) fn announcement(shared: &Shared, now: Millis, has_new_peer: bool) -> Option<PeerMessage> {
     let update = lock(&shared.poison_parts).gossip_update(now, has_new_peer);
+    encode(update)
+}
+
+/// Returns what this host passes on of parts in a gossip round, or `None` if there is nothing.
+pub(super) fn forwarded(shared: &Shared, now: Millis) -> Option<PeerMessage> {
+    encode(lock(&shared.poison_parts).forwarded_update(now))
+}
+
+fn encode(update: PartsUpdate) -> Option<PeerMessage> {
     (!update.is_empty()).then(|| PeerMessage::PromptParts {
         crashes: update.crashes.into_iter().map(encode_crash).collect(),
         answers: update.answers.into_iter().map(encode_answer).collect(),
--- a/crates/gateway/src/control/rollout_pace.rs
+++ b/crates/gateway/src/control/rollout_pace.rs
@@ -16,8 +16,27 @@
     })
 }
 
+/// The number of peers whose counts are passed on in one gossip round.
+const MAX_FORWARDED_PEERS: usize = 2;
+
+/// Returns the counts of this host and of some peers, to be passed on in a gossip round.
+pub(super) fn forwarded(shared: &Shared) -> Vec<PeerMessage> {
+    let updates = lock(&shared.rollouts).forwarded_pace(MAX_FORWARDED_PEERS);
+    let messages = updates
+        .into_iter()
+        .map(|(host, update)| PeerMessage::RolloutPace {
+            host,
+            counts: vec![encode_counts(update)],
+        });
+    messages.collect()
+}
+
 /// Applies the counts that a peer announced.
 pub(super) fn apply_counts(shared: &Shared, host: &HostId, counts: &[PaceCounts]) {
+    if *host == shared.settings.host {
+        // This host's own counts come back in gossip rounds.
+        return;
+    }
     let mut rollouts = lock(&shared.rollouts);
     for counts in counts {
         rollouts.record_peer_pace(host, &decode_counts(counts));
--- a/crates/gateway/src/control/rollout_routes.rs
+++ b/crates/gateway/src/control/rollout_routes.rs
@@ -26,6 +26,13 @@
     updates.iter().flat_map(encode).collect()
 }
 
+/// Returns the counts of this process and of some others, running or not, to be passed on in a gossip round.
+pub(super) fn forwarded(shared: &Shared) -> Vec<PeerMessage> {
+    let is_running: &dyn Fn(&ProcessId) -> bool = &|_| false;
+    let updates = lock(&shared.rollouts).route_updates(Some(is_running));
+    updates.iter().flat_map(encode).collect()
+}
+
 /// Applies the counts that a peer announced.
 pub(super) fn apply_counts(shared: &Shared, message: RolloutRoutes) {
     let update = RouteUpdate {
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -2,6 +2,8 @@
 
 mod announcements;
 mod group;
+mod liveness;
+mod rounds;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -16,7 +18,7 @@
 use carawayseam_dispatch::{Catalog, EngineEntry};
 use carawayseam_node::LogRevision;
 use carawayseam_types::{EngineId, HostId, Incarnation, Millis, StoreRevision, ZoneId};
-use carawayseam_wire::{ConfigurationVersion, Heartbeat};
+use carawayseam_wire::{ConfigurationVersion, Datagram, GossipRound, Heartbeat};
 use kameo::Actor;
 use kameo::actor::{ActorRef, WeakActorRef};
 use kameo::error::{ActorStopReason, Infallible, PanicError};
@@ -24,12 +26,14 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::configuration::{LaterConfiguration, MAX_LAG};
+use super::members::{ListedHost, Members};
 use super::{poison_parts, reach};
 use crate::platform::{Item, RolloutOrder, RolloutStatus};
 use crate::shared::{Shared, lock};
 use crate::sockets;
 use crate::traffic;
-use announcements::Announcement;
+use announcements::Outgoing;
+use rounds::GossipState;
 
 /// Bounds the connection attempt to a backend server that was unreachable before.
 const PROBE_TIMEOUT: Millis = Millis(250);
@@ -82,6 +86,14 @@
     Heartbeat(Box<Heartbeat>),
     /// A peer does not hear this host.
     Unheard(HostId),
+    /// A peer's gossip round.
+    GossipRound(Box<GossipRound>),
+    /// A peer's datagram of the membership protocol.
+    Membership {
+        /// The peer's address.
+        from: SocketAddr,
+        datagram: Datagram,
+    },
     /// The periodic timer fired.
     Tick,
 }
@@ -93,6 +105,8 @@
     /// Where it receives heartbeats.
     pub(crate) address: SocketAddr,
     pub(crate) zone: ZoneId,
+    /// The start of its process.
+    pub(crate) incarnation: Incarnation,
 }
 
 /// The control state of the process.
@@ -109,8 +123,14 @@
     hosts: Hosts,
     /// The availability zone of each host that was ever listed.
     zones: BTreeMap<HostId, ZoneId>,
+    /// The latest start of each host that was ever listed.
+    incarnations: BTreeMap<HostId, Incarnation>,
+    /// Which hosts are live, in a small fleet and of earlier builds.
     peers: Peers,
+    /// Which hosts are live, in a large fleet.
+    members: Members,
     group: Group,
+    gossip: GossipState,
     /// The time until which heartbeats also repeat older reports of draining servers, for a peer that
     /// has become live.
     new_peer_until: Millis,
@@ -134,8 +154,16 @@
             engines: KnownServers::default(),
             hosts: Hosts::default(),
             zones: BTreeMap::new(),
+            incarnations: BTreeMap::new(),
             peers: Peers::default(),
+            members: Members::new(ListedHost {
+                host: shared.settings.host.clone(),
+                zone: shared.settings.zone.clone(),
+                address: shared.settings.announced_address(),
+                incarnation,
+            }),
             group: Group::alone(shared.settings.host.clone()),
+            gossip: GossipState::new(incarnation.0),
             shared,
             new_peer_until: Millis::ZERO,
             last_sweep_at: Millis::ZERO,
@@ -162,9 +190,9 @@
             Event::RolloutOrdered { order, revision } => self.apply_rollout_order(now, order, revision),
             Event::RolloutStatusChanged { status, revision } => self.apply_rollout_status(&status, revision),
             Event::HostsListed(entries) => self.replace_hosts(now, entries),
-            Event::HostRegistered(HostEntry { host, address, zone }) => {
-                log::info!(peer:% = host, address:% = address; "peer listed");
-                self.zones.insert(host.clone(), zone);
+            Event::HostRegistered(entry) => {
+                log::info!(peer:% = entry.host, address:% = entry.address; "peer listed");
+                let (host, address) = self.record_host(entry);
                 self.hosts.insert(host, address);
                 self.update_addresses(now);
             }
@@ -178,6 +206,8 @@
                 self.peers.record_unheard(now, &host);
                 self.update_group(now);
             }
+            Event::GossipRound(round) => self.apply_gossip_round(now, &round),
+            Event::Membership { from, datagram } => self.apply_membership(now, from, datagram),
             Event::Tick => self.tick(now),
         }
     }
@@ -219,6 +249,7 @@
 
     /// Requests the configuration of a peer that has had a later one for too long.
     fn request_later_configuration(&mut self, now: Millis) {
+        let live = self.live_hosts(now);
         let later = self.later_configuration.as_mut();
         let Some(later) = later.filter(|later| now.since(later.since) >= MAX_LAG) else {
             return;
@@ -228,7 +259,7 @@
             log::error!("a later configuration was not requested: {e}");
         }
         // The next heartbeat that announces it names a peer that is live.
-        if !self.peers.is_live(now, &later.host) {
+        if !live.contains(&later.host) {
             self.later_configuration = None;
         }
     }
@@ -254,8 +285,8 @@
             return;
         }
         let own_host = &self.shared.settings.host;
-        let preceding = self.peers.live(now).filter(|(host, _)| *host < own_host);
-        let rank = preceding.count() as u32;
+        let live = self.live_hosts(now);
+        let rank = live.range(..own_host.clone()).count() as u32;
         for decision in lock(&self.shared.rollouts).due_decisions(now, rank) {
             if let Err(e) = self.decisions.send(decision) {
                 log::error!("a rollout decision was not queued for writing: {e}");
@@ -286,19 +317,32 @@
 
     fn replace_hosts(&mut self, now: Millis, entries: Vec<HostEntry>) {
         let mut hosts = Vec::new();
-        for HostEntry { host, address, zone } in entries {
-            self.zones.insert(host.clone(), zone);
-            hosts.push((host, address));
+        for entry in entries {
+            hosts.push(self.record_host(entry));
         }
         self.hosts.set(now, hosts);
         self.update_addresses(now);
     }
 
+    /// Records the zone and the start of a listed host, and returns its address.
+    fn record_host(&mut self, entry: HostEntry) -> (HostId, SocketAddr) {
+        let HostEntry {
+            host,
+            address,
+            zone,
+            incarnation,
+        } = entry;
+        self.zones.insert(host.clone(), zone);
+        self.incarnations.insert(host.clone(), incarnation);
+        (host, address)
+    }
+
     /// Updates the addresses of the other hosts, and the group.
     fn update_addresses(&mut self, now: Millis) {
         let others = self.hosts.others(&self.shared.settings.host);
         let addresses = others.map(|(host, address)| (host.clone(), address));
         self.shared.peers.set_addresses(addresses.collect());
+        self.update_members(now);
         self.update_group(now);
     }
 
@@ -308,10 +352,9 @@
             log::info!(engines:? = expired; "backend servers were not listed again after the outage of the store; removed");
             self.update_engines(now);
         }
-        if self
-            .hosts
-            .remove_expired(now, |host| self.peers.is_live(now, host))
-        {
+        self.probe_members(now);
+        let live = self.live_hosts(now);
+        if self.hosts.remove_expired(now, |host| live.contains(host)) {
             self.update_addresses(now);
         } else {
             self.update_group(now);
@@ -400,18 +443,18 @@
     }
 }
 
-/// Requests this host's announcement.
+/// Requests this host's announcements.
 #[derive(Debug)]
-pub(crate) struct GetAnnouncement {
+pub(crate) struct GetAnnouncements {
     pub(crate) seq: u64,
-    pub(crate) reply: tokio::sync::oneshot::Sender<Announcement>,
+    pub(crate) reply: tokio::sync::oneshot::Sender<Vec<Outgoing>>,
 }
 
-impl Message<GetAnnouncement> for ControlState {
+impl Message<GetAnnouncements> for ControlState {
     type Reply = ();
 
-    async fn handle(&mut self, msg: GetAnnouncement, _ctx: &mut Context<Self, ()>) {
+    async fn handle(&mut self, msg: GetAnnouncements, _ctx: &mut Context<Self, ()>) {
         // An error means that the requester has stopped waiting.
-        drop(msg.reply.send(self.own_announcement(self.shared.now(), msg.seq)));
+        drop(msg.reply.send(self.own_announcements(self.shared.now(), msg.seq)));
     }
 }
--- a/crates/gateway/src/control/state/announcements.rs
+++ b/crates/gateway/src/control/state/announcements.rs
@@ -22,13 +22,10 @@
 /// Limit of the hosts in one message to hosts that are not heard, so that it fits a datagram.
 const MAX_UNHEARD_HOSTS: usize = 24;
 
-/// What a host announces to the others at each heartbeat.
+/// A message to several hosts.
 #[derive(Debug)]
-pub(crate) struct Announcement {
-    pub(crate) heartbeat: Heartbeat,
-    /// Messages that are sent besides the heartbeat, since they do not fit its datagram.
-    pub(crate) details: Vec<PeerMessage>,
-    /// The addresses of the other hosts.
+pub(crate) struct Outgoing {
+    pub(crate) message: PeerMessage,
     pub(crate) addresses: Vec<SocketAddr>,
 }
 
@@ -44,6 +41,7 @@
             serves_keys,
             ..
         } = &heartbeat;
+        self.gossip.earlier_builds.record_heartbeat(now, host);
         match self
             .peers
             .record_heartbeat(now, host, *incarnation, *seq, *serves_keys)
@@ -92,31 +90,56 @@
         dispatch.apply(now, actions);
     }
 
-    /// Returns what this host announces to the others.
-    pub(super) fn own_announcement(&self, now: Millis, seq: u64) -> Announcement {
-        let has_new_peer = now < self.new_peer_until;
-        let others = self.hosts.others(&self.shared.settings.host);
-        Announcement {
-            heartbeat: self.own_heartbeat(now, seq, has_new_peer),
-            details: [
-                server_limits::announcement(&self.shared, now, has_new_peer),
-                server_limits::brittle_announcement(&self.shared, now, has_new_peer),
-                rollout_pace::announcement(&self.shared),
-                poison_parts::announcement(&self.shared, now, has_new_peer),
-                poison_contents::announcement(&self.shared, now, has_new_peer),
-            ]
-            .into_iter()
-            .flatten()
-            .chain(rollout_routes::announcements(
-                &self.shared,
-                now,
-                &self.peers,
-                has_new_peer,
-            ))
-            .chain(self.unheard_announcements(now))
-            .collect(),
-            addresses: others.map(|(_, address)| address).collect(),
+    /// Returns what this host announces to the others: to all in a small fleet, and in a large one to a few, and to hosts
+    /// of earlier builds.
+    pub(super) fn own_announcements(&mut self, now: Millis, seq: u64) -> Vec<Outgoing> {
+        if self.uses_full_mesh() {
+            let others = self.hosts.others(&self.shared.settings.host);
+            let addresses: Vec<SocketAddr> = others.map(|(_, address)| address).collect();
+            return self.heartbeats(now, seq, &addresses);
+        }
+        let peers = &self.shared.peers;
+        let earlier = self.gossip.earlier_builds.hosts(now);
+        let earlier: Vec<SocketAddr> = earlier.filter_map(|host| peers.address(host)).collect();
+        let mut messages = self.heartbeats(now, seq, &earlier);
+        messages.extend(self.own_round(now, seq));
+        messages
+    }
+
+    /// Returns a heartbeat, and the messages that do not fit its datagram, to the hosts at some addresses.
+    fn heartbeats(&self, now: Millis, seq: u64, addresses: &[SocketAddr]) -> Vec<Outgoing> {
+        if addresses.is_empty() {
+            return Vec::new();
         }
+        let has_new_peer = now < self.new_peer_until;
+        let heartbeat = PeerMessage::Heartbeat(self.own_heartbeat(now, seq, has_new_peer));
+        let details = self.details(now, has_new_peer);
+        let messages = std::iter::once(heartbeat).chain(details);
+        messages
+            .map(|message| Outgoing {
+                message,
+                addresses: addresses.to_vec(),
+            })
+            .collect()
+    }
+
+    fn details(&self, now: Millis, has_new_peer: bool) -> impl Iterator<Item = PeerMessage> {
+        [
+            server_limits::announcement(&self.shared, now, has_new_peer),
+            server_limits::brittle_announcement(&self.shared, now, has_new_peer),
+            rollout_pace::announcement(&self.shared),
+            poison_parts::announcement(&self.shared, now, has_new_peer),
+            poison_contents::announcement(&self.shared, now, has_new_peer),
+        ]
+        .into_iter()
+        .flatten()
+        .chain(rollout_routes::announcements(
+            &self.shared,
+            now,
+            &self.peers,
+            has_new_peer,
+        ))
+        .chain(self.unheard_announcements(now))
     }
 
     /// Returns the messages to the known hosts that this host does not hear.
--- a/crates/gateway/src/control/state/group.rs
+++ b/crates/gateway/src/control/state/group.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::Ordering;
 
-use carawayseam_dispatch::group::Group;
+use carawayseam_dispatch::group::{Group, SlotOwners};
 use carawayseam_types::{HostId, Millis, ZoneId};
 
 use super::ControlState;
@@ -27,9 +27,12 @@
     pub(super) fn update_group(&mut self, now: Millis) {
         let own_host = &self.shared.settings.host;
         let known = self.hosts.other_known_count(own_host);
-        let live_peers = self.peers.live(now);
-        let live = live_peers.clone().count() as u32;
-        let others_serve = live_peers.clone().any(|(_, peer)| peer.serves_keys);
+        let live = self.live_hosts(now).len() as u32;
+        let has_serving_peer = self.peers.live(now).any(|(_, peer)| peer.serves_keys);
+        let mut dispatch = lock(&self.shared.dispatch);
+        dispatch.dispatcher.set_live_peers(live);
+        let others_serve = has_serving_peer || dispatch.dispatcher.has_serving_peers(now);
+        drop(dispatch);
         let mut reach = lock(&self.shared.reachability);
         reach.has_serving_peers = others_serve;
         reach.has_unresponsive_peers = live < self.hosts.other_listed_count(own_host);
@@ -37,12 +40,12 @@
         let group = Group {
             known: known.max(live) + 1,
             live: live + 1,
-            reachable: self.reachable_hosts(now),
+            reachable: self.group_hosts(now),
         };
         if group == self.group {
             return;
         }
-        log::info!(known = group.known, heard = group.live, reachable = group.reachable.len(), full_mesh = self.uses_full_mesh(); "peers counted");
+        log::info!(known = group.known, heard = group.live, reachable = group.reachable.len(), full_mesh = self.uses_full_mesh(), local_health = self.members.local_health(); "peers counted");
         let mut dispatch = lock(&self.shared.dispatch);
         dispatch.quotas.set_group(now, group.clone());
         dispatch.server_limits.set_group(now, group.clone());
@@ -50,9 +53,41 @@
         drop(dispatch);
         self.shared.peers.set_group(group.clone());
         self.group = group;
+        self.choose_slot_owners(now);
         self.choose_store_sources();
     }
 
+    /// Returns the listed hosts that can receive requests now, including this one.
+    fn group_hosts(&self, now: Millis) -> Vec<HostId> {
+        let mut hosts = self.reachable_hosts(now);
+        hosts.insert(self.shared.settings.host.clone());
+        hosts.into_iter().collect()
+    }
+
+    /// Chooses the owners of slots anew if hosts of earlier builds have appeared, or there are none any more.
+    pub(super) fn update_slot_owners(&mut self, now: Millis) {
+        let has_earlier_builds = self.gossip.earlier_builds.hosts(now).next().is_some();
+        if has_earlier_builds != self.gossip.had_earlier_builds {
+            self.update_members(now);
+            self.choose_slot_owners(now);
+        }
+    }
+
+    /// Chooses the hosts that own the slots of backend servers.
+    ///
+    /// Hosts of earlier builds choose among the hosts of all zones, and two hosts must not own the same slots.
+    fn choose_slot_owners(&mut self, now: Millis) {
+        let reachable = self.group.reachable.clone();
+        let has_earlier_builds = self.gossip.earlier_builds.hosts(now).next().is_some();
+        self.gossip.had_earlier_builds = has_earlier_builds;
+        let owners = if self.uses_full_mesh() || has_earlier_builds {
+            SlotOwners::of_any_zone(reachable)
+        } else {
+            SlotOwners::by_zone(reachable, &self.zones)
+        };
+        self.shared.peers.set_slot_owners(owners);
+    }
+
     /// Chooses the hosts that this host polls for changes of the store, if it does not watch the store
     /// itself, and counts the store followers of all availability zones.
     fn choose_store_sources(&self) {
@@ -80,16 +115,4 @@
             .store_followers
             .store(followers as u32, Ordering::Relaxed);
     }
-
-    /// Returns the listed hosts that can receive requests now, including this one.
-    fn reachable_hosts(&self, now: Millis) -> Vec<HostId> {
-        let reachable = self
-            .peers
-            .iter()
-            .filter(|(host, peer)| peer.is_reachable(now) && self.hosts.contains(host));
-        let mut hosts: Vec<HostId> = reachable.map(|(host, _)| host.clone()).collect();
-        hosts.push(self.shared.settings.host.clone());
-        hosts.sort_unstable();
-        hosts
-    }
 }
--- a/crates/gateway/src/control/store_follower/items.rs
+++ b/crates/gateway/src/control/store_follower/items.rs
@@ -84,7 +84,19 @@
         let name = item.key.strip_prefix(self.keys.host_prefix.as_str())?;
         let record = decode::<HostRecord>(&item.value);
         match (name.parse(), record) {
-            (Ok(host), Ok(HostRecord { address, zone, .. })) => Some(HostEntry { host, address, zone }),
+            (
+                Ok(host),
+                Ok(HostRecord {
+                    address,
+                    zone,
+                    incarnation,
+                }),
+            ) => Some(HostEntry {
+                host,
+                address,
+                zone,
+                incarnation,
+            }),
             (Err(e), _) => {
                 log::warn!(key:% = item.key; "the entry's key does not contain a valid host name: {e}");
                 None
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -5,8 +5,8 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Mutex;
 
-use carawayseam_dispatch::group::Group;
-use carawayseam_types::{HostId, Millis};
+use carawayseam_dispatch::group::{Group, SlotOwners};
+use carawayseam_types::{HostId, Millis, ZoneId};
 use carawayseam_wire::{PeerMessage, PeerResponse, encode};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -20,6 +20,7 @@
     own_host: HostId,
     addresses: Mutex<BTreeMap<HostId, SocketAddr>>,
     group: Mutex<Group>,
+    slot_owners: Mutex<SlotOwners>,
     /// The hosts to poll for changes of the store; empty if this host watches the store itself.
     store_sources: Mutex<Vec<HostId>>,
     pending: Mutex<PendingRequests>,
@@ -61,6 +62,7 @@
             socket,
             own_host: own_host.clone(),
             group: Mutex::new(Group::alone(own_host.clone())),
+            slot_owners: Mutex::new(SlotOwners::of_any_zone(vec![own_host.clone()])),
             addresses: Mutex::default(),
             store_sources: Mutex::default(),
             pending: Mutex::default(),
@@ -88,10 +90,15 @@
             log::debug!("the address of {host} is not known");
             return;
         };
+        self.send_to_address(address, message);
+    }
+
+    /// Sends a message to the host at an address; delivery is not guaranteed.
+    pub(crate) fn send_to_address(&self, address: SocketAddr, message: &PeerMessage) {
         match encode(message) {
             Ok(buf) => {
                 if let Err(e) = self.socket.send_to(&buf, address) {
-                    log::debug!("a datagram to {host} was not sent: {e}");
+                    log::debug!("a datagram to {address} was not sent: {e}");
                 }
             }
             Err(e) => log::error!(error:% = e; "a datagram was not encoded"),
@@ -137,6 +144,30 @@
         lock(&self.group).owner_other_than(&self.own_host, name).cloned()
     }
 
+    /// Replaces the owners of the slots of backend servers.
+    pub(crate) fn set_slot_owners(&self, owners: SlotOwners) {
+        *lock(&self.slot_owners) = owners;
+    }
+
+    /// Returns the owner of the slots of a backend server in a zone, or `None` if it is this host.
+    pub(crate) fn slot_owner(&self, engine: &str, zone: Option<&ZoneId>) -> Option<HostId> {
+        let owners = lock(&self.slot_owners);
+        owners
+            .owner(engine, zone)
+            .filter(|owner| **owner != self.own_host)
+            .cloned()
+    }
+
+    /// Returns whether slots are claimed with the tier of the request that needs them.
+    pub(crate) fn takes_claims(&self) -> bool {
+        lock(&self.slot_owners).takes_claims()
+    }
+
+    /// Returns the id of the last request that this host sent to any host.
+    pub(crate) fn last_request_id(&self) -> u64 {
+        lock(&self.pending).last_id
+    }
+
     /// Sends a request up to `attempts` times and waits up to `time_limit` for the response each time.
     ///
     /// Returns `None` if the host does not respond.
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -7,6 +7,7 @@
 
 use carawayseam_dispatch::Dispatcher;
 use carawayseam_dispatch::freshness::{Freshness, Reachability};
+use carawayseam_dispatch::gossip::Budget;
 use carawayseam_dispatch::poison::PoisonTracker;
 use carawayseam_dispatch::poison_parts::PoisonParts;
 use carawayseam_dispatch::quota::Quotas;
@@ -145,10 +146,12 @@
         incarnation,
     };
     let poison = PoisonTracker::new(settings.host.clone());
+    let clock = Clock::boot();
     Shared {
         headers: platform.headers(),
         settings,
-        clock: Clock::boot(),
+        gossip_budget: Mutex::new(Budget::full(clock.now())),
+        clock,
         catalog: watch::Sender::new(None),
         freshness: Mutex::new(Freshness::new(max_age)),
         dispatch: Mutex::new(DispatchState::new(dispatcher, quotas, server_limits)),
@@ -221,7 +224,7 @@
         ));
         tokio::spawn(control::send_heartbeats(peers, control.clone()));
         let record = HostRecord {
-            address: shared.settings.peers_announced.unwrap_or(shared.settings.peers),
+            address: shared.settings.announced_address(),
             incarnation,
             zone: shared.settings.zone.clone(),
         };
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -117,6 +117,14 @@
     }
 }
 
+impl Settings {
+    /// Returns the address that peers send datagrams and connect to.
+    #[must_use]
+    pub fn announced_address(&self) -> SocketAddr {
+        self.peers_announced.unwrap_or(self.peers)
+    }
+}
+
 fn is_fraction(value: f64) -> bool {
     (0.0..=1.0).contains(&value)
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -7,6 +7,7 @@
 
 use carawayseam_dispatch::catalog::RequestLimits;
 use carawayseam_dispatch::freshness::{Freshness, Reachability};
+use carawayseam_dispatch::gossip::Budget;
 use carawayseam_dispatch::history::History;
 use carawayseam_dispatch::poison::PoisonTracker;
 use carawayseam_dispatch::poison_parts::PoisonParts;
@@ -265,6 +266,8 @@
     pub(crate) metrics: Metrics,
     /// Datagrams to and from other hosts.
     pub(crate) peers: PeerLink,
+    /// Bounds what this host sends in gossip rounds.
+    pub(crate) gossip_budget: Mutex<Budget>,
     /// Whether this host reaches the store and its peers.
     pub(crate) reachability: Mutex<Reachability>,
     /// The number of hosts in all availability zones that watch the store.
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -23,7 +23,7 @@
 use super::reservation::Slot;
 use super::response::{Reason, Refusal, ResponseBody};
 use super::resumption::Continuation;
-use super::slots;
+use super::slots::{self, Claim};
 use super::stop_refusals;
 use super::stream;
 use super::versions;
@@ -337,7 +337,11 @@
         if !is_brittle && !self.holds_slot_for_long() {
             return Ok(());
         }
-        let Ok(remote_slot) = slots::acquire(&self.shared, assignment, is_brittle).await else {
+        let claim = Claim {
+            tier: self.tier(),
+            is_brittle,
+        };
+        let Ok(remote_slot) = slots::acquire(&self.shared, assignment, claim).await else {
             slot.refund_permit();
             return Err(AttemptEnd::NoSlot);
         };
--- a/crates/gateway/src/traffic/slots.rs
+++ b/crates/gateway/src/traffic/slots.rs
@@ -4,9 +4,10 @@
 //! free slot; its owner grants it to one of them. Without a response the request is sent anyway, unless
 //! the server is brittle.
 
-use carawayseam_types::{EngineKey, HostId, Millis};
-use carawayseam_wire::{PeerMessage, PeerResponse, SlotOutcome};
+use carawayseam_types::{EngineKey, HostId, Millis, Tier};
+use carawayseam_wire::{PeerMessage, PeerResponse, SlotClaim, SlotOutcome};
 
+use crate::control::decode_claimed;
 use crate::shared::{Assignment, Shared, lock};
 
 /// The maximum time to wait for the owner's response.
@@ -31,6 +32,15 @@
     }
 }
 
+/// What a slot is needed for.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Claim {
+    /// The tier of the request.
+    pub(super) tier: Tier,
+    /// Whether the server bears few rejections.
+    pub(super) is_brittle: bool,
+}
+
 /// The owner of a server's slots reported that none is free, or granted none of a brittle server.
 #[derive(Debug)]
 pub(super) struct NoFreeSlot;
@@ -39,32 +49,86 @@
 pub(super) async fn acquire(
     shared: &Shared,
     assignment: &Assignment,
-    is_brittle: bool,
+    claim: Claim,
 ) -> Result<Option<RemoteSlot>, NoFreeSlot> {
-    let Some(owner) = shared.peers.owner(assignment.engine.as_str()) else {
-        let dispatcher = &mut lock(&shared.dispatch).dispatcher;
-        let is_granted = dispatcher.grant_own_slot(shared.now(), &assignment.engine);
-        return if is_granted { Ok(None) } else { Err(NoFreeSlot) };
+    let zone = lock(&shared.dispatch).dispatcher.zone_of(&assignment.engine);
+    let Some(owner) = shared.peers.slot_owner(assignment.engine.as_str(), zone.as_ref()) else {
+        return acquire_own(shared, assignment, claim);
     };
     let engine = EngineKey::from(&assignment.engine);
+    let outcome = if shared.peers.takes_claims() {
+        claim_slot(shared, &owner, assignment, claim.tier).await
+    } else {
+        request_slot(shared, &owner, engine).await
+    };
+    shared.metrics.count("slot_asks", outcome_label(outcome));
+    match outcome {
+        Some(SlotOutcome::Full) => Err(NoFreeSlot),
+        Some(SlotOutcome::NotOwner) | None if claim.is_brittle => Err(NoFreeSlot),
+        Some(SlotOutcome::Granted | SlotOutcome::NotOwner) | None => Ok(Some(RemoteSlot { owner, engine })),
+    }
+}
+
+/// Takes a slot that this host owns.
+fn acquire_own(
+    shared: &Shared,
+    assignment: &Assignment,
+    claim: Claim,
+) -> Result<Option<RemoteSlot>, NoFreeSlot> {
+    let now = shared.now();
+    let dispatcher = &mut lock(&shared.dispatch).dispatcher;
+    let is_granted = dispatcher.may_use_own_slot(now, &assignment.engine, claim.tier)
+        && dispatcher.grant_own_slot(now, &assignment.engine);
+    if is_granted { Ok(None) } else { Err(NoFreeSlot) }
+}
+
+/// Claims a slot from its owner, and records the load that it tells; returns `None` if it does not respond.
+async fn claim_slot(
+    shared: &Shared,
+    owner: &HostId,
+    assignment: &Assignment,
+    tier: Tier,
+) -> Option<SlotOutcome> {
+    let message = |request_id| {
+        PeerMessage::SlotClaim(SlotClaim {
+            host: shared.settings.host.clone(),
+            request_id,
+            engine: EngineKey::from(&assignment.engine),
+            tier,
+        })
+    };
+    let response = shared
+        .peers
+        .request(owner, REQUEST_TIMEOUT, MAX_REQUESTS, message)
+        .await;
+    let Some(PeerResponse::SlotLoad(load)) = response else {
+        return None;
+    };
+    if let Some(claimed) = decode_claimed(&load) {
+        lock(&shared.dispatch).dispatcher.record_claim_response(
+            shared.now(),
+            &assignment.engine,
+            owner,
+            claimed,
+        );
+    }
+    Some(load.outcome)
+}
+
+/// Requests a slot from an owner that announces its loads to all hosts; returns `None` if it does not respond.
+async fn request_slot(shared: &Shared, owner: &HostId, engine: EngineKey) -> Option<SlotOutcome> {
     let message = |request_id| PeerMessage::SlotRequest {
         host: shared.settings.host.clone(),
         request_id,
         engine,
     };
-    let outcome = match shared
+    let response = shared
         .peers
-        .request(&owner, REQUEST_TIMEOUT, MAX_REQUESTS, message)
-        .await
-    {
+        .request(owner, REQUEST_TIMEOUT, MAX_REQUESTS, message)
+        .await;
+    match response {
         Some(PeerResponse::Slot(outcome)) => Some(outcome),
         _ => None,
-    };
-    shared.metrics.count("slot_asks", outcome_label(outcome));
-    match outcome {
-        Some(SlotOutcome::Full) => Err(NoFreeSlot),
-        Some(SlotOutcome::NotOwner) | None if is_brittle => Err(NoFreeSlot),
-        Some(SlotOutcome::Granted | SlotOutcome::NotOwner) | None => Ok(Some(RemoteSlot { owner, engine })),
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -16,6 +16,7 @@
 mod codec;
 mod datagram;
 mod digest;
+mod gossip;
 mod heartbeat;
 mod peers;
 mod relay;
@@ -25,6 +26,7 @@
     MAX_DATAGRAM_BYTES, MAX_STREAM_BYTES, PROTOCOL_VERSION, WireError, decode, decode_datagram, encode,
 };
 pub use datagram::{Body, Datagram, GossipUpdate, Item, ItemKey, ItemPart, Peer, PeerRole, PeerState, Topic};
+pub use gossip::{GossipRound, HeldSlots, MeasuredLoad, SlotClaim, SlotLoad};
 pub use heartbeat::{ConfigurationVersion, EngineLoad, Heartbeat, RolloutCounts, WaitingLoad};
 pub use peers::{
     ContentCrash, ItemChunk, ItemsPage, PaceCounts, PartAnswer, PartCrash, PeerMessage, PeerResponse,
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::Heartbeat;
+use crate::{Datagram, GossipRound, Heartbeat, HeldSlots, SlotClaim, SlotLoad};
 
 /// A datagram between gateway hosts.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -147,6 +147,19 @@
         /// The hosts that it does not hear.
         unheard: Vec<HostId>,
     },
+    /// A datagram of the membership protocol.
+    Membership(Datagram),
+    /// A round of gossip.
+    GossipRound(GossipRound),
+    /// Requests a slot of a backend server for a request of a tier.
+    SlotClaim(SlotClaim),
+    /// Confirms which slots a host holds.
+    HeldSlots(HeldSlots),
+    /// Requests reports that were announced before the sender started.
+    ReportsRequest {
+        /// The requesting host.
+        host: HostId,
+    },
 }
 
 /// A crash of a backend server under a content, which any host may announce that knows of it.
@@ -307,6 +320,8 @@
     OtherEra(StoreEra),
     /// The requested servers that the host reaches directly.
     Reach(Vec<EngineKey>),
+    /// The result of a [`SlotClaim`].
+    SlotLoad(SlotLoad),
 }
 
 /// A page of the store's items, in the order of their keys.
