Limit requests to servers that warm up, and follow orders to evacuate a zone

Cause: a backend can state how many requests a second its servers bear after a start; nothing read that, and a server that had come back got up to 26 in a second, where 23 are allowed. Orders to evacuate a zone were not read at all.

Change: `dispatch::warm_up` knows which servers warm up, from their entries and from refused connections; their requests need permits, as those of servers with a rate limit do, with a burst of a quarter of a second. `dispatch::evacuation` holds the evacuated zones; their servers get no requests, relays or probes. `op/evacuate/` is listed and watched like the configuration.

--- a/crates/dispatch/src/catalog.rs
+++ b/crates/dispatch/src/catalog.rs
@@ -6,6 +6,8 @@
 use carawayseam_types::{BackendName, Bytes, Millis, OrganisationId, Revision, Tier, Tokens};
 use compact_str::CompactString;
 
+use crate::warm_up::WarmUpLimit;
+
 /// Highest tier that is distinguished; higher tiers count as this one, so that two fit into one [`Tier`].
 const MAX_TIER: u8 = 15;
 
@@ -93,6 +95,8 @@
     pub name: BackendName,
     /// Number of tokens in one event of its streams.
     pub tokens_per_event: u32,
+    /// What its servers bear while they warm up; `None` if they bear as much as later.
+    pub warm_up: Option<WarmUpLimit>,
 }
 
 /// An organisation.
@@ -226,6 +230,12 @@
         self.keys.values().find(|organisation| organisation.name == *name)
     }
 
+    /// Iterates over the backends whose servers bear less while they warm up, with their limits.
+    pub fn warm_up_limits(&self) -> impl Iterator<Item = (BackendName, WarmUpLimit)> {
+        let backends = self.backends.iter();
+        backends.filter_map(|backend| Some((backend.name.clone(), backend.warm_up?)))
+    }
+
     /// Returns the backend with this name.
     #[must_use]
     pub fn backend(&self, name: &BackendName) -> Option<&Backend> {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -17,6 +17,7 @@
 use crate::caller_time::Work;
 use crate::draining_servers::DrainingServers;
 use crate::engine::{AttemptEnd, Engine, EngineEntry, PromptPart};
+use crate::evacuation::EvacuatedZones;
 use crate::job::{Action, Job, Ticket};
 use crate::peer_loads::PeerLoads;
 use crate::pool::{Pool, SchedulingContext, Unservable, Waiting};
@@ -61,6 +62,7 @@
     waiting_backends: HashMap<Ticket, BackendName>,
     peers: PeerLoads,
     draining_servers: DrainingServers,
+    evacuated: EvacuatedZones,
     brittle_servers: BrittleServers,
     last_dispatch_at: Millis,
     reach_rounds: ReachRounds,
@@ -87,6 +89,7 @@
             waiting_backends: HashMap::new(),
             peers: PeerLoads::default(),
             draining_servers: DrainingServers::default(),
+            evacuated: EvacuatedZones::default(),
             brittle_servers: BrittleServers::default(),
             last_dispatch_at: Millis::ZERO,
             reach_rounds: ReachRounds::default(),
@@ -120,6 +123,7 @@
             let pool = self.pools.entry(backend).or_insert_with(Pool::new);
             sync_engines(self.now, pool, listed);
         }
+        self.mark_evacuated();
         self.dispatch_all_waiting()
     }
 
--- a/crates/dispatch/src/dispatcher/availability.rs
+++ b/crates/dispatch/src/dispatcher/availability.rs
@@ -6,6 +6,7 @@
 
 use super::Dispatcher;
 use crate::draining_servers::DrainingServer;
+use crate::evacuation::Evacuation;
 use crate::job::{Action, Ticket};
 use crate::rollouts::VersionRule;
 
@@ -19,6 +20,24 @@
             .any(|entry| entry.version == *version && !entry.is_draining)
     }
 
+    /// Applies a change of the evacuated zones; returns whether it is one, and the actions that follow.
+    ///
+    /// Waiting requests go to servers of other zones, and requests in progress end where they are.
+    pub fn apply_evacuation(&mut self, now: Millis, change: Evacuation) -> (bool, Vec<Action>) {
+        self.now = self.now.max(now);
+        if !self.evacuated.apply(change) {
+            return (false, Vec::new());
+        }
+        self.mark_evacuated();
+        (true, self.dispatch_all_waiting())
+    }
+
+    pub(super) fn mark_evacuated(&mut self) {
+        for engine in self.pools.values_mut().flat_map(|pool| &mut pool.engines) {
+            engine.is_evacuated = self.evacuated.contains(&engine.entry.zone);
+        }
+    }
+
     /// Replaces the version rule of the waiting requests of a backend; the next tick applies it.
     pub fn set_version_rule(&mut self, backend: &BackendName, rule: &VersionRule) {
         let waiting = self.pools.get_mut(backend).into_iter();
--- a/crates/dispatch/src/dispatcher/reach.rs
+++ b/crates/dispatch/src/dispatcher/reach.rs
@@ -27,7 +27,7 @@
             let engines = pool.engines.iter_mut();
             let lost = engines.filter_map(|engine| {
                 let is_due = engine.reach.take_question(now) || (is_lost && engine.reach.needs_relays());
-                (is_due && !engine.entry.is_draining).then_some(&*engine)
+                (is_due && !engine.is_out_of_service()).then_some(&*engine)
             });
             let mut expiries: BTreeMap<&HostId, Millis> = BTreeMap::new();
             for engine in lost {
@@ -57,7 +57,7 @@
         let keys: HashSet<EngineKey> = keys.iter().copied().collect();
         let engines = self.pools.values().flat_map(|pool| &pool.engines);
         let reached = engines.filter(|engine| {
-            keys.contains(&engine.key) && engine.reach.is_direct() && !engine.entry.is_draining
+            keys.contains(&engine.key) && engine.reach.is_direct() && !engine.is_out_of_service()
         });
         reached.map(|engine| engine.key).collect()
     }
--- a/crates/dispatch/src/dispatcher/relay.rs
+++ b/crates/dispatch/src/dispatcher/relay.rs
@@ -13,7 +13,7 @@
     Address(SocketAddr),
     /// The server is not listed.
     Unknown,
-    /// The server is draining.
+    /// The server is draining, or its zone is evacuated.
     Draining,
     /// This host does not reach the server.
     Unreachable,
@@ -29,7 +29,7 @@
         let mut engines = self.pools.values().flat_map(|pool| &pool.engines);
         match engines.find(|known| known.entry.id == *engine) {
             None => RelayTarget::Unknown,
-            Some(known) if known.entry.is_draining => RelayTarget::Draining,
+            Some(known) if known.is_out_of_service() => RelayTarget::Draining,
             Some(known) if !known.reach.is_direct() => RelayTarget::Unreachable,
             Some(known) => RelayTarget::Address(known.entry.address),
         }
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -41,6 +41,8 @@
     pub is_draining: bool,
     /// Start time; a different start time under the same id means that the server was restarted.
     pub started: Option<u64>,
+    /// How much longer the server warmed up when it wrote its entry; zero if it does not.
+    pub warms_up_for: Millis,
 }
 
 /// How an attempt ended.
@@ -159,6 +161,8 @@
     pub(crate) reach: Reach,
     /// Number of lost responses of which it is being checked whether the server crashed.
     loss_checks: u32,
+    /// Whether the operator has ordered that nothing is sent to the servers of its zone.
+    pub(crate) is_evacuated: bool,
     /// Prompt parts that the server has read, by id, with the time of their last use.
     parts: HashMap<u64, Millis>,
 }
@@ -185,6 +189,7 @@
             limit: None,
             reach,
             loss_checks: 0,
+            is_evacuated: false,
             parts: HashMap::new(),
         }
     }
@@ -201,9 +206,14 @@
         self.can_work(now) && now >= self.paused_until && self.closed_until(now).is_none()
     }
 
-    /// Returns whether the server is reachable and not draining, even if it is paused or closed.
+    /// Returns whether the server is reachable, not draining and not evacuated, even if it is paused or closed.
     pub(crate) fn can_work(&self, now: Millis) -> bool {
-        !self.entry.is_draining && self.reach.is_usable(now)
+        !self.is_out_of_service() && self.reach.is_usable(now)
+    }
+
+    /// Returns whether nothing more may be sent to the server: it is draining, or its zone is evacuated.
+    pub(crate) const fn is_out_of_service(&self) -> bool {
+        self.entry.is_draining || self.is_evacuated
     }
 
     /// Closes the server to this host until `until`, or later if it was already closed for longer.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -29,6 +29,8 @@
 //! | [`known_servers`] | the backend servers that the store lists, or listed lately |
 //! | [`draining_servers`] | backend servers that reported that they are draining |
 //! | [`server_limits`] | rate limits that backend servers reported |
+//! | [`warm_up`] | backend servers that bear few requests after their start |
+//! | [`evacuation`] | zones whose backend servers are sent nothing |
 //! | [`brittle_servers`] | backend servers that bear few rejections |
 //! | [`load`] | the load that a host reports to peers and operators |
 //! | [`dispatcher`] | request queues and backend server selection |
@@ -53,6 +55,7 @@
 pub mod dispatcher;
 pub mod draining_servers;
 pub mod engine;
+pub mod evacuation;
 pub mod freshness;
 pub mod gossip;
 pub mod group;
@@ -77,6 +80,7 @@
 pub mod server_limits;
 pub mod server_loads;
 mod speed;
+pub mod warm_up;
 
 pub use caller_time::{CallerTime, Work};
 pub use catalog::{Catalog, Configuration};
--- a/crates/dispatch/src/pool/reach.rs
+++ b/crates/dispatch/src/pool/reach.rs
@@ -152,7 +152,7 @@
             None => usize::MAX,
         };
         let engines = self.engines.iter_mut();
-        let mut due: Vec<&mut Engine> = engines.filter(|engine| !engine.entry.is_draining).collect();
+        let mut due: Vec<&mut Engine> = engines.filter(|engine| !engine.is_out_of_service()).collect();
         due.sort_by_key(|engine| engine.reach.probe_at());
         let due = due.into_iter().filter_map(|engine| {
             let is_due = engine.reach.take_probe(now);
@@ -188,6 +188,6 @@
 
     /// Returns the servers that accept requests if they are reached.
     fn listed(&self) -> impl Iterator<Item = &Engine> {
-        self.engines.iter().filter(|engine| !engine.entry.is_draining)
+        self.engines.iter().filter(|engine| !engine.is_out_of_service())
     }
 }
--- a/crates/dispatch/src/server_limits.rs
+++ b/crates/dispatch/src/server_limits.rs
@@ -1,13 +1,15 @@
-//! Rate limits that backend servers report, kept by all hosts together.
+//! Rate limits of backend servers, kept by all hosts together.
 //!
-//! A request to a limited server needs a permit from the account that the hosts share.
+//! A server reports a limit, or warms up. A request to it needs a permit from the account that the hosts share.
 
-use carawayseam_types::{EngineId, HostId, Millis, RequestRate};
+use carawayseam_types::{BackendName, EngineId, HostId, Millis, RequestRate};
 
 use crate::accounts::{Accounts, BucketParams};
+use crate::engine::EngineEntry;
 use crate::group::Group;
 use crate::reported_limits::ReportedLimits;
 pub use crate::reported_limits::ServerLimit;
+use crate::warm_up::{WarmUpLimit, WarmUps};
 
 /// Lower bound of the rate at which requests are sent to a limited server, also if it reports zero: only
 /// the response to a request can end a limit.
@@ -16,12 +18,15 @@
 const BURST_TIME_S: f64 = 1.5;
 /// Number of permits that accumulate beyond this time, so that a group of a few hosts can hold one.
 const EXTRA_BURST: f64 = 3.0;
+/// Time over which unused permits of a server that warms up accumulate: the limit holds in any one second.
+const WARM_UP_BURST_TIME_S: f64 = 0.25;
 /// Wait for a permit that the account of a small group can never hold.
 const NO_PERMIT_WAIT: Millis = Millis::from_secs(1);
 /// The rate limits of backend servers, and the accounts of those that this host owns.
 #[derive(Debug)]
 pub struct ServerLimits {
     reported: ReportedLimits<RequestRate>,
+    warm_ups: WarmUps,
     accounts: Accounts<EngineId>,
 }
 
@@ -31,6 +36,7 @@
     pub fn new(me: HostId) -> Self {
         Self {
             reported: ReportedLimits::default(),
+            warm_ups: WarmUps::default(),
             accounts: Accounts::new(me),
         }
     }
@@ -59,6 +65,33 @@
         self.reported.get(engine)
     }
 
+    /// Returns the limit that a server has now: the lower one of the limit that it reported and that of its warm-up.
+    #[must_use]
+    pub fn limit_at(&self, now: Millis, engine: &EngineId) -> Option<RequestRate> {
+        let limits = [self.get(engine), self.warm_ups.rate(now, engine)];
+        limits.into_iter().flatten().min()
+    }
+
+    /// Replaces the warm-up limits of the backends.
+    pub fn set_warm_up_limits(&mut self, limits: impl Iterator<Item = (BackendName, WarmUpLimit)>) {
+        self.warm_ups.set_limits(limits);
+    }
+
+    /// Applies the entries of all servers, which tell which of them warm up.
+    pub fn update_servers(&mut self, now: Millis, entries: &[EngineEntry]) {
+        self.warm_ups.update(now, entries);
+    }
+
+    /// Records that a server refused a connection, so that it may have started anew when it accepts one.
+    pub fn record_refusal(&mut self, now: Millis, engine: &EngineId, backend: &BackendName) {
+        self.warm_ups.record_refusal(now, engine, backend);
+    }
+
+    /// Returns the servers that have warmed up since the last call.
+    pub fn take_warmed_up(&mut self, now: Millis) -> Vec<EngineId> {
+        self.warm_ups.take_ended(now)
+    }
+
     /// Returns the limits to announce to peers.
     pub fn gossip_updates(&mut self, now: Millis, has_new_peer: bool) -> Vec<ServerLimit> {
         self.reported.gossip_updates(now, has_new_peer)
@@ -88,8 +121,12 @@
         engine: &EngineId,
         limit: RequestRate,
     ) -> Result<(), Option<Millis>> {
-        let limit = self.get(engine).map_or(limit, |known| known.min(limit));
-        let params = bucket_params(limit, self.accounts.fraction());
+        let limit = self.limit_at(now, engine).map_or(limit, |known| known.min(limit));
+        let fraction = self.accounts.fraction();
+        let params = match self.warm_ups.rate(now, engine) {
+            Some(_) => warm_up_params(limit, fraction),
+            None => bucket_params(limit, fraction),
+        };
         let bucket = self.accounts.owned(now, engine).ok_or(None)?;
         match bucket.try_take(now, params, 1.0) {
             true => Ok(()),
@@ -104,6 +141,15 @@
     }
 }
 
+fn warm_up_params(limit: RequestRate, fraction: f64) -> BucketParams {
+    let per_second = limit.max(MIN_LIMIT).per_second();
+    BucketParams {
+        rate: per_second * fraction,
+        capacity: (per_second * WARM_UP_BURST_TIME_S).max(1.0) * fraction,
+        initial: 0.0,
+    }
+}
+
 fn bucket_params(limit: RequestRate, fraction: f64) -> BucketParams {
     let per_second = limit.max(MIN_LIMIT).per_second();
     BucketParams {
--- a/crates/dispatch/tests/draining_servers.rs
+++ b/crates/dispatch/tests/draining_servers.rs
@@ -17,6 +17,7 @@
 fn entry_started_at(at: u64) -> EngineEntry {
     EngineEntry {
         started: Some(at),
+        warms_up_for: Millis::ZERO,
         ..engine("a", 8)
     }
 }
--- a/crates/dispatch/tests/known_servers.rs
+++ b/crates/dispatch/tests/known_servers.rs
@@ -16,6 +16,7 @@
         slots: 4,
         is_draining,
         started: Some(STARTED),
+        warms_up_for: Millis::ZERO,
     }
 }
 
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -28,6 +28,7 @@
         slots,
         is_draining: false,
         started: Some(1),
+        warms_up_for: Millis::ZERO,
     }
 }
 
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -5,11 +5,12 @@
 mod liveness;
 mod rounds;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::ops::ControlFlow;
 use std::sync::Arc;
 
+use carawayseam_dispatch::evacuation::Evacuation;
 use carawayseam_dispatch::group::Group;
 use carawayseam_dispatch::hosts::Hosts;
 use carawayseam_dispatch::known_servers::{KnownServers, ListSource};
@@ -17,7 +18,7 @@
 use carawayseam_dispatch::rollouts::{Decision, Order};
 use carawayseam_dispatch::{Catalog, EngineEntry};
 use carawayseam_node::LogRevision;
-use carawayseam_types::{EngineId, HostId, Incarnation, Millis, StoreRevision, ZoneId};
+use carawayseam_types::{EngineId, HostId, Incarnation, Millis, Revision, StoreRevision, ZoneId};
 use carawayseam_wire::{ConfigurationVersion, Datagram, GossipRound, Heartbeat};
 use kameo::Actor;
 use kameo::actor::{ActorRef, WeakActorRef};
@@ -76,6 +77,8 @@
         status: RolloutStatus,
         revision: StoreRevision,
     },
+    /// The operator's orders to evacuate availability zones changed.
+    Evacuation(Evacuation),
     /// All hosts that the store lists.
     HostsListed(Vec<HostEntry>),
     /// A host registered itself.
@@ -189,6 +192,7 @@
             Event::EngineRemoved { engine, keep_until } => self.remove_engine(now, &engine, keep_until),
             Event::RolloutOrdered { order, revision } => self.apply_rollout_order(now, order, revision),
             Event::RolloutStatusChanged { status, revision } => self.apply_rollout_status(&status, revision),
+            Event::Evacuation(change) => self.apply_evacuation(now, change),
             Event::HostsListed(entries) => self.replace_hosts(now, entries),
             Event::HostRegistered(entry) => {
                 log::info!(peer:% = entry.host, address:% = entry.address; "peer listed");
@@ -215,9 +219,18 @@
     /// Applies a configuration if it is newer than the one in force.
     fn apply_configuration(&mut self, catalog: Arc<Catalog>, item: Item) {
         let revision = catalog.revision;
-        lock(&self.shared.dispatch)
-            .quotas
-            .open_accounts(self.shared.now(), catalog.organisations());
+        let now = self.shared.now();
+        let mut dispatch = lock(&self.shared.dispatch);
+        dispatch.quotas.open_accounts(now, catalog.organisations());
+        if self.is_newer(revision) {
+            dispatch
+                .server_limits
+                .set_warm_up_limits(catalog.warm_up_limits());
+            dispatch
+                .server_limits
+                .update_servers(now, &self.engines.entries());
+        }
+        drop(dispatch);
         let applied = self.shared.catalog.send_if_modified(|current| {
             let is_newer = current.as_ref().is_none_or(|current| current.revision < revision);
             if is_newer {
@@ -233,6 +246,29 @@
         }
     }
 
+    /// Returns whether a configuration of this revision is newer than the one in force.
+    fn is_newer(&self, revision: Revision) -> bool {
+        let current = self.shared.catalog();
+        current.is_none_or(|current| current.revision < revision)
+    }
+
+    /// Applies a change of the operator's orders to evacuate availability zones.
+    fn apply_evacuation(&self, now: Millis, change: Evacuation) {
+        let mut dispatch = lock(&self.shared.dispatch);
+        let (is_change, actions) = dispatch.dispatcher.apply_evacuation(now, change.clone());
+        dispatch.apply(now, actions);
+        drop(dispatch);
+        let (zones, label) = match change {
+            _ if !is_change => return,
+            Evacuation::Listed(zones) => (zones, "listed"),
+            Evacuation::Ordered(zone) => (BTreeSet::from([zone]), "ordered"),
+            Evacuation::Lifted(zone) => (BTreeSet::from([zone]), "lifted"),
+        };
+        self.shared.metrics.count("evacuations", label);
+        let zones: Vec<String> = zones.iter().map(ZoneId::to_string).collect();
+        log::info!(zones = zones.join(",").as_str(), order = label; "the evacuated zones changed");
+    }
+
     /// Records the configuration that a peer has in force.
     fn record_peer_configuration(&mut self, now: Millis, host: &HostId, version: ConfigurationVersion) {
         let known = self.shared.catalog().map(|catalog| catalog.revision);
@@ -311,6 +347,7 @@
     fn update_engines(&self, now: Millis) {
         let entries = self.engines.entries();
         let mut dispatch = lock(&self.shared.dispatch);
+        dispatch.server_limits.update_servers(now, &entries);
         let actions = dispatch.dispatcher.set_engines(now, entries);
         dispatch.apply(now, actions);
     }
@@ -373,6 +410,7 @@
         }
         traffic::update_waiting(&self.shared, now);
         let mut dispatch = lock(&self.shared.dispatch);
+        dispatch.lift_warm_up_limits(now);
         let actions = dispatch.dispatcher.tick(now);
         dispatch.apply(now, actions);
     }
--- a/crates/gateway/src/control/store_follower.rs
+++ b/crates/gateway/src/control/store_follower.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use carawayseam_dispatch::evacuation::Evacuation;
 use carawayseam_dispatch::known_servers::ListSource;
 use carawayseam_dispatch::outage::Outage;
 use carawayseam_types::{HostId, Millis, StoreEra, StoreRevision};
@@ -124,6 +125,7 @@
             self.keys.host_prefix.clone(),
             self.keys.rollout_order_prefix.clone(),
             self.keys.rollout_status_prefix.clone(),
+            self.keys.evacuation_prefix.clone(),
         ] {
             items.extend(self.list_all(&prefix, &mut revision).await?);
         }
@@ -170,9 +172,17 @@
         let (hosts, others): (Vec<&Item>, Vec<&Item>) = others
             .into_iter()
             .partition(|item| is_of(item, &self.keys.host_prefix));
+        let (evacuations, others): (Vec<&Item>, Vec<&Item>) = others
+            .into_iter()
+            .partition(|item| is_of(item, &self.keys.evacuation_prefix));
         for item in others {
             self.apply_put(item);
         }
+        let zones = evacuations
+            .iter()
+            .filter_map(|item| self.evacuated_zone(&item.key));
+        let change = Evacuation::Listed(zones.collect());
+        self.send_event(Event::Evacuation(change));
         let listed = engines
             .into_iter()
             .filter_map(|item| self.decode_engine(item))
--- a/crates/gateway/src/control/store_follower/items.rs
+++ b/crates/gateway/src/control/store_follower/items.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
+use carawayseam_dispatch::evacuation::Evacuation;
 use carawayseam_dispatch::{Catalog, EngineEntry};
+use carawayseam_types::ZoneId;
 use carawayseam_wire::decode;
 
 use super::StoreFollower;
@@ -29,6 +31,8 @@
             self.apply_rollout_order(item);
         } else if item.key.starts_with(self.keys.rollout_status_prefix.as_str()) {
             self.apply_rollout_status(item);
+        } else if let Some(zone) = self.evacuated_zone(&item.key) {
+            self.send_event(Event::Evacuation(Evacuation::Ordered(zone)));
         } else if let Some(entry) = self.decode_host(item) {
             self.send_event(Event::HostRegistered(entry));
         }
@@ -55,6 +59,10 @@
     }
 
     pub(super) fn apply_removal(&self, key: &str) {
+        if let Some(zone) = self.evacuated_zone(key) {
+            self.send_event(Event::Evacuation(Evacuation::Lifted(zone)));
+            return;
+        }
         let engine = key.strip_prefix(self.keys.engine_prefix.as_str()).map(str::parse);
         let host = key.strip_prefix(self.keys.host_prefix.as_str()).map(str::parse);
         match (engine, host) {
@@ -69,6 +77,18 @@
         }
     }
 
+    /// Returns the zone of an order to evacuate it, whose value does not matter; `None` for another key.
+    pub(super) fn evacuated_zone(&self, key: &str) -> Option<ZoneId> {
+        let name = key.strip_prefix(self.keys.evacuation_prefix.as_str())?;
+        match name.parse() {
+            Ok(zone) => Some(zone),
+            Err(e) => {
+                log::error!(key = key; "the order to evacuate names no valid zone: {e}");
+                None
+            }
+        }
+    }
+
     pub(super) fn decode_engine(&self, item: &Item) -> Option<EngineEntry> {
         let id = item.key.strip_prefix(self.keys.engine_prefix.as_str())?;
         match self.platform.decode_engine(id, &item.value) {
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -173,6 +173,8 @@
     pub rollout_order_prefix: CompactString,
     /// The prefix of the rollout statuses' keys; the backend's name follows.
     pub rollout_status_prefix: CompactString,
+    /// The prefix of the orders to evacuate an availability zone; the zone's name follows.
+    pub evacuation_prefix: CompactString,
     /// The prefix of the gateway hosts' keys; the host's name follows.
     pub host_prefix: CompactString,
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -143,6 +143,13 @@
         is_change
     }
 
+    /// Reopens the servers that have warmed up.
+    pub(crate) fn lift_warm_up_limits(&mut self, now: Millis) {
+        for engine in self.server_limits.take_warmed_up(now) {
+            self.apply_rate_limit(now, &engine);
+        }
+    }
+
     /// Reopens a server whose rate limit changed: it may have room now.
     fn apply_rate_limit(&mut self, now: Millis, engine: &EngineId) {
         let actions = self.dispatcher.lift_limit(now, engine);
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -22,7 +22,7 @@
 use crate::platform::{OutgoingHead, ResponseHead};
 use crate::relay;
 use crate::request_log;
-use crate::shared::Assignment;
+use crate::shared::{Assignment, lock};
 use crate::sockets::SERVER_SILENCE_LIMIT;
 
 /// The maximum time to connect to a server.
@@ -251,6 +251,12 @@
         Ok(connection) => Ok(connection),
         Err(e) => {
             log::debug!(engine:% = assignment.engine; "connecting to the backend server failed: {e}");
+            let shared = &exchange.shared;
+            lock(&shared.dispatch).server_limits.record_refusal(
+                shared.now(),
+                &assignment.engine,
+                &exchange.backend,
+            );
             Err(Failure::NotRun(AttemptEnd::Unreachable))
         }
     }
--- a/crates/gateway/src/traffic/rate_limits.rs
+++ b/crates/gateway/src/traffic/rate_limits.rs
@@ -1,4 +1,4 @@
-//! Takes a permit before a request is sent to a backend server that reports a rate limit.
+//! Takes a permit before a request is sent to a backend server that reports a rate limit or warms up.
 //!
 //! The limit applies to all hosts together, so one of them owns the permits and the others ask it for
 //! each request. Without a permit the request goes to another server, or waits. Unlike a slot, a permit
@@ -48,7 +48,10 @@
 /// Takes a permit for an assignment; returns `None` if the server reports no limit.
 pub(super) async fn acquire(shared: &Shared, assignment: &Assignment) -> Result<Option<Permit>, RateLimited> {
     let engine = &assignment.engine;
-    let Some(limit) = lock(&shared.dispatch).server_limits.get(engine) else {
+    let limit = lock(&shared.dispatch)
+        .server_limits
+        .limit_at(shared.now(), engine);
+    let Some(limit) = limit else {
         return Ok(None);
     };
     let (outcome, owner) = match take_own(shared, engine, limit) {
