Let a freed slot be used again at once in large fleets

Cause: a refused claim marked a server as full for up to 300 ms, also when a request of this host ended there meanwhile; and the end of the refused attempt was subtracted from a load that did not contain it, so that the server seemed to have a free slot.

Change: the end of an own request clears the mark, a refused attempt is not subtracted, and the mark lasts 10 ms for each marked server, from 40 to 300 ms, which bounds the claims that a host makes in vain to 100 a second.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -260,7 +260,10 @@
         };
         if let Some(engine) = pool.engine_mut(&running.engine) {
             engine.running = engine.running.saturating_sub(1);
-            self.peers.measured.record_end(now, engine.key);
+            // A refused claim told the load without this request.
+            if end != AttemptEnd::NoSlot {
+                self.peers.measured.record_end(now, engine.key);
+            }
             if running.is_loss_checked {
                 engine.end_loss_check();
             }
--- a/crates/dispatch/src/server_loads.rs
+++ b/crates/dispatch/src/server_loads.rs
@@ -12,8 +12,11 @@
 
 /// A measurement counts for this time.
 const MEASUREMENT_TTL: Millis = Millis(3_000);
-/// A refused claim marks a server as full for at most this time.
-const FULL_TTL: Millis = Millis(300);
+/// A refused claim marks a server as full for this time for each server that is marked, within bounds, so that a host
+/// makes at most 100 claims a second in vain.
+const FULL_TTL_PER_SERVER: Millis = Millis(10);
+const MIN_FULL_TTL: Millis = Millis(40);
+const MAX_FULL_TTL: Millis = Millis(300);
 /// The largest number of own starts and ends kept for one server.
 const MAX_OWN_CHANGES: usize = 64;
 /// The largest number of prompt tokens that a measurement may state: callers state the lengths of their prompts.
@@ -76,10 +79,19 @@
 #[derive(Debug, Default)]
 struct Entry {
     known: Option<Known>,
+    /// When a claim was last refused, unless a later change has freed a slot.
+    refused_at: Option<Millis>,
     full_until: Millis,
     own_changes: VecDeque<(Millis, OwnChange)>,
 }
 
+impl Entry {
+    const fn clear_full(&mut self) {
+        self.refused_at = None;
+        self.full_until = Millis::ZERO;
+    }
+}
+
 /// The latest measurement of each server.
 #[derive(Debug, Default)]
 pub struct ServerLoads(BTreeMap<EngineKey, Entry>);
@@ -100,8 +112,8 @@
             measured_at,
             load: bound(measurement.load),
         });
-        if measured_at > entry.full_until - FULL_TTL {
-            entry.full_until = Millis::ZERO;
+        if entry.refused_at.is_some_and(|at| measured_at > at) {
+            entry.clear_full();
         }
         entry.own_changes.retain(|(at, _)| *at > measured_at);
         true
@@ -116,6 +128,7 @@
         load: ServerLoad,
         is_full: bool,
     ) {
+        let full_ttl = self.full_ttl(now);
         let entry = self.0.entry(engine).or_default();
         let version = match &entry.known {
             Some(known) if known.owner == owner => known.version,
@@ -128,7 +141,20 @@
             load: bound(load),
         });
         entry.own_changes.clear();
-        entry.full_until = if is_full { now + FULL_TTL } else { Millis::ZERO };
+        if is_full {
+            entry.refused_at = Some(now);
+            entry.full_until = now + full_ttl;
+        } else {
+            entry.clear_full();
+        }
+    }
+
+    /// Returns how long a server that refuses a claim now is marked as full.
+    fn full_ttl(&self, now: Millis) -> Millis {
+        let marked = self.0.values().filter(|entry| now < entry.full_until).count();
+        FULL_TTL_PER_SERVER
+            .times(marked as u64 + 1)
+            .clamp(MIN_FULL_TTL, MAX_FULL_TTL)
     }
 
     /// Records that a request of this host was started on a server.
@@ -145,6 +171,10 @@
         let Some(entry) = self.0.get_mut(&engine).filter(|entry| entry.known.is_some()) else {
             return;
         };
+        // The slot that this host has freed is the first to be used again.
+        if matches!(change, OwnChange::End) {
+            entry.clear_full();
+        }
         entry.own_changes.push_back((now, change));
         if entry.own_changes.len() > MAX_OWN_CHANGES {
             entry.own_changes.pop_front();
