Do not forward a response whose status HTTP does not define

Cause: a server in trouble may answer with a status that is none. 000, 099 and statuses of two or four digits were not forwarded before: the HTTP library cannot read them, and the caller gets 502. 600 to 999 can be read, and reached the caller as an answer.

Ruled out: a check in the platform's adapter; the class of a status is HTTP's, not the platform's.

Change: a status above 599 counts as a failure after which the request may have run, so the caller gets 502, or the request is retried where that is allowed. `invalid_statuses` has cases of 000 to 2000 for calls, idempotent requests and streams. `early_responses` shows that a response without a length, or in chunks, that is reset while the request's body is still being sent is not taken as complete, directly and through a peer.

--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -31,6 +31,8 @@
 const RELAY_CONNECT_TIMEOUT: Millis = Millis(300);
 /// The part of the remaining time that the way through a peer may take.
 const RELAY_MARGIN: Millis = Millis(10);
+/// The largest status that HTTP defines a class for.
+const MAX_STATUS: u16 = 599;
 /// Tolerance for the inaccuracy of timers when times are compared.
 pub(super) const TIMER_SLACK: Millis = Millis(2);
 
@@ -390,6 +392,8 @@
         _ if status.is_success() && !(head.is_authentic && head.id.is_some()) => {
             Some(Failure::MaybeRun(AttemptEnd::ConnectionLost))
         }
+        // HTTP defines no status from 600 on: such a response is none, whatever its body holds.
+        _ if status.as_u16() > MAX_STATUS => Some(Failure::MaybeRun(AttemptEnd::Failed)),
         // The request asked for no other protocol; a caller must not take what follows for one.
         StatusCode::SWITCHING_PROTOCOLS => Some(Failure::MaybeRun(AttemptEnd::Failed)),
         // A request counts as not run only if the server says so, and this response does not.
