--- a/crates/dispatch/src/dispatcher/availability.rs
+++ b/crates/dispatch/src/dispatcher/availability.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use carawayseam_types::{BackendName, EngineId, HostId, Millis, RequestRate, VersionId};
+use carawayseam_types::{BackendName, EngineId, HostId, Millis, RequestRate, VersionId, ZoneId};
 
 use super::Dispatcher;
 use crate::draining_servers::DrainingServer;
@@ -32,6 +32,18 @@
         (true, self.dispatch_all_waiting())
     }
 
+    /// Iterates over the evacuated zones.
+    pub fn evacuated_zones(&self) -> impl Iterator<Item = &ZoneId> {
+        self.evacuated.iter()
+    }
+
+    /// Marks which servers warm up; requests prefer the others.
+    pub fn mark_cold(&mut self, is_cold: impl Fn(&EngineId) -> bool) {
+        for engine in self.pools.values_mut().flat_map(|pool| &mut pool.engines) {
+            engine.is_cold = is_cold(&engine.entry.id);
+        }
+    }
+
     pub(super) fn mark_evacuated(&mut self) {
         for engine in self.pools.values_mut().flat_map(|pool| &mut pool.engines) {
             engine.is_evacuated = self.evacuated.contains(&engine.entry.zone);
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -163,6 +163,8 @@
     loss_checks: u32,
     /// Whether the operator has ordered that nothing is sent to the servers of its zone.
     pub(crate) is_evacuated: bool,
+    /// Whether the server bears few requests because it warms up.
+    pub(crate) is_cold: bool,
     /// Prompt parts that the server has read, by id, with the time of their last use.
     parts: HashMap<u64, Millis>,
 }
@@ -190,6 +192,7 @@
             reach,
             loss_checks: 0,
             is_evacuated: false,
+            is_cold: false,
             parts: HashMap::new(),
         }
     }
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -20,6 +20,9 @@
 /// Score penalty of a server that is reached through a peer, so that directly reached servers of all zones
 /// come first.
 const RELAY_PENALTY_MS: f64 = 40.0;
+/// Score penalty of a server that warms up. Its requests need permits, and a refused one costs the request a message
+/// to the owner; a server of another zone that is warm comes first.
+const WARM_UP_PENALTY_MS: f64 = 50.0;
 /// Score penalty of a server that fails every request; it grows with the square of the failure share.
 const FAILURE_PENALTY_MS: f64 = 3_000.0;
 /// Score penalty of a server that may have crashed.
@@ -232,6 +235,9 @@
         // Each running request slows the others slightly, so otherwise equal servers share the load.
         score += candidate.used / f64::from(engine.entry.slots.max(1)) * pace.base;
         score += candidate.zone_penalty_ms + candidate.relay_penalty_ms;
+        if engine.is_cold {
+            score += WARM_UP_PENALTY_MS;
+        }
         score += candidate.failure_penalty_ms + candidate.loss_check_penalty_ms;
         if job.tried.contains(&engine.entry.id) {
             score += TRIED_PENALTY_MS;
--- a/crates/dispatch/src/server_limits.rs
+++ b/crates/dispatch/src/server_limits.rs
@@ -9,7 +9,7 @@
 use crate::group::Group;
 use crate::reported_limits::ReportedLimits;
 pub use crate::reported_limits::ServerLimit;
-use crate::warm_up::{WarmUpLimit, WarmUps};
+use crate::warm_up::{Refusal, ServerWarmUp, WarmUpLimit, WarmUps};
 
 /// Lower bound of the rate at which requests are sent to a limited server, also if it reports zero: only
 /// the response to a request can end a limit.
@@ -20,6 +20,10 @@
 const EXTRA_BURST: f64 = 3.0;
 /// Time over which unused permits of a server that warms up accumulate: the limit holds in any one second.
 const WARM_UP_BURST_TIME_S: f64 = 0.25;
+/// Smallest part of all hosts whose account of a server that warms up always has room for one permit, so that a zone
+/// that is partitioned from the others gets some. At most 5 such groups exist at once, and the limit of a second
+/// allows 5 requests beyond the rate.
+const MIN_GROUP_FRACTION: f64 = 0.2;
 /// Wait for a permit that the account of a small group can never hold.
 const NO_PERMIT_WAIT: Millis = Millis::from_secs(1);
 /// The rate limits of backend servers, and the accounts of those that this host owns.
@@ -82,9 +86,36 @@
         self.warm_ups.update(now, entries);
     }
 
-    /// Records that a server refused a connection, so that it may have started anew when it accepts one.
-    pub fn record_refusal(&mut self, now: Millis, engine: &EngineId, backend: &BackendName) {
-        self.warm_ups.record_refusal(now, engine, backend);
+    /// Records that a connection to a server failed, so that it may have started anew when it accepts one.
+    pub fn record_refusal(
+        &mut self,
+        now: Millis,
+        engine: &EngineId,
+        backend: &BackendName,
+        refusal: Refusal,
+    ) {
+        self.warm_ups.record_refusal(now, engine, backend, refusal);
+    }
+
+    /// Records that a connection to a server succeeded; returns whether the server warms up from now on.
+    pub fn record_connection(&mut self, now: Millis, engine: &EngineId) -> bool {
+        self.warm_ups.record_connection(now, engine)
+    }
+
+    /// Records that a peer observed a restart; returns whether the server is cold for longer than was known.
+    pub fn record_peer_warm_up(&mut self, now: Millis, update: &ServerWarmUp) -> bool {
+        self.warm_ups.record_peer_update(now, update)
+    }
+
+    /// Returns the restarts to announce to peers.
+    pub fn warm_up_updates(&mut self, now: Millis, has_new_peer: bool) -> Vec<ServerWarmUp> {
+        self.warm_ups.gossip_updates(now, has_new_peer)
+    }
+
+    /// Returns whether a server warms up.
+    #[must_use]
+    pub fn is_warming_up(&self, now: Millis, engine: &EngineId) -> bool {
+        self.warm_ups.rate(now, engine).is_some()
     }
 
     /// Returns the servers that have warmed up since the last call.
@@ -121,11 +152,19 @@
         engine: &EngineId,
         limit: RequestRate,
     ) -> Result<(), Option<Millis>> {
+        // The requesting host may know of a warm-up that this host has not learned of yet.
+        let is_unknown = self.get(engine) != Some(limit);
+        let may_be_cold = is_unknown
+            && self
+                .warm_ups
+                .rate_if_cold(engine)
+                .is_some_and(|cold| limit <= cold);
         let limit = self.limit_at(now, engine).map_or(limit, |known| known.min(limit));
         let fraction = self.accounts.fraction();
-        let params = match self.warm_ups.rate(now, engine) {
-            Some(_) => warm_up_params(limit, fraction),
-            None => bucket_params(limit, fraction),
+        let params = if may_be_cold || self.is_warming_up(now, engine) {
+            warm_up_params(limit, fraction)
+        } else {
+            bucket_params(limit, fraction)
         };
         let bucket = self.accounts.owned(now, engine).ok_or(None)?;
         match bucket.try_take(now, params, 1.0) {
@@ -143,9 +182,11 @@
 
 fn warm_up_params(limit: RequestRate, fraction: f64) -> BucketParams {
     let per_second = limit.max(MIN_LIMIT).per_second();
+    let capacity = (per_second * WARM_UP_BURST_TIME_S).max(1.0) * fraction;
+    let min_capacity = if fraction >= MIN_GROUP_FRACTION { 1.0 } else { 0.0 };
     BucketParams {
         rate: per_second * fraction,
-        capacity: (per_second * WARM_UP_BURST_TIME_S).max(1.0) * fraction,
+        capacity: capacity.max(min_capacity),
         initial: 0.0,
     }
 }
--- a/crates/gateway/src/control/gossip.rs
+++ b/crates/gateway/src/control/gossip.rs
@@ -12,7 +12,7 @@
     SlotOutcome, WaitingLoad, encode,
 };
 
-use super::{poison_contents, poison_parts, rollout_pace, rollout_routes, server_limits};
+use super::{poison_contents, poison_parts, rollout_pace, rollout_routes, server_limits, warm_ups};
 use crate::shared::{Shared, lock};
 
 /// The largest number of waiting counts in one round.
@@ -128,6 +128,7 @@
     };
     [
         server_limits::announcement(shared, now, is_for_new_peer),
+        warm_ups::announcement(shared, now, is_for_new_peer),
         server_limits::brittle_announcement(shared, now, is_for_new_peer),
         poison_contents::announcement(shared, now, is_for_new_peer),
         parts,
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -17,6 +17,7 @@
 mod store_copy;
 mod store_follower;
 mod updates;
+mod warm_ups;
 
 pub(crate) use configuration::fetch_configurations;
 pub(crate) use gossip::decode_claimed;
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -14,7 +14,7 @@
 use super::updates::{self, ChunkRange};
 use super::{
     gossip, ownership, poison_contents, poison_parts, reach, rollout_pace, rollout_routes, server_limits,
-    store_copy,
+    store_copy, warm_ups,
 };
 use crate::shared::Shared;
 
@@ -93,6 +93,7 @@
         PeerMessage::BrittleServers { host, limits } => {
             server_limits::apply_brittle_updates(shared, &host, limits);
         }
+        PeerMessage::WarmUps { host, servers } => warm_ups::apply_updates(shared, &host, servers),
         PeerMessage::BrittleRejection { engine } => server_limits::apply_rejection(shared, &engine),
         PeerMessage::RolloutPace { host, counts } => rollout_pace::apply_counts(shared, &host, &counts),
         PeerMessage::RolloutRoutes(message) => rollout_routes::apply_counts(shared, message),
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -449,6 +449,7 @@
         let now = shared.now();
         log::info!(engine:% = engine; "backend server is reachable again");
         let mut dispatch = lock(&shared.dispatch);
+        dispatch.record_connection(now, &engine);
         let actions = dispatch.dispatcher.mark_reachable(now, &engine);
         dispatch.apply(now, actions);
     }
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -76,15 +76,18 @@
     requests_waiting: usize,
     requests_running: usize,
     idle_connections: usize,
+    evacuated_zones: Vec<String>,
     engines: Vec<carawayseam_dispatch::load::EngineDump>,
 }
 
 fn dump(shared: &Shared) -> (StatusCode, String) {
     let now = shared.now();
-    let (waiting, running, engines) = {
+    let (waiting, running, evacuated_zones, engines) = {
         let dispatch = lock(&shared.dispatch);
         let (waiting, running) = dispatch.dispatcher.request_counts();
-        (waiting, running, dispatch.dispatcher.dump(now))
+        let evacuated = dispatch.dispatcher.evacuated_zones();
+        let evacuated = evacuated.map(ToString::to_string).collect();
+        (waiting, running, evacuated, dispatch.dispatcher.dump(now))
     };
     let dump = Dump {
         host: shared.settings.host.to_string(),
@@ -103,6 +106,7 @@
         requests_waiting: waiting,
         requests_running: running,
         idle_connections: shared.connections.idle_count(),
+        evacuated_zones,
         engines,
     };
     match serde_json::to_string_pretty(&dump) {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -143,11 +143,21 @@
         is_change
     }
 
-    /// Reopens the servers that have warmed up.
+    /// Reopens the servers that have warmed up, and marks those that warm up.
     pub(crate) fn lift_warm_up_limits(&mut self, now: Millis) {
         for engine in self.server_limits.take_warmed_up(now) {
             self.apply_rate_limit(now, &engine);
         }
+        let limits = &self.server_limits;
+        self.dispatcher
+            .mark_cold(|engine| limits.is_warming_up(now, engine));
+    }
+
+    /// Records that a connection to a server succeeded, which may be the first one after a restart.
+    pub(crate) fn record_connection(&mut self, now: Millis, engine: &EngineId) {
+        if self.server_limits.record_connection(now, engine) {
+            log::info!(engine:% = engine; "backend server accepts connections again and warms up");
+        }
     }
 
     /// Reopens a server whose rate limit changed: it may have room now.
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -1,10 +1,12 @@
 //! One attempt to send a request to one backend server.
 
+use std::io::ErrorKind;
 use std::pin::Pin;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use carawayseam_dispatch::AttemptEnd;
+use carawayseam_dispatch::warm_up::Refusal;
 use carawayseam_types::{HostId, Millis};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -18,7 +20,7 @@
 use super::server_state::record_server_state;
 use super::silence::{Awaited, Patience};
 use crate::body_memory::BodyBuf;
-use crate::http_client::{Connection, SendError};
+use crate::http_client::{Connection, ConnectionEnd, SendError};
 use crate::platform::{OutgoingHead, ResponseHead};
 use crate::relay;
 use crate::request_log;
@@ -235,7 +237,10 @@
     let opened = relay::connect(shared, peer, &assignment.engine, within).await;
     request_log::record_relay(exchange, &assignment.engine, peer, opened.as_ref().err());
     let stream = match opened {
-        Ok(stream) => stream,
+        Ok(stream) => {
+            lock(&shared.dispatch).record_connection(shared.now(), &assignment.engine);
+            stream
+        }
         Err(_logged) => return Err(Failure::NotRun(AttemptEnd::RelayFailed)),
     };
     Connection::over(stream).await.map_err(|e| {
@@ -248,20 +253,36 @@
     let within = CONNECT_TIMEOUT.min(exchange.time_left());
     exchange.shared.metrics.count("engine_connections", "opened");
     match Connection::open(assignment.address, within, SERVER_SILENCE_LIMIT).await {
-        Ok(connection) => Ok(connection),
+        Ok(connection) => {
+            let shared = &exchange.shared;
+            lock(&shared.dispatch).record_connection(shared.now(), &assignment.engine);
+            Ok(connection)
+        }
         Err(e) => {
             log::debug!(engine:% = assignment.engine; "connecting to the backend server failed: {e}");
-            let shared = &exchange.shared;
-            lock(&shared.dispatch).server_limits.record_refusal(
-                shared.now(),
-                &assignment.engine,
-                &exchange.backend,
-            );
+            match e.kind() {
+                ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => {
+                    record_refusal(exchange, assignment, Refusal::Closed);
+                }
+                // A wait that the caller's deadline cut short says nothing about the server.
+                ErrorKind::TimedOut if within < CONNECT_TIMEOUT => {}
+                _ => record_refusal(exchange, assignment, Refusal::Unanswered),
+            }
             Err(Failure::NotRun(AttemptEnd::Unreachable))
         }
     }
 }
 
+/// Records that a connection to a server failed, so that it may have crashed.
+fn record_refusal(exchange: &Exchange, assignment: &Assignment, refusal: Refusal) {
+    let shared = &exchange.shared;
+    let mut dispatch = lock(&shared.dispatch);
+    let (now, engine) = (shared.now(), &assignment.engine);
+    dispatch
+        .server_limits
+        .record_refusal(now, engine, &exchange.backend, refusal);
+}
+
 async fn send_on(
     exchange: &mut Exchange,
     connection: Connection,
@@ -352,6 +373,13 @@
         SendError::NotSent(_) => Failure::NotRun(AttemptEnd::Unreachable),
         SendError::MaybeSent(e) => {
             request_log::record_lost_connection(exchange, &assignment.engine, "head", e);
+            let is_closed = matches!(
+                ConnectionEnd::from_error(e),
+                ConnectionEnd::Closed | ConnectionEnd::Reset
+            );
+            if is_closed && assignment.via.is_none() {
+                record_refusal(exchange, assignment, Refusal::Closed);
+            }
             Failure::MaybeRun(AttemptEnd::ConnectionLost)
         }
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -30,8 +30,8 @@
 pub use heartbeat::{ConfigurationVersion, EngineLoad, Heartbeat, RolloutCounts, WaitingLoad};
 pub use peers::{
     ContentCrash, ItemChunk, ItemsPage, PaceCounts, PartAnswer, PartCrash, PeerMessage, PeerResponse,
-    PermitOutcome, QuotaOutcome, QuotaRequest, RolloutRoutes, RouteResponses, ServerLimitUpdate, SlotOutcome,
-    StoreChange, StoreChangeKind, StoreChanges, VersionResponses,
+    PermitOutcome, QuotaOutcome, QuotaRequest, RolloutRoutes, RouteResponses, ServerLimitUpdate,
+    ServerWarmUpUpdate, SlotOutcome, StoreChange, StoreChangeKind, StoreChanges, VersionResponses,
 };
 pub use relay::{RelayRefusal, RelayRequest, RelayResponse};
 pub use stream::{ForwardFrame, ForwardedRequest, Head, Record, RecordKey, StreamReply, StreamRequest};
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -160,6 +160,24 @@
         /// The requesting host.
         host: HostId,
     },
+    /// Announces backend servers that may have restarted and bear few requests while they warm up.
+    WarmUps {
+        /// The announcing host.
+        host: HostId,
+        /// The servers.
+        servers: Vec<ServerWarmUpUpdate>,
+    },
+}
+
+/// A backend server that may have restarted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerWarmUpUpdate {
+    /// The server.
+    pub engine: EngineId,
+    /// The start in the entry that the announcing host knows, which is earlier than the restart.
+    pub started: Option<u64>,
+    /// How much longer the server warms up.
+    pub remaining: Millis,
 }
 
 /// A crash of a backend server under a content, which any host may announce that knows of it.
