--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -448,8 +448,8 @@
     if reached.is_ok() {
         let now = shared.now();
         log::info!(engine:% = engine; "backend server is reachable again");
+        shared.record_connection(&engine);
         let mut dispatch = lock(&shared.dispatch);
-        dispatch.record_connection(now, &engine);
         let actions = dispatch.dispatcher.mark_reachable(now, &engine);
         dispatch.apply(now, actions);
     }
--- a/crates/gateway/src/control/store_follower.rs
+++ b/crates/gateway/src/control/store_follower.rs
@@ -181,8 +181,15 @@
         let zones = evacuations
             .iter()
             .filter_map(|item| self.evacuated_zone(&item.key));
-        let change = Evacuation::Listed(zones.collect());
-        self.send_event(Event::Evacuation(change));
+        match source {
+            ListSource::Latest => self.send_event(Event::Evacuation(Evacuation::Listed(zones.collect()))),
+            // The copy may be older than an order. An order ends by the removal of its key, which was not seen.
+            ListSource::Copy => {
+                for zone in zones {
+                    self.send_event(Event::Evacuation(Evacuation::Ordered(zone)));
+                }
+            }
+        }
         let listed = engines
             .into_iter()
             .filter_map(|item| self.decode_engine(item))
--- a/crates/gateway/src/control/warm_ups.rs
+++ b/crates/gateway/src/control/warm_ups.rs
@@ -23,6 +23,10 @@
 
 /// Applies the restarts that a peer announced.
 pub(super) fn apply_updates(shared: &Shared, host: &HostId, servers: Vec<ServerWarmUpUpdate>) {
+    if shared.peers.address(host).is_none() {
+        shared.metrics.count("warm_ups", "unknown-host");
+        return;
+    }
     let now = shared.now();
     for server in servers {
         let update = ServerWarmUp {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -153,13 +153,6 @@
             .mark_cold(|engine| limits.is_warming_up(now, engine));
     }
 
-    /// Records that a connection to a server succeeded, which may be the first one after a restart.
-    pub(crate) fn record_connection(&mut self, now: Millis, engine: &EngineId) {
-        if self.server_limits.record_connection(now, engine) {
-            log::info!(engine:% = engine; "backend server accepts connections again and warms up");
-        }
-    }
-
     /// Reopens a server whose rate limit changed: it may have room now.
     fn apply_rate_limit(&mut self, now: Millis, engine: &EngineId) {
         let actions = self.dispatcher.lift_limit(now, engine);
@@ -333,6 +326,16 @@
         self.clock.now()
     }
 
+    /// Records that a connection to a server succeeded, which may be the first one after a restart.
+    pub(crate) fn record_connection(&self, engine: &EngineId) {
+        let now = self.now();
+        let is_restart = lock(&self.dispatch).server_limits.record_connection(now, engine);
+        if is_restart {
+            self.metrics.count("warm_ups", "observed");
+            log::info!(engine:% = engine; "backend server accepts connections again and warms up");
+        }
+    }
+
     pub(crate) fn catalog(&self) -> Option<Arc<Catalog>> {
         self.catalog.borrow().clone()
     }
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -238,7 +238,7 @@
     request_log::record_relay(exchange, &assignment.engine, peer, opened.as_ref().err());
     let stream = match opened {
         Ok(stream) => {
-            lock(&shared.dispatch).record_connection(shared.now(), &assignment.engine);
+            shared.record_connection(&assignment.engine);
             stream
         }
         Err(_logged) => return Err(Failure::NotRun(AttemptEnd::RelayFailed)),
@@ -254,8 +254,7 @@
     exchange.shared.metrics.count("engine_connections", "opened");
     match Connection::open(assignment.address, within, SERVER_SILENCE_LIMIT).await {
         Ok(connection) => {
-            let shared = &exchange.shared;
-            lock(&shared.dispatch).record_connection(shared.now(), &assignment.engine);
+            exchange.shared.record_connection(&assignment.engine);
             Ok(connection)
         }
         Err(e) => {
