--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -143,11 +143,14 @@
         is_change
     }
 
-    /// Reopens the servers that have warmed up.
+    /// Reopens the servers that have warmed up, and marks those that warm up.
     pub(crate) fn lift_warm_up_limits(&mut self, now: Millis) {
         for engine in self.server_limits.take_warmed_up(now) {
             self.apply_rate_limit(now, &engine);
         }
+        let limits = &self.server_limits;
+        self.dispatcher
+            .mark_cold(|engine| limits.is_warming_up(now, engine));
     }
 
     /// Reopens a server whose rate limit changed: it may have room now.
@@ -323,6 +326,16 @@
         self.clock.now()
     }
 
+    /// Records that a connection to a server succeeded, which may be the first one after a restart.
+    pub(crate) fn record_connection(&self, engine: &EngineId) {
+        let now = self.now();
+        let is_restart = lock(&self.dispatch).server_limits.record_connection(now, engine);
+        if is_restart {
+            self.metrics.count("warm_ups", "observed");
+            log::info!(engine:% = engine; "backend server accepts connections again and warms up");
+        }
+    }
+
     pub(crate) fn catalog(&self) -> Option<Arc<Catalog>> {
         self.catalog.borrow().clone()
     }
