membership: bound what a host sends, and give no verdict while cut off

With half of the hosts lost, one of 129 hosts sent 18 datagrams and 6.6 kB a second, one of 1,000 sent 24 and 9.3 kB. A host that heard nobody declared its peers dead and sent more than others. A lost zone stayed in `reachable` for 11 s, since one host finds few of its members by itself.

Change: `SendLimit` bounds datagrams and bytes; acks are always sent, probes and updates wait, pushes and indirect probes are left out. A host with a list that is isolated suspects nobody, and restarts the time of its suspects. A host whose probes to a listed zone fail and that hears nothing from it for 2.5 s counts none of its hosts as alive; probes go to the other zones in turn. A host whose local health count is at its bound suspects nobody, as it did once under the send limit at 67% loss. `entry` and `control` have no list and no send limit; for them only the order of the probed zones changes.

Ruled out: dropping acks beyond the budget, which makes sound hosts suspect.

--- a/crates/gateway/src/control/members.rs
+++ b/crates/gateway/src/control/members.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use carawayseam_membership::{Action, Event, Membership, MembershipConfig, Timing};
+use carawayseam_membership::{Action, Event, Membership, MembershipConfig, SendLimit, Timing};
 use carawayseam_types::{HostId, Incarnation, Millis, ZoneId};
 use carawayseam_wire::{Datagram, Peer, PeerMessage, PeerRole, PeerState};
 
@@ -20,6 +20,13 @@
 /// Urgent changes are sent to a few hosts at once, whatever the size of the fleet.
 const MAX_BROADCAST_PEERS: usize = 0;
 
+/// At most 12 datagrams and 4 kB in any second of a longer time, whatever the size of the fleet and its failures.
+const SEND_LIMIT: SendLimit = SendLimit {
+    datagrams_per_second: 11,
+    bytes_per_second: 3_600,
+    burst: Millis(500),
+};
+
 /// A host as the store lists it.
 #[derive(Debug, Clone)]
 pub(super) struct ListedHost {
@@ -46,6 +53,7 @@
             .timing(TIMING)
             .max_broadcast_peers(MAX_BROADCAST_PEERS)
             .without_joins()
+            .send_limit(SEND_LIMIT)
             .seed(incarnation.0);
         Self(Membership::new(config))
     }
@@ -106,7 +114,9 @@
         if self.0.is_isolated() {
             return BTreeSet::new();
         }
-        self.0.live().iter().map(|peer| peer.host.clone()).collect()
+        let live = self.0.live().iter();
+        let heard = live.filter(|peer| !self.0.is_cut_off_from(&peer.zone));
+        heard.map(|peer| peer.host.clone()).collect()
     }
 
     /// Returns by how much this host takes itself for slow; 0 is healthy.
--- a/crates/membership/src/config.rs
+++ b/crates/membership/src/config.rs
@@ -5,6 +5,8 @@
 use carawayseam_types::{HostId, Incarnation, Millis, ZoneId};
 use carawayseam_wire::{Peer, PeerRole, PeerState};
 
+use crate::budget::SendLimit;
+
 /// The periods and time-outs of probes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Timing {
@@ -48,6 +50,7 @@
     pub(crate) timing: Timing,
     pub(crate) max_broadcast_peers: usize,
     pub(crate) joins: bool,
+    pub(crate) send_limit: Option<SendLimit>,
 }
 
 impl MembershipConfig {
@@ -77,6 +80,7 @@
             timing: Timing::DEFAULT,
             max_broadcast_peers: MAX_BROADCAST_PEERS,
             joins: true,
+            send_limit: None,
         }
     }
 
@@ -120,6 +124,13 @@
         self
     }
 
+    /// Limits what is sent. Acks are always sent; probes and updates wait for the budget, and other datagrams are left out.
+    #[must_use]
+    pub const fn send_limit(mut self, limit: SendLimit) -> Self {
+        self.send_limit = Some(limit);
+        self
+    }
+
     /// Sets the seed of the random number generator.
     #[must_use]
     pub const fn seed(mut self, seed: u64) -> Self {
--- a/crates/membership/src/incoming.rs
+++ b/crates/membership/src/incoming.rs
@@ -27,6 +27,9 @@
             return;
         }
         self.heard_at = self.time;
+        if let Some(heard) = self.zones_heard.get_mut(&sender.zone) {
+            *heard = (self.time, false);
+        }
         self.merge(&sender);
         let reported = self.reported_peer(&sender, &updates);
         for update in updates {
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -32,6 +32,7 @@
 //! and above 16 kB otherwise. While the host list is missing or stale,
 //! datagrams from unknown hosts are accepted.
 
+mod budget;
 mod config;
 mod dump;
 mod incoming;
@@ -50,6 +51,7 @@
 mod updates;
 mod watch;
 
+pub use budget::SendLimit;
 pub use config::{MembershipConfig, Timing};
 pub use dump::{MembershipDump, RefusalCounts};
 pub use membership::Membership;
--- a/crates/membership/src/limits.rs
+++ b/crates/membership/src/limits.rs
@@ -10,6 +10,8 @@
 pub(crate) const MAX_LOCAL_HEALTH: u32 = 4;
 /// Time without any datagram after which a process that probes is isolated.
 pub(crate) const ISOLATION_TIMEOUT: Millis = Millis(1_000);
+/// Time without any datagram from a zone after which a process whose probes to it fail is cut off from the zone.
+pub(crate) const ZONE_TIMEOUT: Millis = Millis(2_500);
 /// Maximum number of seeds and dead peers that a process without live peers probes at a time.
 pub(crate) const MAX_REJOIN_PROBES: usize = 4;
 /// Interval between checks for peers whose state has expired.
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -4,16 +4,17 @@
 use std::net::SocketAddr;
 
 use carawayseam_external::hosts::{HostList, HostState};
-use carawayseam_types::{HostId, Millis};
+use carawayseam_types::{HostId, Millis, ZoneId};
 use carawayseam_wire::{Body, GossipUpdate, Head, Item, ItemKey, Peer, PeerState, Record, RecordKey, Topic};
 use rand::SeedableRng;
 use rand::rngs::Xoshiro256PlusPlus;
 
+use crate::budget::SendBudget;
 use crate::dump::RefusalCounts;
 use crate::items::{Audience, Items, audience, max_value_bytes};
 use crate::limits::{
-    DIRECTED_RESENDS, EXPIRE_PERIOD, ISOLATION_TIMEOUT, MAX_CLOCK_STEP, MAX_JOIN_ROUNDS, MAX_REJOIN_PROBES,
-    MIN_SYNCED_PEERS, REJOIN_PERIOD, RESEND_PERIOD,
+    DIRECTED_RESENDS, EXPIRE_PERIOD, ISOLATION_TIMEOUT, MAX_CLOCK_STEP, MAX_JOIN_ROUNDS, MAX_LOCAL_HEALTH,
+    MAX_REJOIN_PROBES, MIN_SYNCED_PEERS, REJOIN_PERIOD, RESEND_PERIOD, ZONE_TIMEOUT,
 };
 use crate::parts::Assemblies;
 use crate::peers::{PeerId, Peers};
@@ -40,10 +41,13 @@
     pub(crate) listed: Option<BTreeSet<PeerId>>,
     /// When the last datagram was received.
     pub(crate) heard_at: Millis,
+    /// When the last datagram was received from each listed zone, and whether a probe to the zone has failed since.
+    pub(crate) zones_heard: BTreeMap<ZoneId, (Millis, bool)>,
     /// Peers that have sent all their heads, at most [`MIN_SYNCED_PEERS`].
     pub(crate) synced_peers: BTreeSet<PeerId>,
     pub(crate) queue: UpdateQueue,
     pub(crate) push_queue: PushQueue,
+    pub(crate) send_budget: SendBudget,
     pub(crate) rotation: Rotation,
     pub(crate) records: Records,
     pub(crate) items: Items,
@@ -80,9 +84,11 @@
             max_broadcast_peers: config.max_broadcast_peers,
             listed: None,
             heard_at: Millis::ZERO,
+            zones_heard: BTreeMap::new(),
             synced_peers: BTreeSet::new(),
             queue: UpdateQueue::default(),
             push_queue: PushQueue::default(),
+            send_budget: SendBudget::full(config.send_limit),
             rotation: Rotation::default(),
             records: Records::default(),
             items: Items::default(),
@@ -164,9 +170,20 @@
         source.first().map(|peer| peer.address)
     }
 
-    /// Iterates over the peers that are alive: neither suspect nor leaving.
+    /// Iterates over the peers that are alive: neither suspect nor leaving, nor in a zone from which this process is cut
+    /// off.
     pub fn alive(&self) -> impl Iterator<Item = &Peer> {
-        self.peers.all().filter(|peer| peer.state == PeerState::Alive)
+        let alive = self.peers.all().filter(|peer| peer.state == PeerState::Alive);
+        alive.filter(|peer| !self.is_cut_off_from(&peer.zone))
+    }
+
+    /// Returns whether probes to a listed zone fail and nothing arrives from it.
+    ///
+    /// One host probes a zone about once a second, so it takes too long to find each host of a lost zone by itself.
+    #[must_use]
+    pub fn is_cut_off_from(&self, zone: &ZoneId) -> bool {
+        let heard = self.zones_heard.get(zone);
+        heard.is_some_and(|(at, has_failed)| *has_failed && self.time.since(*at) >= ZONE_TIMEOUT)
     }
 
     /// Returns the peers that are alive or only suspected.
@@ -183,6 +200,13 @@
         self.prober.has_probes() && self.time.since(self.heard_at) >= ISOLATION_TIMEOUT
     }
 
+    /// Returns whether probes that fail say nothing of the peers, since this process hears none of them.
+    ///
+    /// A process without a list keeps to its verdicts: a fleet of two has no third to hear.
+    fn withholds_verdicts(&self) -> bool {
+        self.listed.is_some() && self.is_isolated()
+    }
+
     /// Returns by how much this process takes itself for slow; 0 is healthy.
     #[must_use]
     pub const fn local_health(&self) -> u32 {
@@ -210,6 +234,7 @@
         self.last_now = Some(now);
         self.time += step;
         self.push_queue.refill(step);
+        self.send_budget.refill(step);
     }
 
     fn learn(&mut self, record: Record, actions: &mut Vec<Action>) {
@@ -259,6 +284,13 @@
         self.peers
             .retain(|peer| ids.contains(&PeerId::of(peer)) || peer.state != PeerState::Dead);
         self.listed = Some(ids);
+        let zones: BTreeSet<&ZoneId> = peers.iter().map(|peer| &peer.zone).collect();
+        self.zones_heard.retain(|zone, _| zones.contains(zone));
+        for zone in zones {
+            if !self.zones_heard.contains_key(zone) {
+                self.zones_heard.insert(zone.clone(), (self.time, false));
+            }
+        }
         for peer in peers.iter().filter(|peer| PeerId::of(peer) != me) {
             self.peers.merge(self.time, peer);
         }
@@ -295,7 +327,9 @@
 
     fn probe(&mut self, actions: &mut Vec<Action>) {
         let mut due = Vec::new();
-        self.prober.tick(self.time, &self.peers, &mut self.rng, &mut due);
+        let may_probe = self.send_budget.covers_datagram();
+        self.prober
+            .tick(self.time, &self.peers, may_probe, &mut self.rng, &mut due);
         for item in due {
             match item {
                 Due::Probe { seq, target } => self.send(&target, Body::Probe { seq }, actions),
@@ -306,11 +340,23 @@
     }
 
     fn suspect(&mut self, id: &PeerId, actions: &mut Vec<Action>) {
+        if self.withholds_verdicts() {
+            return;
+        }
+        if let Some(peer) = self.peers.get(id)
+            && let Some((_, has_failed)) = self.zones_heard.get_mut(&peer.zone)
+        {
+            *has_failed = true;
+        }
         let is_alive = self
             .peers
             .get(id)
             .is_some_and(|peer| peer.state == PeerState::Alive);
         self.prober.lower_local_health();
+        // Nearly all of its probes fail: the reason is rather this process than its peers.
+        if self.listed.is_some() && self.prober.local_health() >= MAX_LOCAL_HEALTH {
+            return;
+        }
         let worsened = is_alive.then(|| self.peers.worsen(self.time, id, PeerState::Suspect));
         if let Some(peer) = worsened.flatten() {
             self.queue.enqueue(GossipUpdate::Peer(peer.clone()));
@@ -325,6 +371,11 @@
             return;
         }
         self.expire_at = self.time + EXPIRE_PERIOD;
+        if self.withholds_verdicts() {
+            // After the isolation, the suspects have their whole time to refute.
+            self.peers.restart_suspicions(self.time);
+            return;
+        }
         let suspicion_timeout = self.prober.scaled(self.timing.suspicion_timeout);
         for peer in self.peers.expire(self.time, suspicion_timeout) {
             self.queue.enqueue(GossipUpdate::Peer(peer));
--- a/crates/membership/src/outgoing.rs
+++ b/crates/membership/src/outgoing.rs
@@ -58,12 +58,14 @@
         updates: &[GossipUpdate],
         actions: &mut Vec<Action>,
     ) {
+        if !self.send_budget.covers_datagram() {
+            return;
+        }
         let mut bundle = self.bundle(&Body::Gossip);
         for update in updates {
             bundle.add(update, encoded_size(update));
         }
-        let datagram = self.datagram(Body::Gossip, bundle);
-        actions.push(Action::Send { to, datagram });
+        self.send_datagram(to, Body::Gossip, bundle, actions);
     }
 
     /// Asks [`INDIRECT_PROBES`] random peers to probe one that did not answer.
@@ -111,9 +113,7 @@
             };
             let mut bundle = self.bundle(&body);
             pending.retain(|(update, size)| !bundle.add(update, *size));
-            let datagram = self.datagram(body, bundle);
-            let to = to.address;
-            actions.push(Action::Send { to, datagram });
+            self.send_datagram(to.address, body, bundle, actions);
             if pending.is_empty() {
                 return;
             }
@@ -142,12 +142,24 @@
     ///
     /// The rotation comes first, so that records are not delayed when the queue is long.
     fn fill_and_send(&mut self, to: SocketAddr, body: Body, mut bundle: Bundle, actions: &mut Vec<Action>) {
+        // Without an ack, the peer takes this process for lost.
+        if !matches!(body, Body::Ack { .. }) && !self.send_budget.covers_datagram() {
+            return;
+        }
+        let header = self.size_without_updates(&body) + LIST_LENGTH_BYTES;
+        bundle.limit(self.send_budget.remaining_bytes().saturating_sub(header));
         let peers = self.peers.live().len() as u32 + 1;
         let limit = RETRANSMIT_FACTOR * (peers.ilog2() + 1);
         self.rotation
             .fill(&mut bundle, &self.peers, &self.records, &self.items);
         self.queue.fill(&mut bundle, limit);
+        self.send_datagram(to, body, bundle, actions);
+    }
+
+    fn send_datagram(&mut self, to: SocketAddr, body: Body, bundle: Bundle, actions: &mut Vec<Action>) {
         let datagram = self.datagram(body, bundle);
+        self.send_budget
+            .spend(encode(&datagram).map_or(MAX_DATAGRAM_BYTES, |buf| buf.len()));
         actions.push(Action::Send { to, datagram });
     }
 
--- a/crates/membership/src/peers.rs
+++ b/crates/membership/src/peers.rs
@@ -132,6 +132,14 @@
             .collect()
     }
 
+    /// Restarts the time after which suspect peers are declared dead.
+    pub(crate) fn restart_suspicions(&mut self, now: Millis) {
+        let suspects = self.members.values_mut();
+        for suspect in suspects.filter(|member| member.peer.state == PeerState::Suspect) {
+            suspect.since = now;
+        }
+    }
+
     /// Removes the peers that are not kept.
     pub(crate) fn retain(&mut self, is_kept: impl Fn(&Peer) -> bool) {
         let before = self.members.len();
--- a/crates/membership/src/prober.rs
+++ b/crates/membership/src/prober.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use carawayseam_types::Millis;
+use carawayseam_types::{Millis, ZoneId};
 use carawayseam_wire::{Body, Peer};
 use rand::seq::SliceRandom;
 use rand::{Rng, RngExt};
@@ -91,10 +91,17 @@
         self.local_health
     }
 
-    /// Appends the actions that are due at `now`.
-    pub(crate) fn tick(&mut self, now: Millis, peers: &Peers, rng: &mut impl Rng, due: &mut Vec<Due>) {
+    /// Appends the actions that are due at `now`; a new probe waits while `may_probe` is false.
+    pub(crate) fn tick(
+        &mut self,
+        now: Millis,
+        peers: &Peers,
+        may_probe: bool,
+        rng: &mut impl Rng,
+        due: &mut Vec<Due>,
+    ) {
         self.check_timeouts(now, peers, due);
-        if now < self.next_at {
+        if now < self.next_at || !may_probe {
             return;
         }
         self.next_at = now + self.timing.probe_period;
@@ -196,6 +203,15 @@
             .filter(|peer| (peer.zone != *zone) == other_zone);
         list.extend(candidates.map(PeerId::of));
         list.shuffle(rng);
+        // Zones take turns, so that the loss of a whole zone is seen soon.
+        let mut counts: BTreeMap<&ZoneId, usize> = BTreeMap::new();
+        list.sort_by_cached_key(|id| {
+            let count = peers.get(id).map(|peer| counts.entry(&peer.zone).or_default());
+            count.map_or(0, |count| {
+                *count += 1;
+                *count
+            })
+        });
         list.pop().and_then(|id| find_live(&id))
     }
 }
--- a/crates/membership/src/updates.rs
+++ b/crates/membership/src/updates.rs
@@ -59,6 +59,11 @@
         true
     }
 
+    /// Bounds the bytes that may still be added.
+    pub(crate) fn limit(&mut self, bytes: usize) {
+        self.remaining = self.remaining.min(bytes);
+    }
+
     pub(crate) const fn remaining(&self) -> usize {
         self.remaining
     }
--- a/crates/membership/tests/network/mod.rs
+++ b/crates/membership/tests/network/mod.rs
@@ -21,6 +21,20 @@
     pub jitter_ms: u64,
 }
 
+/// Datagrams, and their bytes with the UDP and IP headers.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Traffic {
+    pub datagrams: u64,
+    pub bytes: u64,
+}
+
+impl Traffic {
+    const fn add(&mut self, bytes: usize) {
+        self.datagrams += 1;
+        self.bytes += bytes as u64 + 28;
+    }
+}
+
 #[derive(Debug)]
 pub struct Node {
     pub membership: Membership,
@@ -30,6 +44,10 @@
     pub side: u8,
     /// Offset of the node's clock from the time of the network, in milliseconds.
     pub clock_offset: u64,
+    /// The share of the node's own datagrams, in either direction, that is lost.
+    pub loss_percent: u32,
+    pub sent: Traffic,
+    pub received: Traffic,
     pub applied: Vec<(RecordKey, Revision)>,
     pub delivered: Vec<(u64, Item)>,
     pub refused: Vec<Refusal>,
@@ -170,6 +188,10 @@
 
     fn send(&mut self, from: usize, to: SocketAddr, buf: &[u8]) {
         self.sent_bytes += buf.len() as u64;
+        self.nodes[from].sent.add(buf.len());
+        if self.rng.random_range(0..100) < self.nodes[from].loss_percent {
+            return;
+        }
         let copies = 1 + u32::from(self.rng.random_range(0..100) < self.faults.duplicate_percent);
         for _ in 0..copies {
             if self.rng.random_range(0..100) < self.faults.loss_percent {
@@ -203,6 +225,10 @@
         let Some(to) = self.reachable(from, to) else {
             return;
         };
+        if self.rng.random_range(0..100) < self.nodes[to].loss_percent {
+            return;
+        }
+        self.nodes[to].received.add(buf.len());
         let datagram = decode_datagram(buf).expect("datagram decodes");
         let from = self.nodes[from].address;
         self.inject(to, Event::Datagram { from, datagram });
@@ -219,7 +245,15 @@
     }
 
     fn reachable(&self, from: usize, to: SocketAddr) -> Option<usize> {
-        let index = self.nodes.iter().position(|node| node.address == to)?;
+        // Most nodes are at the address of their index; a search for each datagram is slow in large networks.
+        let guess = match to.ip() {
+            std::net::IpAddr::V4(ip) => usize::from(ip.octets()[2]) * 200 + usize::from(ip.octets()[3]) - 1,
+            std::net::IpAddr::V6(_) => 0,
+        };
+        let index = match self.nodes.get(guess) {
+            Some(node) if node.address == to => guess,
+            _ => self.nodes.iter().position(|node| node.address == to)?,
+        };
         let node = &self.nodes[index];
         (node.up && node.side == self.nodes[from].side).then_some(index)
     }
@@ -255,12 +289,19 @@
 
 impl Node {
     fn new(index: usize, zones: usize, incarnation: u64) -> Self {
+        Self::with(Membership::new(config(index, zones, incarnation)), address(index))
+    }
+
+    pub fn with(membership: Membership, address: SocketAddr) -> Self {
         Self {
-            membership: Membership::new(config(index, zones, incarnation)),
-            address: address(index),
+            membership,
+            address,
             up: true,
             side: 0,
             clock_offset: 0,
+            loss_percent: 0,
+            sent: Traffic::default(),
+            received: Traffic::default(),
             applied: Vec::new(),
             delivered: Vec::new(),
             refused: Vec::new(),
