dispatch: free claimed slots that their holder never confirms, and bound what peers state

Cause: a claim renewed all that its host held, so that a slot whose return was lost stayed taken as long as the host claimed others. Slots of an earlier process stayed taken until the successor's requests reached their numbers. A claim that arrived twice took two slots. A refused claim of a lower tier ended the precedence of the same host's higher tier. Running and waiting requests of u32::MAX from two peers overflowed the sums. Refused claims of servers that nobody claims any more were kept.

Change: each claimed slot has its own time, and 1.5 s after it the slot is free unless it was confirmed. A return takes the latest unconfirmed slot. Claims are matched by request id. Refused claims are kept by host and tier, and expire. Counts are bounded at 65,536 for each entry, and a peer has one entry for each server. Grants by heartbeats are as before.

Ruled out: dropping all unconfirmed slots at a new incarnation, which drops those that the new process claimed.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -295,6 +295,7 @@
     pub fn tick(&mut self, now: Millis) -> Vec<Action> {
         self.now = self.now.max(now);
         self.peers.expire(self.now);
+        self.refused_claims.expire(self.now);
         for pool in self.pools.values_mut() {
             pool.update_reach(self.now);
         }
--- a/crates/dispatch/src/dispatcher/measured_loads.rs
+++ b/crates/dispatch/src/dispatcher/measured_loads.rs
@@ -62,10 +62,12 @@
         above.count() as u32
     }
 
-    /// Records a refused claim; of one host, the latest replaces the others.
+    /// Records a refused claim; of one host and tier, the latest replaces the others.
+    ///
+    /// A host's claims of lower tiers must not end the precedence of its higher ones.
     fn record(&mut self, now: Millis, engine: EngineKey, host: &HostId, tier: Tier) {
         let claims = self.0.entry(engine).or_default();
-        claims.retain(|claim| claim.host != *host);
+        claims.retain(|claim| claim.host != *host || claim.tier != tier);
         claims.push(RefusedClaim {
             at: now,
             host: host.clone(),
@@ -76,12 +78,20 @@
         }
     }
 
-    /// Forgets a host's refused claim, because it got a slot.
-    fn forget(&mut self, engine: EngineKey, host: &HostId) {
+    /// Forgets a host's refused claim of a tier, because it got a slot.
+    fn forget(&mut self, engine: EngineKey, host: &HostId, tier: Tier) {
         if let Some(claims) = self.0.get_mut(&engine) {
-            claims.retain(|claim| claim.host != *host);
+            claims.retain(|claim| claim.host != *host || claim.tier != tier);
         }
     }
+
+    /// Drops claims that no longer count, also of servers that nobody claims any more.
+    pub(super) fn expire(&mut self, now: Millis) {
+        self.0.retain(|_, claims| {
+            claims.retain(|claim| now.since(claim.at) <= REFUSED_CLAIM_TTL);
+            !claims.is_empty()
+        });
+    }
 }
 
 /// The last confirmation of held slots of each host.
@@ -117,12 +127,23 @@
         let (id, slots, own) = (engine.entry.id.clone(), engine.entry.slots, engine.own_load());
         let peers = self.peers.announced_load(key);
         let used = own.running.saturating_add(peers.running);
+        if self.peers.has_claim(host, key, request_id) {
+            // The claim arrived twice.
+            let load = ServerLoad {
+                running: used,
+                prompt_ahead: own.prompt_ahead.saturating_add(peers.prompt_ahead),
+            };
+            return Some(ClaimedSlot {
+                is_granted: true,
+                load,
+            });
+        }
         let free = slots.saturating_sub(used);
         let is_granted = free > self.refused_claims.count_above(now, key, tier)
             && self.brittle_servers.grant(now, &id, used);
         if is_granted {
-            self.peers.grant_slot(now, host, key, request_id);
-            self.refused_claims.forget(key, host);
+            self.peers.grant_claim(now, host, key, request_id);
+            self.refused_claims.forget(key, host, tier);
         } else {
             self.refused_claims.record(now, key, host, tier);
         }
--- a/crates/dispatch/src/dispatcher/peers.rs
+++ b/crates/dispatch/src/dispatcher/peers.rs
@@ -35,7 +35,7 @@
             .saturating_add(self.peers.announced_load(engine).running);
         let is_free = used < known.entry.slots && self.brittle_servers.grant(now, &known.entry.id, used);
         if is_free {
-            self.peers.grant_slot(now, host, engine, 0);
+            self.peers.grant_slot(now, host, engine);
         }
         Some(is_free)
     }
--- a/crates/dispatch/src/peer_loads.rs
+++ b/crates/dispatch/src/peer_loads.rs
@@ -21,6 +21,8 @@
 /// The largest number of prompt tokens that is counted for one peer and server, so that no sum overflows: callers
 /// state the lengths of their prompts.
 const MAX_PROMPT_AHEAD: u32 = 1 << 20;
+/// The largest number of requests that is counted for one entry of a peer, so that no sum overflows.
+const MAX_REQUESTS: u32 = 1 << 16;
 
 /// The load of one request, without its prompt.
 const ONE_REQUEST: ServerLoad = ServerLoad {
@@ -44,6 +46,15 @@
     engine: EngineKey,
     /// The id of the peer's request for it.
     request_id: u64,
+    /// When a claimed slot was granted, which its holder has to confirm; `None` if the next announcement tells.
+    claimed_at: Option<Millis>,
+}
+
+impl GrantedSlot {
+    /// Returns whether the holder should have confirmed the slot since, and did not.
+    fn is_unconfirmed(&self, now: Millis) -> bool {
+        self.claimed_at.is_some_and(|at| now.since(at) > LOAD_TTL)
+    }
 }
 
 /// The loads of all peers.
@@ -109,9 +120,24 @@
     }
 }
 
-fn bound_prompt((engine, load): (EngineKey, ServerLoad)) -> (EngineKey, ServerLoad) {
-    let prompt_ahead = load.prompt_ahead.min(MAX_PROMPT_AHEAD);
-    (engine, ServerLoad { prompt_ahead, ..load })
+fn bound_load((engine, load): (EngineKey, ServerLoad)) -> (EngineKey, ServerLoad) {
+    let load = ServerLoad {
+        running: load.running.min(MAX_REQUESTS),
+        prompt_ahead: load.prompt_ahead.min(MAX_PROMPT_AHEAD),
+    };
+    (engine, load)
+}
+
+/// Bounds the loads, and keeps one of each server: the entries of one peer must not add up to more either.
+fn bound_loads(mut loads: Vec<(EngineKey, ServerLoad)>) -> Vec<(EngineKey, ServerLoad)> {
+    loads.sort_by_key(|(engine, _)| *engine);
+    loads.dedup_by_key(|(engine, _)| *engine);
+    loads.into_iter().map(bound_load).collect()
+}
+
+fn bound_waiting(waiting: WaitingCount) -> WaitingCount {
+    let count = waiting.count.min(MAX_REQUESTS);
+    WaitingCount { count, ..waiting }
 }
 
 impl PeerLoads {
@@ -122,9 +148,9 @@
         self.sums.subtract_waiting(announcement);
         *announcement = Announcement {
             updated_at: now,
-            engines: load.engines.into_iter().map(bound_prompt).collect(),
+            engines: bound_loads(load.engines),
             granted: Vec::new(),
-            waiting: load.waiting,
+            waiting: load.waiting.into_iter().map(bound_waiting).collect(),
         };
         self.sums.add(announcement);
     }
@@ -144,7 +170,7 @@
         let later: Vec<GrantedSlot> = earlier
             .into_iter()
             .flatten()
-            .filter(|granted| granted.request_id > as_of_request)
+            .filter(|granted| granted.request_id > as_of_request && !granted.is_unconfirmed(now))
             .copied()
             .collect();
         let load = HostLoad {
@@ -153,16 +179,49 @@
         };
         self.record_load(now, host, load);
         for granted in later {
-            self.grant_slot(now, host, granted.engine, granted.request_id);
+            self.add_granted(host, granted);
         }
     }
 
     /// Records a slot that was granted for a peer's request.
-    pub(crate) fn grant_slot(&mut self, now: Millis, host: &HostId, engine: EngineKey, request_id: u64) {
+    pub(crate) fn grant_slot(&mut self, now: Millis, host: &HostId, engine: EngineKey) {
+        self.announcements.entry(host.clone()).or_default().updated_at = now;
+        let granted = GrantedSlot {
+            engine,
+            request_id: 0,
+            claimed_at: None,
+        };
+        self.add_granted(host, granted);
+    }
+
+    /// Records a slot that was granted for a peer's claim; the peer has to confirm it.
+    ///
+    /// The grant does not renew what the peer confirmed before: a slot whose return was lost must not last as long as
+    /// the peer claims others.
+    pub(crate) fn grant_claim(&mut self, now: Millis, host: &HostId, engine: EngineKey, request_id: u64) {
+        let granted = GrantedSlot {
+            engine,
+            request_id,
+            claimed_at: Some(now),
+        };
+        self.add_granted(host, granted);
+    }
+
+    /// Returns whether a slot was granted for this claim already.
+    pub(crate) fn has_claim(&self, host: &HostId, engine: EngineKey, request_id: u64) -> bool {
+        let mut granted = self
+            .announcements
+            .get(host)
+            .into_iter()
+            .flat_map(|known| &known.granted);
+        granted
+            .any(|slot| slot.engine == engine && slot.request_id == request_id && slot.claimed_at.is_some())
+    }
+
+    fn add_granted(&mut self, host: &HostId, granted: GrantedSlot) {
         let announcement = self.announcements.entry(host.clone()).or_default();
-        announcement.updated_at = now;
-        announcement.granted.push(GrantedSlot { engine, request_id });
-        self.sums.engines.entry(engine).or_default().running += 1;
+        announcement.granted.push(granted);
+        self.sums.engines.entry(granted.engine).or_default().running += 1;
     }
 
     /// Records that a peer's request no longer occupies a slot of a server.
@@ -173,14 +232,15 @@
         let granted = announcement
             .granted
             .iter()
-            .position(|granted| granted.engine == engine);
+            .rposition(|granted| granted.engine == engine);
         let running = announcement
             .engines
             .iter_mut()
             .find(|(other, load)| *other == engine && load.running > 0);
         match (granted, running) {
             (Some(ix), _) => {
-                announcement.granted.swap_remove(ix);
+                // The latest: a slot whose return was lost is among the earlier ones, which expire if not confirmed.
+                announcement.granted.remove(ix);
             }
             (None, Some((_, load))) => load.running -= 1,
             (None, None) => return,
@@ -198,11 +258,27 @@
                 sums.subtract_waiting(announcement);
                 announcement.waiting.clear();
             }
-            let is_current = age <= LOAD_TTL;
-            if !is_current {
-                sums.subtract_loads(announcement);
+            announcement.granted.retain(|granted| {
+                let is_unconfirmed = granted.is_unconfirmed(now);
+                if is_unconfirmed {
+                    sums.subtract_from(granted.engine, ONE_REQUEST);
+                }
+                !is_unconfirmed
+            });
+            if age <= LOAD_TTL {
+                return true;
             }
-            is_current
+            // Slots that were claimed since the last announcement remain.
+            let (claimed, others) = announcement
+                .granted
+                .iter()
+                .copied()
+                .partition(|granted| granted.claimed_at.is_some());
+            announcement.granted = others;
+            sums.subtract_loads(announcement);
+            announcement.engines.clear();
+            announcement.granted = claimed;
+            !announcement.granted.is_empty()
         });
     }
 
