gateway: ignore claims, confirmations and requests for reports of unknown hosts

Cause: the handlers of `SlotClaim`, `HeldSlots` and `ReportsRequest` did not check that the sender is listed, so that a foreign or removed host took slots. In a small fleet, the owner's own request was refused where it was sent before.

Change: messages of hosts without a known address are counted as `unknown-host` and ignored. The owner looks for a free slot of its own only where slots are claimed with tiers.

Ruled out: a check in the dispatcher, which does not know the hosts.

Conclusion: no test covers it, since the handlers need a running process.

--- a/crates/gateway/src/control/gossip.rs
+++ b/crates/gateway/src/control/gossip.rs
@@ -60,8 +60,20 @@
     true
 }
 
+/// Returns whether another host is listed, so that its messages count.
+fn is_known(shared: &Shared, host: &HostId) -> bool {
+    let is_known = shared.peers.address(host).is_some();
+    if !is_known {
+        shared.metrics.count(COUNTER, "unknown-host");
+    }
+    is_known
+}
+
 /// Responds to a host's claim of a slot of a backend server.
 pub(super) fn respond_claim(shared: &Shared, claim: &SlotClaim) {
+    if !is_known(shared, &claim.host) {
+        return;
+    }
     let SlotClaim {
         host,
         request_id,
@@ -87,6 +99,9 @@
 
 /// Applies a host's confirmation of the slots that it holds.
 pub(super) fn confirm_held(shared: &Shared, held: &HeldSlots) {
+    if !is_known(shared, &held.host) {
+        return;
+    }
     let now = shared.now();
     let engines = held.engines.iter().map(|load| {
         let server_load = ServerLoad {
@@ -108,6 +123,9 @@
 
 /// Sends a host the reports that were announced before it started or while it was partitioned.
 pub(super) fn send_reports(shared: &Shared, host: &HostId) {
+    if !is_known(shared, host) {
+        return;
+    }
     let now = shared.now();
     let mut sent = 0;
     for message in reports(shared, now, true) {
--- a/crates/gateway/src/traffic/slots.rs
+++ b/crates/gateway/src/traffic/slots.rs
@@ -77,8 +77,9 @@
 ) -> Result<Option<RemoteSlot>, NoFreeSlot> {
     let now = shared.now();
     let dispatcher = &mut lock(&shared.dispatch).dispatcher;
-    let is_granted = dispatcher.may_use_own_slot(now, &assignment.engine, claim.tier)
-        && dispatcher.grant_own_slot(now, &assignment.engine);
+    let is_free =
+        !shared.peers.takes_claims() || dispatcher.may_use_own_slot(now, &assignment.engine, claim.tier);
+    let is_granted = is_free && dispatcher.grant_own_slot(now, &assignment.engine);
     if is_granted { Ok(None) } else { Err(NoFreeSlot) }
 }
 
