Learn the paces of servers by concurrency, and place requests by them

Servers of one backend differ in speed, and some slow down before all their slots are used, but each server was filled up to its slots and its pace was forgotten with a half-life of 6 s.

A host learns the time between events of each server by concurrency, as a level, the growth that the backend's servers have in common, and a knee. Requests are placed by the load relative to the concurrency that a server handles well and by the expected completion. The placement takes effect only if servers differ 1.5 times at the same concurrency; otherwise the earlier code chooses, with the same random draws. Estimates can be shared: the owner of the slots merges the samples of peers and publishes what it learned.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -2,6 +2,7 @@
 
 mod availability;
 mod brittle;
+mod capacity;
 mod measured_loads;
 mod peers;
 mod reach;
@@ -15,6 +16,7 @@
 
 use crate::brittle_servers::BrittleServers;
 use crate::caller_time::Work;
+use crate::capacity::{BackendCapacity, Sample};
 use crate::draining_servers::DrainingServers;
 use crate::engine::{AttemptEnd, Engine, EngineEntry, PromptPart};
 use crate::evacuation::EvacuatedZones;
@@ -42,6 +44,8 @@
     /// Prompt tokens of this request that the server has not cached.
     own_tokens: f64,
     is_first_event_due: bool,
+    /// Requests that ran on the server at the last sample of the time between events.
+    concurrency: u32,
     /// Whether the response was lost, and its cause is being checked.
     is_loss_checked: bool,
     parts: Vec<PromptPart>,
@@ -70,6 +74,8 @@
     /// The servers whose slots this host owns, if hosts claim slots from their owners.
     owned_slots: BTreeSet<EngineKey>,
     held_confirmations: HeldConfirmations,
+    learns_capacity: bool,
+    sample_messages: HeldConfirmations,
 }
 
 impl Dispatcher {
@@ -96,6 +102,8 @@
             refused_claims: RefusedClaims::default(),
             owned_slots: BTreeSet::new(),
             held_confirmations: HeldConfirmations::default(),
+            learns_capacity: true,
+            sample_messages: HeldConfirmations::default(),
         }
     }
 
@@ -221,9 +229,14 @@
         let mut baseline = pool.baseline;
         if let Some(engine) = pool.engine_mut(&running.engine) {
             engine.prompt_ahead = (engine.prompt_ahead - running.own_tokens).max(0.0);
-            engine
+            let token_ms = engine
                 .speed
                 .on_first_event(now, running.tokens_ahead, millis, &mut baseline);
+            let peers = self.peers.load_on(now, engine.key, engine.own_load());
+            running.concurrency = engine.running.saturating_add(peers.running);
+            if let Some(token_ms) = token_ms {
+                BackendCapacity::record_token(&mut engine.capacity, token_ms);
+            }
             engine.record_cached_parts(now, &running.parts);
         }
         pool.baseline = baseline;
@@ -232,7 +245,7 @@
     /// Records the arrival of further events, on average `mean_ms` apart.
     pub fn record_events(&mut self, now: Millis, ticket: Ticket, mean_ms: f64) {
         self.now = self.now.max(now);
-        let Some(running) = self.running.get_mut(&ticket) else {
+        let Some(running) = self.running.get_mut(&ticket).filter(|_| mean_ms.is_finite()) else {
             return;
         };
         let Some(pool) = self.pools.get_mut(&running.backend) else {
@@ -241,11 +254,26 @@
         if running.via.is_none() {
             pool.record_response(now);
         }
-        let mut baseline = pool.baseline;
-        if let Some(engine) = pool.engine_mut(&running.engine) {
-            engine.speed.on_events(now, mean_ms, &mut baseline);
+        let Some(engine) = pool
+            .engines
+            .iter_mut()
+            .find(|engine| engine.entry.id == running.engine)
+        else {
+            return;
+        };
+        engine.speed.on_events(now, mean_ms, &mut pool.baseline);
+        let peers = self.peers.load_on(now, engine.key, engine.own_load());
+        let concurrency = engine.running.saturating_add(peers.running);
+        let earlier = std::mem::replace(&mut running.concurrency, concurrency);
+        let sample = Sample {
+            slots: engine.entry.slots,
+            // The mean over the time in which the events arrived.
+            concurrency: earlier.midpoint(concurrency),
+            event_ms: mean_ms,
+        };
+        if self.learns_capacity {
+            pool.capacity.record(now, &mut engine.capacity, sample);
         }
-        pool.baseline = baseline;
     }
 
     /// Records the end of an attempt and starts requests in the freed slot.
@@ -371,6 +399,7 @@
                 tokens_ahead,
                 own_tokens,
                 is_first_event_due: true,
+                concurrency: 0,
                 is_loss_checked: false,
                 parts: job.parts,
             };
--- a/crates/dispatch/src/dispatcher/measured_loads.rs
+++ b/crates/dispatch/src/dispatcher/measured_loads.rs
@@ -90,7 +90,7 @@
 
 impl HeldConfirmations {
     /// Returns whether a confirmation is newer than the last one, and records it if so.
-    fn accept(&mut self, now: Millis, host: &HostId, incarnation: Incarnation, seq: u64) -> bool {
+    pub(super) fn accept(&mut self, now: Millis, host: &HostId, incarnation: Incarnation, seq: u64) -> bool {
         self.0.retain(|_, (at, _, _)| now.since(*at) <= CONFIRMATION_TTL);
         let known = self.0.get(host);
         let is_outdated = known.is_some_and(|(_, known, last)| (incarnation, seq) <= (*known, *last));
--- a/crates/dispatch/src/dispatcher/peers.rs
+++ b/crates/dispatch/src/dispatcher/peers.rs
@@ -95,6 +95,7 @@
         engines
             .map(|(pool, engine)| {
                 let pace = engine.speed.pace(now, &pool.baseline);
+                let learned = engine.capacity.estimate(now, engine.entry.slots);
                 EngineDump {
                     engine: engine.entry.id.clone(),
                     backend: engine.entry.backend.clone(),
@@ -105,6 +106,8 @@
                     failure_share: engine.failure_share(now),
                     event_ms: pace.event,
                     thousand_tokens_ms: pace.token * 1_000.0,
+                    soft_capacity: learned.map_or(engine.entry.slots, |learned| learned.soft_capacity),
+                    pace_samples: learned.map_or(0, |learned| learned.samples),
                 }
             })
             .collect()
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -5,6 +5,7 @@
 
 use carawayseam_types::{BackendName, EngineId, EngineKey, HostId, Millis, RequestRate, VersionId, ZoneId};
 
+use crate::capacity::ServerCapacity;
 use crate::pool::saturating_sum;
 use crate::reach::Reach;
 use crate::speed::Speed;
@@ -147,6 +148,7 @@
     pub(crate) running: u32,
     pub(crate) prompt_ahead: f64,
     pub(crate) speed: Speed,
+    pub(crate) capacity: ServerCapacity,
     failures: f64,
     /// The part of the failures that may come from this host's own links.
     link_failures: f64,
@@ -180,6 +182,7 @@
             running: 0,
             prompt_ahead: 0.0,
             speed: Speed::default(),
+            capacity: ServerCapacity::default(),
             failures: 0.0,
             link_failures: 0.0,
             failures_updated_at: Millis::ZERO,
@@ -340,12 +343,13 @@
         }
     }
 
-    /// Resets the cached parts, failures and pauses after a restart of the server, and its reach unless this
+    /// Resets the cached parts, learned capacity, failures and pauses after a restart of the server, and its reach unless this
     /// host is cut from the backend.
     ///
     /// `closed_until` stays: the entry of the new start may arrive before the requested closure ends.
     pub(crate) fn restart(&mut self, now: Millis, is_cut: bool) {
         self.parts.clear();
+        self.capacity.reset(now);
         self.failures = 0.0;
         self.link_failures = 0.0;
         self.paused_until = Millis::ZERO;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 //! | module | purpose |
 //! | --- | --- |
 //! | [`caller_time`] | when a caller leaves, and by when its request has to start |
+//! | [`capacity`] | how much load each server of a backend handles well |
 //! | [`catalog`] | routes, organisations and keys of one configuration |
 //! | [`freshness`] | how old the last confirmation of the configuration may be |
 //! | [`rollouts`] | rollouts of a backend's traffic to another version |
@@ -50,6 +51,7 @@
 mod accounts;
 pub mod brittle_servers;
 pub mod caller_time;
+pub mod capacity;
 pub mod catalog;
 pub mod crash_check;
 pub mod dispatcher;
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -46,4 +46,8 @@
     pub event_ms: f64,
     /// The estimated time to process a thousand prompt tokens, in milliseconds.
     pub thousand_tokens_ms: f64,
+    /// Number of requests that the server handles well, as far as it was learned; otherwise its slots.
+    pub soft_capacity: u32,
+    /// Number of samples from which the capacity was learned.
+    pub pace_samples: u32,
 }
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -1,5 +1,6 @@
 //! The servers of one backend and the requests waiting for them.
 
+mod learned;
 mod queue;
 mod reach;
 
@@ -8,6 +9,7 @@
 use rand::rngs::StdRng;
 
 use crate::brittle_servers::BrittleServers;
+use crate::capacity::{BackendCapacity, Place};
 use crate::engine::Engine;
 use crate::job::{Job, Ticket};
 use crate::peer_loads::PeerLoads;
@@ -97,6 +99,7 @@
     pub(crate) engines: Vec<Engine>,
     pub(crate) waiting: Vec<Waiting>,
     pub(crate) baseline: Pace,
+    pub(crate) capacity: BackendCapacity,
     /// When a place is expected for the next caller that is refused.
     next_return: Millis,
     reach: BackendReach,
@@ -108,6 +111,7 @@
             engines: Vec::new(),
             waiting: Vec::new(),
             baseline: Pace::ASSUMED,
+            capacity: BackendCapacity::default(),
             next_return: Millis::ZERO,
             reach: BackendReach::default(),
         }
@@ -136,6 +140,9 @@
         let ranks = waiting.map(|(ix, waiting)| (rank(waiting, self.baseline), ix));
         let mut order: Vec<(Rank, usize)> = ranks.collect();
         order.sort_unstable();
+        if candidates.iter().any(|candidate| candidate.place.is_some()) {
+            return self.take_next_learned(cx, &candidates, &order, rng);
+        }
         for ((tier, _, _), ix) in order {
             if free <= cx.peers_waiting_above(tier) {
                 return None;
@@ -151,6 +158,11 @@
     fn candidates(&self, cx: &SchedulingContext<'_>) -> Vec<Candidate> {
         let now = cx.now;
         let has_only_plain_jobs = self.has_only_plain_jobs();
+        let learned = self
+            .engines
+            .iter()
+            .map(|engine| (&engine.capacity, engine.entry.slots));
+        let placement = self.capacity.placement(now, learned);
         let engines = self.engines.iter().enumerate();
         engines
             .filter(|(_, engine)| engine.takes_work(now))
@@ -162,9 +174,13 @@
                 } else {
                     capacity(cx, engine, has_only_plain_jobs)
                 };
+                let place = placement.as_ref().map(|placement| {
+                    placement.place(&engine.capacity, engine.entry.slots, used, &self.baseline)
+                });
                 Candidate {
                     ix,
-                    pace: engine.speed.pace(now, &self.baseline),
+                    place,
+                    pace: place.map_or_else(|| engine.speed.pace(now, &self.baseline), |place| place.pace),
                     tokens_ahead: engine.prompt_ahead + f64::from(peers.prompt_ahead),
                     used: f64::from(used),
                     free: capacity.saturating_sub(used),
@@ -196,12 +212,9 @@
 
     /// Returns the best server with a free slot, or `None` if waiting for another server is better.
     fn choose(&self, now: Millis, job: &Job, candidates: &[Candidate], rng: &mut StdRng) -> Option<usize> {
-        let may_run = |candidate: &&Candidate| {
-            let entry = &self.engines[candidate.ix].entry;
-            let may_finish = job.excluded.is_none() || candidate.finishes_in_time(now, job);
-            job.version.allows(&entry.version) && job.excluded.as_ref() != Some(&entry.id) && may_finish
-        };
-        let fitting = candidates.iter().filter(may_run);
+        let fitting = candidates
+            .iter()
+            .filter(|candidate| self.may_run(now, candidate, job));
         let any_suits = fitting.clone().any(|candidate| candidate.suits(now, job));
         let scored: Vec<(f64, usize)> = fitting
             .filter(|candidate| candidate.free > 0)
@@ -221,6 +234,13 @@
         tied.skip(pick).map(|(_, ix)| *ix).next()
     }
 
+    /// Returns whether a server may run a request; one that another server still has must finish in time.
+    fn may_run(&self, now: Millis, candidate: &Candidate, job: &Job) -> bool {
+        let entry = &self.engines[candidate.ix].entry;
+        let may_finish = job.excluded.is_none() || candidate.finishes_in_time(now, job);
+        job.version.allows(&entry.version) && job.excluded.as_ref() != Some(&entry.id) && may_finish
+    }
+
     /// Returns the expected time to the first event on a server plus all penalties; lower is better.
     fn score(&self, job: &Job, candidate: &Candidate) -> f64 {
         let engine = &self.engines[candidate.ix];
@@ -243,6 +263,8 @@
 /// A server that accepts requests, with its current load.
 struct Candidate {
     ix: usize,
+    /// What is expected of one more request by learned pace, if the servers differ.
+    place: Option<Place>,
     pace: Pace,
     /// Prompt tokens of requests sent to it whose first event is outstanding.
     tokens_ahead: f64,
--- a/crates/dispatch/src/speed.rs
+++ b/crates/dispatch/src/speed.rs
@@ -90,15 +90,24 @@
 }
 
 impl Speed {
-    /// Records the time to a first event, with `tokens` to read before it.
-    pub(crate) fn on_first_event(&mut self, now: Millis, tokens: f64, millis: f64, baseline: &mut Pace) {
+    /// Records the time to a first event, with `tokens` to read before it; returns the time per token if it was long
+    /// enough to be measured.
+    pub(crate) fn on_first_event(
+        &mut self,
+        now: Millis,
+        tokens: f64,
+        millis: f64,
+        baseline: &mut Pace,
+    ) -> Option<f64> {
         if tokens >= MIN_READ_SAMPLE_TOKENS {
             let sample = (millis - baseline.base).max(millis * 0.3) / tokens;
             self.token.sample(now, sample);
             baseline.token = blend(baseline.token, sample);
+            Some(sample)
         } else {
             self.base.sample(now, millis);
             baseline.base = blend(baseline.base, millis);
+            None
         }
     }
 
