Exchange the paces of servers in large fleets

In a large fleet a host sends few requests to any one server, too few to learn its pace.

Every 500 ms hosts send their samples to the owners of the servers' slots (ServerSamples), which publish estimates with the reports of the gossip rounds (ServerPaces), within the rounds' budget. Nothing is sent in full-mesh mode, or while hosts of earlier builds are heard.

--- a/crates/gateway/src/control/gossip.rs
+++ b/crates/gateway/src/control/gossip.rs
@@ -12,7 +12,7 @@
     SlotOutcome, WaitingLoad, encode,
 };
 
-use super::{poison_contents, poison_parts, rollout_pace, rollout_routes, server_limits};
+use super::{capacity, poison_contents, poison_parts, rollout_pace, rollout_routes, server_limits};
 use crate::shared::{Shared, lock};
 
 /// The largest number of waiting counts in one round.
@@ -131,6 +131,7 @@
         server_limits::brittle_announcement(shared, now, is_for_new_peer),
         poison_contents::announcement(shared, now, is_for_new_peer),
         parts,
+        capacity::announcement(shared, now, is_for_new_peer),
     ]
     .into_iter()
     .flatten()
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! The control state of this host: configuration, backend servers, peers and rollouts.
 
+mod capacity;
 mod configuration;
 mod gossip;
 mod members;
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -13,8 +13,8 @@
 use super::state::{ControlState, Event, GetAnnouncements};
 use super::updates::{self, ChunkRange};
 use super::{
-    gossip, ownership, poison_contents, poison_parts, reach, rollout_pace, rollout_routes, server_limits,
-    store_copy,
+    capacity, gossip, ownership, poison_contents, poison_parts, reach, rollout_pace, rollout_routes,
+    server_limits, store_copy,
 };
 use crate::shared::Shared;
 
@@ -106,6 +106,8 @@
         }
         PeerMessage::SlotReturn { host, engine } => ownership::release_slot(shared, &host, engine),
         PeerMessage::PermitReturn { engine } => ownership::return_permit(shared, &engine),
+        PeerMessage::ServerSamples(samples) => capacity::apply_samples(shared, &samples),
+        PeerMessage::ServerPaces(paces) => capacity::apply_paces(shared, &paces),
         PeerMessage::HeldSlots(held) => gossip::confirm_held(shared, &held),
         request => respond(shared, request),
     }
--- a/crates/gateway/src/control/state/rounds.rs
+++ b/crates/gateway/src/control/state/rounds.rs
@@ -12,7 +12,7 @@
 
 use super::ControlState;
 use super::announcements::Outgoing;
-use crate::control::{configuration, gossip};
+use crate::control::{capacity, configuration, gossip};
 use crate::shared::lock;
 
 /// How often a host confirms the slots that it holds to their owners.
@@ -74,7 +74,11 @@
             .rounds
             .next(&self.shared.settings.zone, &peers, &mut self.gossip.rng);
         let mut messages = self.status_messages(now, seq, &targets);
+        let samples_at = self.gossip.held_confirmed_at;
         messages.extend(self.held_slots(now, seq));
+        if self.gossip.held_confirmed_at != samples_at {
+            messages.extend(self.server_samples(now, seq));
+        }
         messages.extend(self.reports_request(now, &peers));
         messages.extend(self.report_messages(now, &targets));
         messages
@@ -172,6 +176,16 @@
         messages.collect()
     }
 
+    /// Returns this host's samples of the paces of servers to their owners, which are due with the held slots.
+    fn server_samples(&self, now: Millis, seq: u64) -> Vec<Outgoing> {
+        let samples = capacity::samples(&self.shared, self.incarnation, seq).into_iter();
+        let messages = samples.filter_map(|(owner, message)| {
+            let address = self.shared.peers.address(&owner)?;
+            self.within_budget(now, message, vec![address])
+        });
+        messages.collect()
+    }
+
     /// Returns a request to a random peer for reports that this host may have missed, if it is due.
     fn reports_request(&mut self, now: Millis, peers: &[Target]) -> Option<Outgoing> {
         let last = self.gossip.reports_requested_at;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,6 +13,7 @@
 //! # Ok::<(), carawayseam_wire::WireError>(())
 //! ```
 
+mod capacity;
 mod codec;
 mod datagram;
 mod digest;
@@ -22,6 +23,7 @@
 mod relay;
 mod stream;
 
+pub use capacity::{ServerPace, ServerPaces, ServerSample, ServerSamples};
 pub use codec::{
     MAX_DATAGRAM_BYTES, MAX_STREAM_BYTES, PROTOCOL_VERSION, WireError, decode, decode_datagram, encode,
 };
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::{Datagram, GossipRound, Heartbeat, HeldSlots, SlotClaim, SlotLoad};
+use crate::{Datagram, GossipRound, Heartbeat, HeldSlots, ServerPaces, ServerSamples, SlotClaim, SlotLoad};
 
 /// A datagram between gateway hosts.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -160,6 +160,10 @@
         /// The requesting host.
         host: HostId,
     },
+    /// Samples of the paces of backend servers, for the owner of their slots.
+    ServerSamples(ServerSamples),
+    /// Estimates of the paces of backend servers by the owners of their slots.
+    ServerPaces(ServerPaces),
 }
 
 /// A crash of a backend server under a content, which any host may announce that knows of it.
