--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::{Datagram, GossipRound, Heartbeat, HeldSlots, SlotClaim, SlotLoad};
+use crate::{Datagram, GossipRound, Heartbeat, HeldSlots, ServerPaces, ServerSamples, SlotClaim, SlotLoad};
 
 /// A datagram between gateway hosts.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -167,6 +167,10 @@
         /// The servers.
         servers: Vec<ServerWarmUpUpdate>,
     },
+    /// Samples of the paces of backend servers, for the owner of their slots.
+    ServerSamples(ServerSamples),
+    /// Estimates of the paces of backend servers by the owners of their slots.
+    ServerPaces(ServerPaces),
 }
 
 /// A backend server that may have restarted.
