Keep heartbeats to all hosts up to 40 hosts

Cause: at 28 hosts gossip rounds serve fewer than heartbeats to all: loads arrive some tenths of a second later, and the requests that run on plain servers are not known at all.

Ruled out: gossip rounds from 17 hosts on, until they serve as many at that size.

Change: `full_mesh_hosts` is 40 unless set.

Conclusion: fleets above 40 hosts use gossip rounds; what they lack in smaller ones is open.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -134,7 +134,7 @@
 }
 
 const fn default_full_mesh_hosts() -> usize {
-    16
+    40
 }
 
 const fn default_traffic_threads() -> usize {
