gateway: keep new messages from hosts of earlier builds, and reports within the budget

Cause: rounds, confirmations and requests for reports went to all reachable hosts, and so to those of earlier builds, which log a warning for each. Reports to a host that asks were sent also when the budget did not cover them. An ack of a host in full-mesh mode counted as gossip, so that it got no heartbeats and took the sender for lost.

Change: rounds leave out hosts that send heartbeats and no gossip, except for 30 s after this host itself sent heartbeats to all: when a fleet outgrows the full mesh, all its hosts look to each other like earlier builds until one of two hears a round. Only probes count as gossip, not acks. Reports wait for the budget.

Ruled out: leaving them out at once, after which two hosts send each other heartbeats for ever. Sending heartbeats to each host that sends them, for the same reason.

Conclusion: `EarlierBuilds` has tests, the choice of the receivers in the gateway has none.

--- a/crates/gateway/src/control/gossip.rs
+++ b/crates/gateway/src/control/gossip.rs
@@ -129,8 +129,11 @@
     let now = shared.now();
     let mut sent = 0;
     for message in reports(shared, now, true) {
-        sent += usize::from(spend(shared, now, 1, &message));
-        shared.peers.send(host, &message);
+        // The host asks again, and another peer, for what the budget does not cover.
+        if spend(shared, now, 1, &message) {
+            shared.peers.send(host, &message);
+            sent += 1;
+        }
     }
     if sent > 0 {
         shared.metrics.count(COUNTER, "reports-sent");
--- a/crates/gateway/src/control/state/announcements.rs
+++ b/crates/gateway/src/control/state/announcements.rs
@@ -96,6 +96,9 @@
         if self.uses_full_mesh() {
             let others = self.hosts.others(&self.shared.settings.host);
             let addresses: Vec<SocketAddr> = others.map(|(_, address)| address).collect();
+            if !addresses.is_empty() {
+                self.gossip.used_full_mesh_at = Some(now);
+            }
             return self.heartbeats(now, seq, &addresses);
         }
         let peers = &self.shared.peers;
--- a/crates/gateway/src/control/state/liveness.rs
+++ b/crates/gateway/src/control/state/liveness.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use carawayseam_types::{HostId, Millis};
-use carawayseam_wire::{Datagram, PeerMessage};
+use carawayseam_wire::{Body, Datagram, PeerMessage};
 
 use super::ControlState;
 use crate::control::members::ListedHost;
@@ -17,7 +17,9 @@
             return;
         }
         // Hosts of a small fleet answer probes and send none, so an answer does not tell a host of a large one.
-        self.gossip.earlier_builds.record_gossip(now, &datagram.from.host);
+        if matches!(datagram.body, Body::Probe { .. } | Body::IndirectProbe { .. }) {
+            self.gossip.earlier_builds.record_gossip(now, &datagram.from.host);
+        }
         let responses = self.members.receive(now, from, datagram);
         self.send_membership(responses);
     }
--- a/crates/gateway/src/control/state/rounds.rs
+++ b/crates/gateway/src/control/state/rounds.rs
@@ -1,6 +1,6 @@
 //! What this host sends in a gossip round.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use carawayseam_dispatch::gossip::{EarlierBuilds, Rounds, Target};
@@ -20,6 +20,12 @@
 /// How often a host asks a peer for reports that it may have missed.
 const REPORTS_REQUEST_INTERVAL: Millis = Millis::from_secs(2);
 
+/// For how long after a host sent heartbeats to all its rounds also go to hosts that still send heartbeats.
+///
+/// When a fleet outgrows the full mesh, all its hosts look to each other like earlier builds until they hear a round; a
+/// round of one of two hosts is enough. 30 s of rounds reach each host of a fleet of this size.
+const FULL_MESH_TRANSITION: Millis = Millis::from_secs(30);
+
 /// The state of this host's gossip rounds.
 #[derive(Debug)]
 pub(super) struct GossipState {
@@ -28,6 +34,8 @@
     pub(super) earlier_builds: EarlierBuilds,
     /// Whether there were hosts of earlier builds when the owners of slots were chosen.
     pub(super) had_earlier_builds: bool,
+    /// When this host last sent heartbeats to all.
+    pub(super) used_full_mesh_at: Option<Millis>,
     held_confirmed_at: Millis,
     reports_requested_at: Option<Millis>,
     /// The number of reports that were due in earlier rounds, from which the next round continues.
@@ -41,6 +49,7 @@
             rounds: Rounds::default(),
             earlier_builds: EarlierBuilds::default(),
             had_earlier_builds: false,
+            used_full_mesh_at: None,
             held_confirmed_at: Millis::ZERO,
             reports_requested_at: None,
             reports_sent: 0,
@@ -68,7 +77,7 @@
     pub(super) fn own_round(&mut self, now: Millis, seq: u64) -> Vec<Outgoing> {
         self.update_slot_owners(now);
         self.update_owned_slots();
-        let peers = self.reachable_peers();
+        let peers = self.reachable_peers(now);
         let targets = self
             .gossip
             .rounds
@@ -80,10 +89,21 @@
         messages
     }
 
-    /// Returns the reachable peers with their zones.
-    fn reachable_peers(&self) -> Vec<Target> {
+    /// Returns the hosts that cannot read the messages of rounds.
+    fn hosts_without_rounds(&self, now: Millis) -> BTreeSet<&HostId> {
+        let full_mesh_at = self.gossip.used_full_mesh_at;
+        if full_mesh_at.is_some_and(|at| now.since(at) <= FULL_MESH_TRANSITION) {
+            return BTreeSet::new();
+        }
+        self.gossip.earlier_builds.hosts(now).collect()
+    }
+
+    /// Returns the reachable peers with their zones, without hosts of earlier builds.
+    fn reachable_peers(&self, now: Millis) -> Vec<Target> {
         let own_host = &self.shared.settings.host;
-        let reachable = self.group.reachable.iter().filter(|host| *host != own_host);
+        let earlier = self.hosts_without_rounds(now);
+        let reachable = self.group.reachable.iter();
+        let reachable = reachable.filter(|host| *host != own_host && !earlier.contains(host));
         let targets = reachable.map(|host| Target {
             host: host.clone(),
             zone: self.zones.get(host).cloned(),
@@ -158,7 +178,12 @@
                 by_owner.entry(owner).or_default().push(load);
             }
         }
+        let earlier = self.hosts_without_rounds(now);
         let messages = by_owner.into_iter().filter_map(|(owner, engines)| {
+            // It learns this host's loads from heartbeats.
+            if earlier.contains(&owner) {
+                return None;
+            }
             let address = peers.address(&owner)?;
             let message = PeerMessage::HeldSlots(HeldSlots {
                 host: self.shared.settings.host.clone(),
