--- a/crates/dispatch/src/gossip/budget.rs
+++ b/crates/dispatch/src/gossip/budget.rs
@@ -36,8 +36,8 @@
     /// Returns false, and spends nothing, if it does not cover them.
     pub fn try_spend(&mut self, now: Millis, datagrams: usize, bytes: usize) -> bool {
         self.refill(now);
-        let milli_datagrams = datagrams as u64 * MILLIS_PER_SECOND;
-        let milli_bytes = milli_datagrams * (bytes + PACKET_OVERHEAD_BYTES) as u64;
+        let milli_datagrams = (datagrams as u64).saturating_mul(MILLIS_PER_SECOND);
+        let milli_bytes = milli_datagrams.saturating_mul(bytes.saturating_add(PACKET_OVERHEAD_BYTES) as u64);
         let is_covered = milli_datagrams <= self.milli_datagrams && milli_bytes <= self.milli_bytes;
         if is_covered {
             self.milli_datagrams -= milli_datagrams;
--- a/crates/dispatch/tests/claims.rs
+++ b/crates/dispatch/tests/claims.rs
@@ -129,7 +129,7 @@
         let mut refused_high = false;
         let mut still = Vec::new();
         for (ix, (tier, number)) in waiting.into_iter().rev().enumerate() {
-            let is_due = (now / 10 + ix as u64) % 5 == 0;
+            let is_due = (now / 10 + ix as u64).is_multiple_of(5);
             next_id += u64::from(is_due);
             if is_due && claim(&mut owner, now, number, next_id, tier) {
                 assert!(tier == HIGH || !refused_high, "a lower tier started at {now} ms");
