Withdraw requests whose callers close with unread bytes

A request went on waiting, and was sent, after its caller had closed the connection, if bytes that followed the request were unread: the HTTP library stops reading then and never sees the end. After a regular close the operating system also went on delivering bytes of an abandoned request to a server or a relaying peer behind a slow link, and the peer passed them on.

The caller's socket is now watched for its end, which the operating system reports also while bytes are unread. With an open request the connection is dropped, and with it the request in whatever wait it is; the same is checked right before a request is sent. Connections that carry an unfinished request are reset when they are dropped. A relaying peer gives up 200 ms after an origin closed whose bytes still wait.

A second descriptor of the socket was ruled out: it doubles the descriptors of callers, and the connection would be reset or closed only with the last one.

--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -3,6 +3,8 @@
 use std::io;
 use std::iter::successors;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use bytes::Bytes;
 use carawayseam_types::Millis;
@@ -18,6 +20,7 @@
 
 use crate::body_memory::{BodyBuf, BodyMemory};
 use crate::read_limit::{ReadBudget, ReadLimited};
+use crate::resettable_stream::ResettableStream;
 use crate::sockets;
 
 /// The size limit for the head of a response; a longer head fails the request.
@@ -33,6 +36,7 @@
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
     read_budget: ReadBudget,
+    resets: Arc<AtomicBool>,
 }
 
 impl Drop for Connection {
@@ -115,6 +119,11 @@
     pub async fn over(stream: TcpStream) -> io::Result<Self> {
         let address = stream.peer_addr()?;
         let read_budget = ReadBudget::default();
+        let resets = Arc::new(AtomicBool::new(false));
+        let stream = ResettableStream {
+            stream,
+            resets: Arc::clone(&resets),
+        };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(ReadLimited::new(stream, read_budget.clone())))
@@ -130,6 +139,7 @@
             sender,
             driver,
             read_budget,
+            resets,
         })
     }
 
@@ -140,6 +150,11 @@
         self.sender.is_ready() && !self.sender.is_closed()
     }
 
+    /// Sets whether the connection is reset when it is dropped, which discards bytes that were not delivered yet.
+    pub(crate) fn set_reset_on_close(&self, resets: bool) {
+        self.resets.store(resets, Ordering::Relaxed);
+    }
+
     /// Limits the number of bytes that are read from the connection from now on.
     pub(crate) fn set_read_limit(&self, bytes: usize) {
         self.read_budget.set(bytes);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod readiness;
 pub mod relay;
 mod request_log;
+mod resettable_stream;
 pub mod settings;
 mod shared;
 pub mod sockets;
--- a/crates/gateway/src/relay/copy.rs
+++ b/crates/gateway/src/relay/copy.rs
@@ -6,9 +6,10 @@
 use carawayseam_types::Millis;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::net::tcp::ReadHalf;
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
-use crate::sockets::set_reset_on_close;
+use crate::sockets::{END_ONLY, set_reset_on_close};
 
 /// The size of the buffer for each direction. Nothing else is read ahead of what the other side accepts.
 const BUFFER_BYTES: usize = 8 * 1_024;
@@ -17,6 +18,10 @@
 /// The number of successive checks without progress after which such a connection is reset.
 const MAX_CHECKS: u32 = 5;
 
+/// How long the bytes of an origin that has closed may take until the server has accepted them. An origin's caller and
+/// this peer together have 500 ms to withdraw a request.
+const DELIVERY_TIME: Millis = Millis(200);
+
 /// What was copied so far.
 #[derive(Debug, Default)]
 struct Progress {
@@ -32,10 +37,10 @@
 /// no limit on the time without progress before it has closed its connection.
 pub(super) async fn copy(mut origin: TcpStream, mut server: TcpStream) -> io::Result<()> {
     let progress = Progress::default();
-    let (mut origin_read, mut origin_write) = origin.split();
+    let (origin_read, mut origin_write) = origin.split();
     let (mut server_read, mut server_write) = server.split();
     let requests = async {
-        pass(&mut origin_read, &mut server_write, &progress).await?;
+        pass_requests(&origin_read, &mut server_write, &progress).await?;
         progress.is_origin_done.store(true, Ordering::Relaxed);
         Ok::<_, io::Error>(())
     };
@@ -48,6 +53,40 @@
     set_reset_on_close(&server, false)
 }
 
+/// Copies the origin's bytes until the end, and passes the end on.
+///
+/// Fails if bytes still wait for the server [`DELIVERY_TIME`] after the origin has closed: an origin sends its whole
+/// request before it closes only if it gives the request up.
+async fn pass_requests(
+    from: &ReadHalf<'_>,
+    to: &mut (impl AsyncWrite + Unpin),
+    progress: &Progress,
+) -> io::Result<()> {
+    let mut buf = vec![0; BUFFER_BYTES];
+    let passing = async {
+        loop {
+            from.readable().await?;
+            match from.try_read(&mut buf) {
+                Ok(0) => return to.shutdown().await,
+                Ok(len) => to.write_all(&buf[..len]).await?,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => continue,
+                Err(e) => return Err(e),
+            }
+            progress.chunks.fetch_add(1, Ordering::Relaxed);
+        }
+    };
+    let closed = async {
+        from.ready(END_ONLY).await?;
+        sleep(DELIVERY_TIME.to_duration()).await;
+        Err(io::ErrorKind::ConnectionAborted.into())
+    };
+    tokio::select! {
+        biased;
+        ended = passing => ended,
+        aborted = closed => aborted,
+    }
+}
+
 /// Copies bytes in one direction until the end, and passes the end on.
 async fn pass(
     from: &mut (impl AsyncRead + Unpin),
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -6,6 +6,7 @@
 
 use carawayseam_types::Millis;
 use socket2::{SockRef, TcpKeepalive};
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -16,6 +17,9 @@
 /// A server may pause for a second or two and continue, also after its connection was idle.
 pub const SERVER_SILENCE_LIMIT: Millis = Millis(6_000);
 
+/// Makes a socket ready when the other side has closed the connection, or it is broken, also while bytes are unread.
+pub(crate) const END_ONLY: Interest = Interest::PRIORITY;
+
 /// Connects, and lets the kernel break the connection after `silence_limit` without an acknowledgement.
 ///
 /// # Errors
--- a/crates/gateway/src/traffic/arrival.rs
+++ b/crates/gateway/src/traffic/arrival.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::attempt::remove_hop_headers;
+use super::caller_watch::{CallerWatch, WatchedRequest};
 use super::exchange::Exchange;
 use super::idle::{Activity, OpenOnConnection};
 use super::response::{Reason, Refusal};
@@ -36,6 +37,7 @@
 pub(super) async fn read_request(
     shared: &Arc<Shared>,
     activity: &Arc<Activity>,
+    caller: &Arc<CallerWatch>,
     req: Request<Incoming>,
     head: RequestHead,
 ) -> Result<Exchange, Refusal> {
@@ -99,6 +101,7 @@
         is_logged: AtomicBool::new(false),
         reserved_tokens: None,
         events: 0,
+        caller: WatchedRequest::new(caller),
         _open: open,
     })
 }
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -291,6 +291,13 @@
     if time_left <= TIMER_SLACK {
         return Err(Failure::NotRun(AttemptEnd::Cancelled));
     }
+    // The caller may have closed during the waits before, or while its body was read.
+    if exchange.caller.is_caller_gone() {
+        exchange.shared.metrics.count("closed_callers", "before-send");
+        return Err(Failure::NotRun(AttemptEnd::Cancelled));
+    }
+    // Bytes that wait for a slow link are not to be delivered after the request was given up.
+    connection.set_reset_on_close(true);
     let req = outgoing_request(exchange, assignment, time_left, continuation.last_event_id());
     Ok(Box::pin(async move {
         let response = connection.send(req).await?;
--- a/crates/gateway/src/traffic/caller_socket.rs
+++ b/crates/gateway/src/traffic/caller_socket.rs
@@ -6,15 +6,17 @@
 //! The HTTP library does not tell when the head of a request begins, so the socket records when bytes arrive.
 
 use std::io;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::{Response, Version};
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -71,10 +73,10 @@
     }
 }
 
-/// A socket that follows a [`ResetOnClose`] before it writes or closes, and records when bytes arrive.
+/// A socket that is shared with the watch for its end, follows a [`ResetOnClose`] before it writes or closes, and records when bytes arrive.
 #[derive(Debug)]
 pub(super) struct CallerSocket {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     wanted: ResetOnClose,
     /// What the socket's option is.
     resets: bool,
@@ -84,7 +86,7 @@
 
 impl CallerSocket {
     pub(super) const fn new(
-        stream: TcpStream,
+        stream: Arc<TcpStream>,
         wanted: ResetOnClose,
         activity: Arc<Activity>,
         shared: Arc<Shared>,
@@ -98,13 +100,13 @@
         }
     }
 
-    fn stream(&mut self) -> io::Result<Pin<&mut TcpStream>> {
+    fn stream(&mut self) -> io::Result<&TcpStream> {
         let wanted = self.wanted.0.load(Ordering::Relaxed);
         if wanted != self.resets {
             set_reset_on_close(&self.stream, wanted)?;
             self.resets = wanted;
         }
-        Ok(Pin::new(&mut self.stream))
+        Ok(&self.stream)
     }
 }
 
@@ -117,31 +119,36 @@
 }
 
 impl AsyncRead for CallerSocket {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let filled = buf.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > filled {
-            self.activity.record_bytes(self.shared.now());
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read(buf.initialize_unfilled()) {
+                Ok(read) => {
+                    buf.advance(read);
+                    if read > 0 {
+                        self.activity.record_bytes(self.shared.now());
+                    }
+                    return Poll::Ready(Ok(()));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
         }
-        polled
     }
 }
 
 impl AsyncWrite for CallerSocket {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.stream()?.poll_write(cx, buf)
+        let stream = self.stream()?;
+        poll_write_with(stream, cx, || stream.try_write(buf))
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.stream()?.poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.stream()?.poll_shutdown(cx)
+    fn poll_shutdown(mut self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(self.stream()?).shutdown(Shutdown::Write))
     }
 
     fn poll_write_vectored(
@@ -149,10 +156,26 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.stream()?.poll_write_vectored(cx, bufs)
+        let stream = self.stream()?;
+        poll_write_with(stream, cx, || stream.try_write_vectored(bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
+    }
+}
+
+/// Writes as soon as the socket accepts bytes.
+fn poll_write_with(
+    stream: &TcpStream,
+    cx: &mut Context<'_>,
+    write: impl Fn() -> io::Result<usize>,
+) -> Poll<io::Result<usize>> {
+    loop {
+        ready!(stream.poll_write_ready(cx))?;
+        match write() {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            written => return Poll::Ready(written),
+        }
     }
 }
--- /dev/null
+++ b/crates/gateway/src/traffic/caller_watch.rs
@@ -0,0 +1,64 @@
+//! Notices that a caller has closed its connection.
+//!
+//! The HTTP library learns of it only when it reads the end of the caller's bytes. It stops reading while it holds bytes
+//! that follow the open request, such as those of a pipelined one, so it would work on for a caller that is gone. The
+//! operating system reports the end of a connection also while bytes before it are unread.
+
+use std::sync::Arc;
+
+use futures_util::FutureExt;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+use crate::sockets::END_ONLY;
+
+/// The connection of a caller, and the number of its requests that may be sent to servers.
+#[derive(Debug)]
+pub(super) struct CallerWatch {
+    stream: Arc<TcpStream>,
+    requests: watch::Sender<usize>,
+}
+
+impl CallerWatch {
+    pub(super) fn new(stream: Arc<TcpStream>) -> Self {
+        Self {
+            stream,
+            requests: watch::Sender::new(0),
+        }
+    }
+
+    /// Returns when the caller has closed the connection, or it is broken, and a request of it is open.
+    ///
+    /// Without an open request the HTTP library ends the connection, after a refusal that it still sends.
+    pub(super) async fn closed_with_request(&self) {
+        if let Err(e) = self.stream.ready(END_ONLY).await {
+            log::debug!("a caller's connection cannot be watched: {e}");
+            std::future::pending::<()>().await;
+        }
+        let mut requests = self.requests.subscribe();
+        // It fails only without a sender, which `self` holds.
+        let _has_request = requests.wait_for(|requests| *requests > 0).await;
+    }
+}
+
+/// Counts a request of a caller as open until it is dropped.
+#[derive(Debug)]
+pub(crate) struct WatchedRequest(Arc<CallerWatch>);
+
+impl WatchedRequest {
+    pub(super) fn new(watch: &Arc<CallerWatch>) -> Self {
+        watch.requests.send_modify(|requests| *requests += 1);
+        Self(Arc::clone(watch))
+    }
+
+    /// Returns whether the caller has closed the connection, or it is broken.
+    pub(super) fn is_caller_gone(&self) -> bool {
+        self.0.stream.ready(END_ONLY).now_or_never().is_some()
+    }
+}
+
+impl Drop for WatchedRequest {
+    fn drop(&mut self) {
+        self.0.requests.send_modify(|requests| *requests -= 1);
+    }
+}
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -16,6 +16,7 @@
 
 use super::arrival::{self, refuse_stale};
 use super::attempt::{Failure, ServerResponse};
+use super::caller_watch::{CallerWatch, WatchedRequest};
 use super::idle::Activity;
 use super::plain::PlainResponse;
 use super::quota::ReservedTokens;
@@ -69,6 +70,8 @@
     pub(super) reserved_tokens: Option<ReservedTokens>,
     /// The number of events forwarded so far.
     pub(crate) events: u32,
+    /// Whether the caller is still there.
+    pub(super) caller: WatchedRequest,
     /// Counts the request as open until its response is complete.
     pub(super) _open: OpenRequest,
 }
@@ -118,11 +121,12 @@
 pub(super) async fn run(
     shared: &Arc<Shared>,
     activity: &Arc<Activity>,
+    caller: &Arc<CallerWatch>,
     req: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let head = shared.headers.read_request(req.headers());
     let id = head.id.clone();
-    match arrival::read_request(shared, activity, req, head).await {
+    match arrival::read_request(shared, activity, caller, req, head).await {
         Ok(exchange) => exchange.serve().await,
         Err(refusal) => {
             request_log::record_early_refusal(shared, id.as_deref(), refusal);
@@ -165,6 +169,7 @@
         connection: Connection,
         keep_alive: Option<Millis>,
     ) {
+        connection.set_reset_on_close(false);
         if assignment.via.is_some() {
             return;
         }
--- a/crates/gateway/src/traffic/listener.rs
+++ b/crates/gateway/src/traffic/listener.rs
@@ -16,6 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::caller_socket::{CallerSocket, ResetOnClose};
+use super::caller_watch::CallerWatch;
 use super::exchange;
 use super::idle::{Activity, OpenOnConnection};
 use super::response::{Reason, Refusal, ResponseBody};
@@ -60,61 +61,89 @@
     }
     let activity = Arc::new(Activity::new(shared.now()));
     let resets = ResetOnClose::default();
+    let stream = Arc::new(stream);
+    let caller = Arc::new(CallerWatch::new(Arc::clone(&stream)));
     let socket = CallerSocket::new(stream, resets.clone(), Arc::clone(&activity), Arc::clone(&shared));
-    let (handling, handled) = (Arc::clone(&shared), Arc::clone(&activity));
-    let service =
-        service_fn(move |req| handle(Arc::clone(&handling), Arc::clone(&handled), resets.clone(), req));
+    let handler = Handler {
+        shared: Arc::clone(&shared),
+        activity: Arc::clone(&activity),
+        caller: Arc::clone(&caller),
+        resets,
+    };
+    let service = service_fn(move |req| handler.clone().handle(req));
     let max_head = shared.limits().max_head.0 as usize;
     let mut builder = http1::Builder::new();
     builder
         .max_headers(MAX_HEADER_FIELDS)
         .max_buf_size(max_head.max(MIN_BUFFER_BYTES));
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(socket), service));
-    let ended = tokio::select! {
-        // A request that has arrived is read before its connection counts as idle.
-        biased;
-        ended = connection.as_mut() => ended,
-        () = activity.closing(&shared) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-        () = activity.idle_timeout(&shared) => {
-            // The library would go on waiting for the rest of the first request.
-            if !activity.has_requests() {
-                return;
+    let serving = async {
+        tokio::select! {
+            // A request that has arrived is read before its connection counts as idle.
+            biased;
+            ended = connection.as_mut() => ended,
+            () = activity.closing(&shared) => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+            () = activity.idle_timeout(&shared) => {
+                // The library would go on waiting for the rest of the first request.
+                if !activity.has_requests() {
+                    return Ok(());
+                }
+                connection.as_mut().graceful_shutdown();
+                connection.await
             }
-            connection.as_mut().graceful_shutdown();
-            connection.await
         }
     };
-    if let Err(e) = ended {
-        log::debug!("a caller's connection failed: {e}");
+    tokio::select! {
+        biased;
+        ended = serving => if let Err(e) = ended {
+            log::debug!("a caller's connection failed: {e}");
+        },
+        // The open request is withdrawn with its connection.
+        () = caller.closed_with_request() => {
+            shared.metrics.count("closed_callers", "request-open");
+            log::debug!("a caller closed its connection with an open request");
+        }
     }
 }
 
-async fn handle(
+/// Handles the requests of one connection.
+#[derive(Clone)]
+struct Handler {
     shared: Arc<Shared>,
     activity: Arc<Activity>,
+    caller: Arc<CallerWatch>,
     resets: ResetOnClose,
-    req: Request<Incoming>,
-) -> Result<Response<ResponseBody>, Infallible> {
-    let open = OpenOnConnection::new(&activity, &shared);
-    let version = req.version();
-    // After a panic the connection would close without a response.
-    let serving = AssertUnwindSafe(exchange::run(&shared, &activity, req)).catch_unwind();
-    // The state of a request is too large for the connection's task.
-    let answered = Box::pin(serving).await;
-    let mut response = answered.unwrap_or_else(|panic| {
-        log::error!(error = panic_message(&*panic); "handling a request panicked");
-        let refusal = Refusal::new(Reason::Internal);
-        request_log::record_early_refusal(&shared, None, refusal);
-        refusal.response()
-    });
-    if shared.phase() != Phase::Serving {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
+}
+
+impl Handler {
+    async fn handle(self, req: Request<Incoming>) -> Result<Response<ResponseBody>, Infallible> {
+        let Self {
+            shared,
+            activity,
+            caller,
+            resets,
+        } = self;
+        let open = OpenOnConnection::new(&activity, &shared);
+        let version = req.version();
+        // After a panic the connection would close without a response.
+        let serving = AssertUnwindSafe(exchange::run(&shared, &activity, &caller, req)).catch_unwind();
+        // The state of a request is too large for the connection's task.
+        let answered = Box::pin(serving).await;
+        let mut response = answered.unwrap_or_else(|panic| {
+            log::error!(error = panic_message(&*panic); "handling a request panicked");
+            let refusal = Refusal::new(Reason::Internal);
+            request_log::record_early_refusal(&shared, None, refusal);
+            refusal.response()
+        });
+        if shared.phase() != Phase::Serving {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        Ok(resets.until_end_of(version, open.until_end_of(response)))
     }
-    Ok(resets.until_end_of(version, open.until_end_of(response)))
 }
 
 fn panic_message(panic: &(dyn Any + Send)) -> &str {
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -3,6 +3,7 @@
 mod arrival;
 mod attempt;
 mod caller_socket;
+mod caller_watch;
 mod connections;
 mod crashes;
 mod events;
