Share the calls to the store in large fleets, and judge no server under local overload

Store: two hosts of a zone answered the polls of all others, each host read long values from the store, and all renewed their registrations every 2.5 s. Longer watches were ruled out, because confirmations would be too old at a depth of 2.

Overload: a host whose own link or processor was busy marked sound servers as lost, and asked peers to relay over the same link. In large fleets it now measures its timers and the times of connections and of requests to peers. Under overload a connection that times out is not held against its server, connect timeouts grow, and peers are not asked for relays. Failures to servers alone were ruled out as a sign: a partition looks the same.

--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -78,6 +78,9 @@
     /// A peer could not reach the server for this host; nothing was sent.
     #[display("relay failed")]
     RelayFailed,
+    /// No connection was established in time while this host was overloaded; nothing was sent.
+    #[display("local overload")]
+    LocalOverload,
     /// The connection was lost, and the server lives but is not reached by this host.
     #[display("link lost")]
     LinkLost,
@@ -90,7 +93,12 @@
     /// Returns whether the attempt failed, or `None` if its end is no evidence for or against the server.
     const fn outcome(self) -> Option<bool> {
         match self {
-            Self::Cancelled | Self::NoSlot | Self::RateLimited | Self::RelayFailed | Self::LinkLost => None,
+            Self::Cancelled
+            | Self::NoSlot
+            | Self::RateLimited
+            | Self::RelayFailed
+            | Self::LocalOverload
+            | Self::LinkLost => None,
             Self::Unreachable | Self::ConnectionLost | Self::Failed | Self::Unresponsive => Some(true),
             Self::Complete | Self::Rejected | Self::Misdirected => Some(false),
         }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -24,6 +24,9 @@
 //! | [`gossip`] | rounds in which the hosts of a large fleet send to a few others |
 //! | [`server_loads`] | loads of servers as measured by the owners of their slots |
 //! | [`reach`] | which servers this host reaches directly, through a peer, or not at all |
+//! | [`store_tree`] | how the hosts of a fleet share the calls to the store |
+//! | [`local_overload`] | whether this host is too busy to judge others by its connections |
+//! | [`relay_budget`] | how many connections a host relays for others |
 //! | [`hosts`] | the known hosts and their addresses |
 //! | [`history`] | the store's latest changes, for peers that follow the store through this host |
 //! | [`known_servers`] | the backend servers that the store lists, or listed lately |
@@ -64,6 +67,7 @@
 mod job;
 pub mod known_servers;
 pub mod load;
+pub mod local_overload;
 pub mod outage;
 pub mod pace;
 mod peer_loads;
@@ -73,6 +77,7 @@
 mod pool;
 pub mod quota;
 pub mod reach;
+pub mod relay_budget;
 mod reported_limits;
 pub mod retries;
 pub mod rollouts;
@@ -80,6 +85,7 @@
 pub mod server_limits;
 pub mod server_loads;
 mod speed;
+pub mod store_tree;
 pub mod warm_up;
 
 pub use caller_time::{CallerTime, Work};
--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -44,7 +44,9 @@
 ) {
     let key = platform.keys().configuration_key;
     while let Some(LaterConfiguration { host, version, .. }) = lagging.recv().await {
-        let Some(item) = updates::fetch_item(&shared, &host, &key, version.item).await else {
+        let Some(item) =
+            updates::fetch_item(&shared, &host, &key, version.item, updates::MAX_ITEM_BYTES).await
+        else {
             log::debug!(peer:% = host, version:% = version.revision; "the peer's configuration was not received");
             continue;
         };
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod configuration;
 mod gossip;
 mod members;
+mod overload;
 mod ownership;
 mod peers;
 mod poison_contents;
@@ -20,6 +21,7 @@
 
 pub(crate) use configuration::fetch_configurations;
 pub(crate) use gossip::decode_claimed;
+pub(crate) use overload::measure_overload;
 pub(crate) use peers::{receive, send_heartbeats};
 pub(crate) use registration::{HostRecord, register};
 pub(crate) use rollouts::write_rollout_decisions;
--- a/crates/gateway/src/control/registration.rs
+++ b/crates/gateway/src/control/registration.rs
@@ -12,9 +12,6 @@
 use crate::shared::Shared;
 use crate::stopping::Phase;
 
-/// The lease of a host's registration ends if it is not renewed within this time.
-const REGISTRATION_TTL: Millis = Millis(9_000);
-const RENEW_INTERVAL: Millis = Millis(2_500);
 const RETRY_INTERVAL: Millis = Millis(600);
 
 /// A host's entry in the store.
@@ -45,10 +42,12 @@
     };
     let mut phase = shared.phase.subscribe();
     let mut era = shared.store_era.subscribe();
+    let mut registration = shared.registration.subscribe();
+    let mut terms = *registration.borrow_and_update();
     let mut lease = None;
     loop {
-        let (new_lease, delay) = match renew_or_register(&mut store, lease, &key, &value).await {
-            Ok(lease) => (Some(lease), RENEW_INTERVAL),
+        let (new_lease, delay) = match renew_or_register(&mut store, lease, terms.lease, &key, &value).await {
+            Ok(lease) => (Some(lease), terms.renew_interval),
             Err(StoreError::NoSuchLease) => (None, Millis::ZERO),
             Err(e) => {
                 log::debug!("the registration was not renewed: {e}");
@@ -60,6 +59,12 @@
             () = sleep(delay.to_duration()) => {}
             // A restored store may have lost the registration.
             Ok(()) = era.changed() => {}
+            // The size of the fleet calls for another lease. The entry moves to it, and the present lease ends unused.
+            Ok(()) = registration.changed() => {
+                terms = *registration.borrow_and_update();
+                log::info!(lease_ms = terms.lease.0, renew_ms = terms.renew_interval.0; "registration changed");
+                lease = None;
+            }
             _ = phase.wait_for(|phase| *phase != Phase::Serving) => break,
         }
     }
@@ -79,6 +84,7 @@
 async fn renew_or_register<S: Store>(
     store: &mut S,
     lease: Option<Lease>,
+    ttl: Millis,
     key: &str,
     value: &[u8],
 ) -> Result<Lease, StoreError> {
@@ -86,7 +92,7 @@
         store.renew_lease(lease).await?;
         return Ok(lease);
     }
-    let lease = store.grant_lease(REGISTRATION_TTL).await?;
+    let lease = store.grant_lease(ttl).await?;
     store.put(key, value, PutCondition::Always, Some(lease)).await?;
     Ok(lease)
 }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -433,6 +433,11 @@
             (dispatcher.reach_queries(now), dispatcher.take_reach_changes())
         };
         reach::record_changes(&self.shared, changes);
+        if query.is_some() && self.shared.is_overloaded() {
+            // Relayed connections would load the same link, and the servers may be sound.
+            self.shared.metrics.count("reach_asks", "overloaded");
+            return;
+        }
         if let Some(query) = query {
             let reachable = self.group.reachable.iter();
             let peers: Vec<(HostId, ZoneId)> = reachable
--- a/crates/gateway/src/control/state/group.rs
+++ b/crates/gateway/src/control/state/group.rs
@@ -4,14 +4,13 @@
 use std::sync::atomic::Ordering;
 
 use carawayseam_dispatch::group::{Group, SlotOwners};
+use carawayseam_dispatch::store_tree::{FOLLOWERS_PER_ZONE, Registration, StoreSources};
 use carawayseam_types::{HostId, Millis, ZoneId};
 
 use super::ControlState;
 use crate::settings::Settings;
 use crate::shared::lock;
 
-/// The number of hosts per availability zone that watch the store; the other hosts poll these.
-const STORE_FOLLOWERS_PER_ZONE: usize = 2;
 /// The rendezvous hashing key by which the store followers are chosen.
 const STORE_FOLLOWERS_KEY: &str = "store";
 
@@ -95,13 +94,24 @@
             host: own_host, zone, ..
         } = &self.shared.settings;
         let is_in_zone = |host: &HostId| host == own_host || self.zones.get(host) == Some(zone);
-        let mut sources = self
+        let ranked = self
             .group
-            .select_hosts(STORE_FOLLOWERS_KEY, STORE_FOLLOWERS_PER_ZONE, is_in_zone);
-        if sources.contains(own_host) {
-            sources.clear();
-        }
+            .select_hosts(STORE_FOLLOWERS_KEY, usize::MAX, is_in_zone);
+        let sources = StoreSources::of(own_host, &ranked);
+        log::debug!(sources:? = sources.hosts, tree = sources.is_tree; "sources of the store's changes chosen");
         self.shared.peers.set_store_sources(sources);
+        let is_large_fleet = !self.uses_full_mesh();
+        self.shared
+            .is_large_fleet
+            .store(is_large_fleet, Ordering::Relaxed);
+        let terms = if self.uses_full_mesh() {
+            Registration::SMALL_FLEET
+        } else {
+            Registration::LARGE_FLEET
+        };
+        self.shared
+            .registration
+            .send_if_modified(|registration| std::mem::replace(registration, terms) != terms);
         let mut hosts_per_zone: BTreeMap<&ZoneId, usize> = BTreeMap::from([(zone, 1)]);
         let others = self.hosts.others(own_host);
         for zone in others.filter_map(|(host, _)| self.zones.get(host)) {
@@ -109,7 +119,7 @@
         }
         let followers: usize = hosts_per_zone
             .values()
-            .map(|hosts| (*hosts).min(STORE_FOLLOWERS_PER_ZONE))
+            .map(|hosts| (*hosts).min(FOLLOWERS_PER_ZONE))
             .sum();
         self.shared
             .store_followers
--- a/crates/gateway/src/control/store_copy.rs
+++ b/crates/gateway/src/control/store_copy.rs
@@ -105,7 +105,9 @@
         match updates::from_wire(page.revision.era, change) {
             PeerChange::Full(Change::Put(item)) => items.push(item),
             PeerChange::Full(Change::Removed { .. }) => {}
-            PeerChange::Large(key) => items.push(updates::fetch_item(shared, peer, &key, revision).await?),
+            PeerChange::Large(key) => {
+                items.push(updates::fetch_item(shared, peer, &key, revision, updates::MAX_ITEM_BYTES).await?);
+            }
         }
     }
     Some((page.revision, items))
--- a/crates/gateway/src/control/store_follower.rs
+++ b/crates/gateway/src/control/store_follower.rs
@@ -20,8 +20,9 @@
 use crate::platform::{Change, Item, Platform, Store, StoreError, StoreKeys};
 use crate::shared::{Shared, lock};
 
-/// The interval at which a host that does not watch the store polls one that does.
-const PEER_POLL_INTERVAL: Millis = Millis(300);
+/// The longest value that the hosts of a tree fetch from their source rather than from the store: all that poll one
+/// host fetch it at once, and 8 times 64 kB take half a second of a link of 10 Mbit/s.
+const MAX_PEER_VALUE_BYTES: u32 = 64 * 1_024;
 /// The number of peers that are polled when the store does not respond.
 const MAX_FALLBACK_PEERS: usize = 3;
 /// A watch returns after this time even without changes, which confirms that there were none.
@@ -235,7 +236,8 @@
         loop {
             if self.poll_peers(PeerSet::StoreSources).await? {
                 *retry_delay = MIN_RETRY_DELAY;
-                sleep(PEER_POLL_INTERVAL.to_duration()).await;
+                let interval = self.shared.peers.store_sources().poll_interval();
+                sleep(interval.to_duration()).await;
                 continue;
             }
             let sent_at = self.shared.now();
@@ -255,7 +257,13 @@
                     self.record_failure(&e);
                     // The store may be unavailable to this host only.
                     self.poll_peers(PeerSet::AnyReachable).await?;
-                    sleep(retry_delay.to_duration()).await;
+                    let polls_in_tree = self.shared.peers.store_sources().polls_in_tree();
+                    let delay = if polls_in_tree {
+                        MAX_BATCH_DELAY
+                    } else {
+                        *retry_delay
+                    };
+                    sleep(delay.to_duration()).await;
                     *retry_delay = retry_delay.times(2).min(MAX_RETRY_DELAY);
                 }
             }
@@ -267,7 +275,7 @@
     /// Fails if one of them knows a later era of the store.
     async fn poll_peers(&mut self, peer_set: PeerSet) -> Result<bool, StoreError> {
         let peers = match peer_set {
-            PeerSet::StoreSources => self.shared.peers.store_sources(),
+            PeerSet::StoreSources => self.shared.peers.store_sources().hosts,
             PeerSet::AnyReachable => self.shared.peers.reachable_peers(MAX_FALLBACK_PEERS),
         };
         for peer in peers {
@@ -362,20 +370,30 @@
         Ok(())
     }
 
-    /// Reads an item from the store, or from a peer if the call to the store fails.
+    /// Reads an item from the store, or from a peer if the call to the store fails; in a tree, from the peer first.
     async fn read_item(
         &mut self,
         peer: &HostId,
         key: &CompactString,
         revision: StoreRevision,
     ) -> Result<Option<Item>, StoreError> {
+        if self.shared.peers.store_sources().polls_in_tree()
+            && let Some(item) =
+                updates::fetch_item(&self.shared, peer, key, revision, MAX_PEER_VALUE_BYTES).await
+        {
+            self.shared.metrics.count("store_values", "from-peer");
+            return Ok(Some(item));
+        }
+        self.shared.metrics.count("store_values", "from-store");
         match self.store.list(key, "").await {
             Ok(page) if page.revision.era != revision.era => Err(StoreError::Restored),
             Ok(page) => Ok(page.items.into_iter().find(|item| item.key == *key)),
-            Err(e) => match updates::fetch_item(&self.shared, peer, key, revision).await {
-                Some(item) => Ok(Some(item)),
-                None => Err(e),
-            },
+            Err(e) => {
+                match updates::fetch_item(&self.shared, peer, key, revision, updates::MAX_ITEM_BYTES).await {
+                    Some(item) => Ok(Some(item)),
+                    None => Err(e),
+                }
+            }
         }
     }
 
@@ -414,6 +432,9 @@
     }
 
     fn batch_delay(&self) -> Millis {
+        if self.shared.peers.store_sources().polls_in_tree() {
+            return MAX_BATCH_DELAY;
+        }
         let hosts = self.shared.store_followers.load(Ordering::Relaxed);
         let time = BATCH_DELAY + BATCH_DELAY_PER_FOLLOWER.times(u64::from(hosts));
         time.min(MAX_BATCH_DELAY)
--- a/crates/gateway/src/control/updates.rs
+++ b/crates/gateway/src/control/updates.rs
@@ -18,7 +18,7 @@
 pub(super) const REQUEST_TIMEOUT: Millis = Millis(60);
 pub(super) const REQUEST_ATTEMPTS: u32 = 2;
 /// The largest item that is fetched from a peer.
-const MAX_ITEM_BYTES: u32 = 16 * 1_024 * 1_024;
+pub(super) const MAX_ITEM_BYTES: u32 = 16 * 1_024 * 1_024;
 /// The total size of the changes in one datagram, and the size of one chunk of an item.
 pub(super) const MAX_CHANGES_BYTES: usize = 1_100;
 /// The largest value that is sent with its change; each host reads longer values from the store.
@@ -74,12 +74,13 @@
 
 /// Fetches an item from a peer chunk by chunk.
 ///
-/// Returns `None` if the peer does not have the item or does not respond.
+/// Returns `None` if the peer does not have the item or does not respond, or if the item is longer than `max_bytes`.
 pub(super) async fn fetch_item(
     shared: &Shared,
     peer: &HostId,
     key: &CompactString,
     revision: StoreRevision,
+    max_bytes: u32,
 ) -> Option<Item> {
     let mut value = Vec::new();
     loop {
@@ -98,7 +99,7 @@
             return None;
         };
         let is_last = value.len() + bytes.len() >= total as usize;
-        let is_invalid = bytes.is_empty() || total > MAX_ITEM_BYTES;
+        let is_invalid = bytes.is_empty() || total > max_bytes;
         value.extend(bytes);
         match (is_last, is_invalid) {
             (true, _) => break,
@@ -162,7 +163,7 @@
 /// Such a host knows only what others tell it. If it answered, the hosts that rely on it would
 /// confirm each other's state until it is old, rather than ask the store themselves.
 fn is_rejected_follower(shared: &Shared) -> bool {
-    shared.peers.store_sources().is_empty() && lock(&shared.reachability).is_store_unavailable
+    shared.peers.store_sources().hosts.is_empty() && lock(&shared.reachability).is_store_unavailable
 }
 
 pub(super) fn encoded_size(change: &Change) -> usize {
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -6,10 +6,12 @@
 use std::sync::Mutex;
 
 use carawayseam_dispatch::group::{Group, SlotOwners};
+use carawayseam_dispatch::local_overload::Reached;
+use carawayseam_dispatch::store_tree::StoreSources;
 use carawayseam_types::{HostId, Millis, ZoneId};
 use carawayseam_wire::{PeerMessage, PeerResponse, encode};
 use tokio::sync::oneshot;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use crate::shared::lock;
 
@@ -22,7 +24,9 @@
     group: Mutex<Group>,
     slot_owners: Mutex<SlotOwners>,
     /// The hosts to poll for changes of the store; empty if this host watches the store itself.
-    store_sources: Mutex<Vec<HostId>>,
+    store_sources: Mutex<StoreSources>,
+    /// The times of the latest requests, until they are taken.
+    request_times: Mutex<BTreeMap<HostId, Reached>>,
     pending: Mutex<PendingRequests>,
 }
 
@@ -65,6 +69,7 @@
             slot_owners: Mutex::new(SlotOwners::of_any_zone(vec![own_host.clone()])),
             addresses: Mutex::default(),
             store_sources: Mutex::default(),
+            request_times: Mutex::default(),
             pending: Mutex::default(),
         })
     }
@@ -124,13 +129,12 @@
     }
 
     /// Replaces the hosts to poll for changes of the store.
-    pub(crate) fn set_store_sources(&self, store_sources: Vec<HostId>) {
+    pub(crate) fn set_store_sources(&self, store_sources: StoreSources) {
         *lock(&self.store_sources) = store_sources;
     }
 
-    /// Returns the hosts to poll for changes of the store, in order of preference; empty if this host
-    /// watches the store itself.
-    pub(crate) fn store_sources(&self) -> Vec<HostId> {
+    /// Returns the hosts to poll for changes of the store.
+    pub(crate) fn store_sources(&self) -> StoreSources {
         lock(&self.store_sources).clone()
     }
 
@@ -185,15 +189,25 @@
             request_id,
         };
         let message = message(request_id);
+        let started_at = Instant::now();
         for _ in 0..attempts {
             self.send(peer, &message);
             if let Ok(Ok(response)) = timeout(time_limit.to_duration(), &mut rx).await {
+                let elapsed = Millis(started_at.elapsed().as_millis() as u64);
+                lock(&self.request_times).insert(peer.clone(), Reached::After(elapsed));
                 return Some(response);
             }
         }
+        let waited = Reached::NotWithin(time_limit.times(u64::from(attempts)));
+        lock(&self.request_times).insert(peer.clone(), waited);
         None
     }
 
+    /// Takes the times of the latest request to each peer since the last call.
+    pub(crate) fn take_request_times(&self) -> BTreeMap<HostId, Reached> {
+        std::mem::take(&mut lock(&self.request_times))
+    }
+
     /// Passes a response to the request that waits for it.
     pub(crate) fn deliver(&self, request_id: u64, response: PeerResponse) {
         let waiter = lock(&self.pending).waiters.remove(&request_id);
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -1,7 +1,7 @@
 //! Starts the process's threads and shuts them down in order.
 
 use std::path::Path;
-use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::thread;
 
@@ -14,6 +14,7 @@
 use carawayseam_dispatch::retries::RetryBounds;
 use carawayseam_dispatch::rollouts::{ProcessId, Rollouts};
 use carawayseam_dispatch::server_limits::ServerLimits;
+use carawayseam_dispatch::store_tree::Registration;
 use carawayseam_node::{LogRevision, init_stdout_logging, wait_for_stop_signal};
 use carawayseam_types::{Clock, Incarnation, Millis};
 use eyre::WrapErr;
@@ -167,6 +168,12 @@
         peers,
         reachability: Mutex::new(Reachability::default()),
         store_followers: AtomicU32::new(1),
+        registration: watch::Sender::new(Registration::SMALL_FLEET),
+        is_large_fleet: AtomicBool::new(false),
+        overload: Mutex::default(),
+        relay_budget: Mutex::default(),
+        own_bytes: AtomicU64::new(0),
+        relayed_bytes: AtomicU64::new(0),
         configuration_item: Mutex::new(None),
         store_history: Mutex::new(StoreHistory::default()),
         store_era: watch::Sender::new(None),
@@ -236,6 +243,7 @@
             record,
         ));
         tokio::spawn(control::follow_store(Arc::clone(shared), platform, control));
+        tokio::spawn(control::measure_overload(Arc::clone(shared)));
         tokio::spawn(reload(Arc::clone(shared), file.to_owned()));
         wait_for_stop_signal().await.wrap_err("cannot wait for signals")?;
         stop(shared).await;
--- a/crates/gateway/src/relay/copy.rs
+++ b/crates/gateway/src/relay/copy.rs
@@ -23,20 +23,37 @@
 const DELIVERY_TIME: Millis = Millis(200);
 
 /// What was copied so far.
-#[derive(Debug, Default)]
-struct Progress {
+#[derive(Debug)]
+struct Progress<'a> {
+    /// The bytes of all relayed connections.
+    carried: &'a AtomicU64,
     /// The number of chunks copied, in both directions.
     chunks: AtomicU64,
     /// Whether the origin has sent its last byte.
     is_origin_done: AtomicBool,
 }
 
+impl Progress<'_> {
+    fn record(&self, len: usize) {
+        self.chunks.fetch_add(1, Ordering::Relaxed);
+        self.carried.fetch_add(len as u64, Ordering::Relaxed);
+    }
+}
+
 /// Copies bytes both ways until both sides have sent their last byte; resets both if one breaks off.
 ///
 /// Both were prepared by [`set_reset_on_close`]. The origin is slow if its caller is, so its connection has
 /// no limit on the time without progress before it has closed its connection.
-pub(super) async fn copy(mut origin: TcpStream, mut server: TcpStream) -> io::Result<()> {
-    let progress = Progress::default();
+pub(super) async fn copy(
+    mut origin: TcpStream,
+    mut server: TcpStream,
+    carried: &AtomicU64,
+) -> io::Result<()> {
+    let progress = Progress {
+        carried,
+        chunks: AtomicU64::new(0),
+        is_origin_done: AtomicBool::new(false),
+    };
     let (origin_read, mut origin_write) = origin.split();
     let (mut server_read, mut server_write) = server.split();
     let requests = async {
@@ -60,7 +77,7 @@
 async fn pass_requests(
     from: &ReadHalf<'_>,
     to: &mut (impl AsyncWrite + Unpin),
-    progress: &Progress,
+    progress: &Progress<'_>,
 ) -> io::Result<()> {
     let mut buf = vec![0; BUFFER_BYTES];
     let passing = async {
@@ -68,11 +85,13 @@
             from.readable().await?;
             match from.try_read(&mut buf) {
                 Ok(0) => return to.shutdown().await,
-                Ok(len) => to.write_all(&buf[..len]).await?,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => continue,
+                Ok(len) => {
+                    to.write_all(&buf[..len]).await?;
+                    progress.record(len);
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 Err(e) => return Err(e),
             }
-            progress.chunks.fetch_add(1, Ordering::Relaxed);
         }
     };
     let closed = async {
@@ -91,20 +110,22 @@
 async fn pass(
     from: &mut (impl AsyncRead + Unpin),
     to: &mut (impl AsyncWrite + Unpin),
-    progress: &Progress,
+    progress: &Progress<'_>,
 ) -> io::Result<()> {
     let mut buf = vec![0; BUFFER_BYTES];
     loop {
         match from.read(&mut buf).await? {
             0 => return to.shutdown().await,
-            len => to.write_all(&buf[..len]).await?,
+            len => {
+                to.write_all(&buf[..len]).await?;
+                progress.record(len);
+            }
         }
-        progress.chunks.fetch_add(1, Ordering::Relaxed);
     }
 }
 
 /// Returns when the origin has closed its connection and no bytes were copied since for too long.
-async fn wait_until_abandoned(progress: &Progress) {
+async fn wait_until_abandoned(progress: &Progress<'_>) {
     let mut checks = interval(CHECK_INTERVAL.to_duration());
     checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let (mut last_chunks, mut checks_without_progress) = (0, 0);
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -1,7 +1,9 @@
 //! Accepts connections from peers, and connects them to backend servers.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use carawayseam_dispatch::dispatcher::RelayTarget;
 use carawayseam_node::{FrameStream, StreamError};
@@ -42,7 +44,9 @@
         };
         match (accepted, Arc::clone(&permits).try_acquire_owned()) {
             (Ok((stream, from)), Ok(permit)) => {
-                let is_full = permits.available_permits() < MAX_REFUSING;
+                // The permit of this connection is taken already.
+                let relayed = MAX_RELAYED + MAX_REFUSING - permits.available_permits() - 1;
+                let is_full = permits.available_permits() < MAX_REFUSING || !may_relay(&shared, relayed);
                 tokio::spawn(serve_connection(
                     Arc::clone(&shared),
                     stream,
@@ -63,6 +67,13 @@
     }
 }
 
+/// Returns whether this host's own traffic permits another relayed connection; always in a small fleet.
+fn may_relay(shared: &Shared, relayed: usize) -> bool {
+    let is_large_fleet = shared.is_large_fleet.load(Ordering::Relaxed);
+    let carried = shared.carried_bytes();
+    !is_large_fleet || lock(&shared.relay_budget).allows(shared.now(), carried, relayed)
+}
+
 async fn serve_connection(
     shared: Arc<Shared>,
     stream: TcpStream,
@@ -145,8 +156,11 @@
     });
     prepared.map_err(|e| {
         log::debug!(origin:% = req.host, engine:% = req.engine; "connecting to the backend server failed: {e}");
-        let now = shared.now();
-        lock(&shared.dispatch).dispatcher.mark_unreachable(now, &req.engine);
+        let says_nothing = e.kind() == io::ErrorKind::TimedOut && shared.is_overloaded();
+        if !says_nothing {
+            let now = shared.now();
+            lock(&shared.dispatch).dispatcher.mark_unreachable(now, &req.engine);
+        }
         RelayResponse::Unreachable
     })
 }
@@ -162,7 +176,7 @@
     let origin = frames.into_tcp()?;
     shared.metrics.count(COUNTER, "opened");
     log::debug!(origin:% = req.host, engine:% = req.engine; "relayed connection opened");
-    match copy(origin, server).await {
+    match copy(origin, server, &shared.relayed_bytes).await {
         Ok(()) => log::debug!(origin:% = req.host, engine:% = req.engine; "relayed connection ended"),
         Err(e) => {
             shared.metrics.count(COUNTER, "broken");
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -2,18 +2,21 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use carawayseam_dispatch::catalog::RequestLimits;
 use carawayseam_dispatch::freshness::{Freshness, Reachability};
 use carawayseam_dispatch::gossip::Budget;
 use carawayseam_dispatch::history::History;
+use carawayseam_dispatch::local_overload::LocalOverload;
 use carawayseam_dispatch::poison::PoisonTracker;
 use carawayseam_dispatch::poison_parts::PoisonParts;
 use carawayseam_dispatch::quota::Quotas;
+use carawayseam_dispatch::relay_budget::{CarriedBytes, RelayBudget};
 use carawayseam_dispatch::rollouts::Rollouts;
 use carawayseam_dispatch::server_limits::{ServerLimit, ServerLimits};
+use carawayseam_dispatch::store_tree::Registration;
 use carawayseam_dispatch::{Action, AttemptEnd, Catalog, Dispatcher, Job, Ticket};
 use carawayseam_types::{Clock, EngineId, HostId, Millis, RequestRate, StoreEra, StoreRevision, VersionId};
 use compact_str::CompactString;
@@ -279,6 +282,18 @@
     pub(crate) reachability: Mutex<Reachability>,
     /// The number of hosts in all availability zones that watch the store.
     pub(crate) store_followers: AtomicU32,
+    /// How this host keeps itself registered in the store.
+    pub(crate) registration: watch::Sender<Registration>,
+    /// Whether the fleet is too large for each host to send heartbeats to all others.
+    pub(crate) is_large_fleet: AtomicBool,
+    /// Whether this host's own link or processor is overloaded.
+    pub(crate) overload: Mutex<LocalOverload>,
+    /// Bounds the connections that this host relays.
+    pub(crate) relay_budget: Mutex<RelayBudget>,
+    /// The bytes received from and sent to this host's own callers.
+    pub(crate) own_bytes: AtomicU64,
+    /// The bytes of relayed connections.
+    pub(crate) relayed_bytes: AtomicU64,
     /// The item of the store that held the configuration in force.
     pub(crate) configuration_item: Mutex<Option<Item>>,
     /// The changes of the store that peers may request.
@@ -323,6 +338,28 @@
         self.clock.now()
     }
 
+    /// Returns whether this host's own link or processor is overloaded; never in a small fleet.
+    pub(crate) fn is_overloaded(&self) -> bool {
+        self.is_large_fleet.load(Ordering::Relaxed) && lock(&self.overload).is_overloaded(self.now())
+    }
+
+    /// Returns by how much a connection may take longer than usual because of local overload.
+    pub(crate) fn extra_connect_time(&self) -> Millis {
+        if self.is_large_fleet.load(Ordering::Relaxed) {
+            lock(&self.overload).extra_time(self.now())
+        } else {
+            Millis::ZERO
+        }
+    }
+
+    /// Returns the bytes carried since the start of the process.
+    pub(crate) fn carried_bytes(&self) -> CarriedBytes {
+        CarriedBytes {
+            own: self.own_bytes.load(Ordering::Relaxed),
+            relayed: self.relayed_bytes.load(Ordering::Relaxed),
+        }
+    }
+
     pub(crate) fn catalog(&self) -> Option<Arc<Catalog>> {
         self.catalog.borrow().clone()
     }
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -1,15 +1,18 @@
 //! One attempt to send a request to one backend server.
 
+use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use carawayseam_dispatch::AttemptEnd;
+use carawayseam_dispatch::local_overload::Reached;
 use carawayseam_types::{HostId, Millis};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderMap, HeaderName};
 use hyper::{Request, Response, StatusCode};
+use tokio::time::Instant;
 
 use super::exchange::{Exchange, Placement};
 use super::moves::MovedRequest;
@@ -84,8 +87,12 @@
     pub(crate) const fn is_unsent(self) -> bool {
         matches!(
             self,
-            Self::NotRun(AttemptEnd::Unreachable | AttemptEnd::RelayFailed | AttemptEnd::Cancelled)
-                | Self::Stale
+            Self::NotRun(
+                AttemptEnd::Unreachable
+                    | AttemptEnd::RelayFailed
+                    | AttemptEnd::LocalOverload
+                    | AttemptEnd::Cancelled
+            ) | Self::Stale
         )
     }
 
@@ -245,9 +252,19 @@
 }
 
 async fn open_directly(exchange: &Exchange, assignment: &Assignment) -> Result<Connection, Failure> {
-    let within = CONNECT_TIMEOUT.min(exchange.time_left());
+    let within = CONNECT_TIMEOUT + exchange.shared.extra_connect_time();
+    let within = within.min(exchange.time_left());
+    let started_at = Instant::now();
     exchange.shared.metrics.count("engine_connections", "opened");
-    match Connection::open(assignment.address, within, SERVER_SILENCE_LIMIT).await {
+    let opened = Connection::open(assignment.address, within, SERVER_SILENCE_LIMIT).await;
+    let elapsed = Millis(started_at.elapsed().as_millis() as u64);
+    let reached = match &opened {
+        Err(e) if e.kind() == io::ErrorKind::TimedOut => Reached::NotWithin(elapsed),
+        _ => Reached::After(elapsed),
+    };
+    let now = exchange.shared.now();
+    lock(&exchange.shared.overload).record_server(now, assignment.engine.clone(), reached);
+    match opened {
         Ok(connection) => Ok(connection),
         Err(e) => {
             log::debug!(engine:% = assignment.engine; "connecting to the backend server failed: {e}");
@@ -257,6 +274,11 @@
                 &assignment.engine,
                 &exchange.backend,
             );
+            // A server that refuses has been reached.
+            if e.kind() == io::ErrorKind::TimedOut && shared.is_overloaded() {
+                shared.metrics.count("local_overload", "connection-timed-out");
+                return Err(Failure::NotRun(AttemptEnd::LocalOverload));
+            }
             Err(Failure::NotRun(AttemptEnd::Unreachable))
         }
     }
--- a/crates/gateway/src/traffic/caller_socket.rs
+++ b/crates/gateway/src/traffic/caller_socket.rs
@@ -108,6 +108,15 @@
         }
         Ok(&self.stream)
     }
+
+    fn count_written(&self, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(written)) = &polled {
+            self.shared
+                .own_bytes
+                .fetch_add(*written as u64, Ordering::Relaxed);
+        }
+        polled
+    }
 }
 
 impl Drop for CallerSocket {
@@ -125,6 +134,7 @@
             match self.stream.try_read(buf.initialize_unfilled()) {
                 Ok(read) => {
                     buf.advance(read);
+                    self.shared.own_bytes.fetch_add(read as u64, Ordering::Relaxed);
                     if read > 0 {
                         self.activity.record_bytes(self.shared.now());
                     }
@@ -140,7 +150,8 @@
 impl AsyncWrite for CallerSocket {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let stream = self.stream()?;
-        poll_write_with(stream, cx, || stream.try_write(buf))
+        let polled = poll_write_with(stream, cx, || stream.try_write(buf));
+        self.count_written(polled)
     }
 
     fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -157,7 +168,8 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let stream = self.stream()?;
-        poll_write_with(stream, cx, || stream.try_write_vectored(bufs))
+        let polled = poll_write_with(stream, cx, || stream.try_write_vectored(bufs));
+        self.count_written(polled)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -376,9 +376,9 @@
         // A place is promised only to a caller that is refused.
         let refusal = || match failure {
             _ if self.may_have_run => Refusal::new(Reason::ResponseLost),
-            Failure::NotRun(AttemptEnd::Unreachable | AttemptEnd::RelayFailed) => {
-                Refusal::with_retry_after(Reason::Unreachable, self.retry_delay())
-            }
+            Failure::NotRun(
+                AttemptEnd::Unreachable | AttemptEnd::RelayFailed | AttemptEnd::LocalOverload,
+            ) => Refusal::with_retry_after(Reason::Unreachable, self.retry_delay()),
             _ => Refusal::with_retry_after(Reason::Rejected, self.retry_delay()),
         };
         let now = self.shared.now();
@@ -391,9 +391,9 @@
             _ if now >= self.deadline => Err(refusal()),
             // Neither a later configuration nor more time is to be expected before the deadline.
             Failure::Stale | Failure::NotRun(AttemptEnd::Cancelled) => Err(refusal()),
-            Failure::NotRun(AttemptEnd::Unreachable | AttemptEnd::RelayFailed)
-                if self.unsent_attempts < MAX_UNSENT_ATTEMPTS =>
-            {
+            Failure::NotRun(
+                AttemptEnd::Unreachable | AttemptEnd::RelayFailed | AttemptEnd::LocalOverload,
+            ) if self.unsent_attempts < MAX_UNSENT_ATTEMPTS => {
                 let job = self.job();
                 let submitted = lock(&self.shared.dispatch).submit_unsent(now, job);
                 Ok(self.queued(submitted))
--- a/crates/gateway/src/traffic/reservation.rs
+++ b/crates/gateway/src/traffic/reservation.rs
@@ -165,6 +165,7 @@
             | AttemptEnd::RateLimited
             | AttemptEnd::Misdirected
             | AttemptEnd::RelayFailed
+            | AttemptEnd::LocalOverload
             | AttemptEnd::LinkLost
             | AttemptEnd::Cancelled => return,
         };
