Keep the reset flag of a connection in its shared part

Clippy found two variants of MovedRequest too different in size after Connection had grown by the flag.

--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -4,7 +4,6 @@
 use std::iter::successors;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 
 use bytes::Bytes;
 use carawayseam_types::Millis;
@@ -20,7 +19,7 @@
 
 use crate::body_memory::{BodyBuf, BodyMemory};
 use crate::read_limit::{ReadBudget, ReadLimited};
-use crate::resettable_stream::ResettableStream;
+use crate::resettable_stream::{ResetFlag, ResettableStream};
 use crate::sockets;
 
 /// The size limit for the head of a response; a longer head fails the request.
@@ -35,8 +34,14 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    control: Arc<Control>,
+}
+
+/// What is set for a connection while the HTTP library has its stream.
+#[derive(Debug, Default)]
+struct Control {
     read_budget: ReadBudget,
-    resets: Arc<AtomicBool>,
+    resets: ResetFlag,
 }
 
 impl Drop for Connection {
@@ -118,15 +123,17 @@
     /// The operating system's error if the connection broke.
     pub async fn over(stream: TcpStream) -> io::Result<Self> {
         let address = stream.peer_addr()?;
-        let read_budget = ReadBudget::default();
-        let resets = Arc::new(AtomicBool::new(false));
+        let control = Arc::new(Control::default());
         let stream = ResettableStream {
             stream,
-            resets: Arc::clone(&resets),
+            resets: control.resets.clone(),
         };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(ReadLimited::new(stream, read_budget.clone())))
+            .handshake(TokioIo::new(ReadLimited::new(
+                stream,
+                control.read_budget.clone(),
+            )))
             .await
             .map_err(io::Error::other)?;
         let driver = tokio::spawn(async move {
@@ -138,8 +145,7 @@
         Ok(Self {
             sender,
             driver,
-            read_budget,
-            resets,
+            control,
         })
     }
 
@@ -152,12 +158,12 @@
 
     /// Sets whether the connection is reset when it is dropped, which discards bytes that were not delivered yet.
     pub(crate) fn set_reset_on_close(&self, resets: bool) {
-        self.resets.store(resets, Ordering::Relaxed);
+        self.control.resets.set(resets);
     }
 
     /// Limits the number of bytes that are read from the connection from now on.
     pub(crate) fn set_read_limit(&self, bytes: usize) {
-        self.read_budget.set(bytes);
+        self.control.read_budget.set(bytes);
     }
 
     /// Sends a request and waits for the response's head.
--- a/crates/gateway/src/resettable_stream.rs
+++ b/crates/gateway/src/resettable_stream.rs
@@ -11,18 +11,28 @@
 
 use crate::sockets::set_reset_on_close;
 
+/// Whether a stream is reset when it is dropped.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct ResetFlag(Arc<AtomicBool>);
+
+impl ResetFlag {
+    pub(crate) fn set(&self, resets: bool) {
+        self.0.store(resets, Ordering::Relaxed);
+    }
+}
+
 /// A stream whose drop resets the connection if `resets` is set then, and closes it otherwise.
 ///
 /// After a regular close the operating system goes on delivering the bytes that were written before.
 #[derive(Debug)]
 pub(crate) struct ResettableStream {
     pub(crate) stream: TcpStream,
-    pub(crate) resets: Arc<AtomicBool>,
+    pub(crate) resets: ResetFlag,
 }
 
 impl Drop for ResettableStream {
     fn drop(&mut self) {
-        if self.resets.load(Ordering::Relaxed)
+        if self.resets.0.load(Ordering::Relaxed)
             && let Err(e) = set_reset_on_close(&self.stream, true)
         {
             log::debug!("a connection is closed and not reset: {e}");
