--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -6,12 +6,14 @@
 
 use bytes::Bytes;
 use carawayseam_dispatch::AttemptEnd;
+use carawayseam_dispatch::local_overload::Reached;
 use carawayseam_dispatch::warm_up::Refusal;
 use carawayseam_types::{HostId, Millis};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderMap, HeaderName};
 use hyper::{Request, Response, StatusCode};
+use tokio::time::Instant;
 
 use super::exchange::{Exchange, Placement};
 use super::moves::MovedRequest;
@@ -88,8 +90,12 @@
     pub(crate) const fn is_unsent(self) -> bool {
         matches!(
             self,
-            Self::NotRun(AttemptEnd::Unreachable | AttemptEnd::RelayFailed | AttemptEnd::Cancelled)
-                | Self::Stale
+            Self::NotRun(
+                AttemptEnd::Unreachable
+                    | AttemptEnd::RelayFailed
+                    | AttemptEnd::LocalOverload
+                    | AttemptEnd::Cancelled
+            ) | Self::Stale
         )
     }
 
@@ -252,15 +258,31 @@
 }
 
 async fn open_directly(exchange: &Exchange, assignment: &Assignment) -> Result<Connection, Failure> {
-    let within = CONNECT_TIMEOUT.min(exchange.time_left());
+    let within = CONNECT_TIMEOUT + exchange.shared.extra_connect_time();
+    let within = within.min(exchange.time_left());
+    let started_at = Instant::now();
     exchange.shared.metrics.count("engine_connections", "opened");
-    match Connection::open(assignment.address, within, SERVER_SILENCE_LIMIT).await {
+    let opened = Connection::open(assignment.address, within, SERVER_SILENCE_LIMIT).await;
+    let elapsed = Millis(started_at.elapsed().as_millis() as u64);
+    let reached = match &opened {
+        Err(e) if e.kind() == ErrorKind::TimedOut => Reached::NotWithin(elapsed),
+        _ => Reached::After(elapsed),
+    };
+    let shared = &exchange.shared;
+    lock(&shared.overload).record_server(shared.now(), assignment.engine.clone(), reached);
+    match opened {
         Ok(connection) => {
-            exchange.shared.record_connection(&assignment.engine);
+            shared.record_connection(&assignment.engine);
             Ok(connection)
         }
         Err(e) => {
             log::debug!(engine:% = assignment.engine; "connecting to the backend server failed: {e}");
+            let has_timed_out = e.kind() == ErrorKind::TimedOut;
+            // A server that refuses has been reached.
+            if has_timed_out && shared.is_overloaded() {
+                shared.metrics.count("local_overload", "connection-timed-out");
+                return Err(Failure::NotRun(AttemptEnd::LocalOverload));
+            }
             match e.kind() {
                 ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => {
                     record_refusal(exchange, assignment, Refusal::Closed);
@@ -313,6 +335,13 @@
     if time_left <= TIMER_SLACK {
         return Err(Failure::NotRun(AttemptEnd::Cancelled));
     }
+    // The caller may have closed during the waits before, or while its body was read.
+    if exchange.caller.is_caller_gone() {
+        exchange.shared.metrics.count("closed_callers", "before-send");
+        return Err(Failure::NotRun(AttemptEnd::Cancelled));
+    }
+    // Bytes that wait for a slow link are not to be delivered after the request was given up.
+    connection.set_reset_on_close(true);
     let req = outgoing_request(exchange, assignment, time_left, continuation.last_event_id());
     Ok(Box::pin(async move {
         let response = connection.send(req).await?;
