gateway: take only listed hosts for earlier builds, and not by replayed heartbeats

Cause: any heartbeat, also one that arrived again or of a host that is not listed, made its sender a host of an earlier build, after which slot owners were chosen among all zones.

Change: a heartbeat counts once it is accepted and its host is listed.

Ruled out: nothing.

--- a/crates/gateway/src/control/state/announcements.rs
+++ b/crates/gateway/src/control/state/announcements.rs
@@ -41,7 +41,6 @@
             serves_keys,
             ..
         } = &heartbeat;
-        self.gossip.earlier_builds.record_heartbeat(now, host);
         match self
             .peers
             .record_heartbeat(now, host, *incarnation, *seq, *serves_keys)
@@ -54,6 +53,10 @@
                 self.update_group(now);
             }
         }
+        // Hosts of earlier builds change the owners of slots, so a host that is not listed must not count as one.
+        if self.hosts.contains(host) {
+            self.gossip.earlier_builds.record_heartbeat(now, host);
+        }
         if let Some(version) = heartbeat.configuration {
             self.record_peer_configuration(now, &heartbeat.host, version);
         }
