Count a connection that timed out under local overload against a server's warm-up

Change: the refusal is recorded before the attempt's end is chosen.

Conclusion: the bound on servers that warm up goes before the number of requests that they get.

--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -277,12 +277,6 @@
         }
         Err(e) => {
             log::debug!(engine:% = assignment.engine; "connecting to the backend server failed: {e}");
-            let has_timed_out = e.kind() == ErrorKind::TimedOut;
-            // A server that refuses has been reached.
-            if has_timed_out && shared.is_overloaded() {
-                shared.metrics.count("local_overload", "connection-timed-out");
-                return Err(Failure::NotRun(AttemptEnd::LocalOverload));
-            }
             match e.kind() {
                 ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => {
                     record_refusal(exchange, assignment, Refusal::Closed);
@@ -291,6 +285,11 @@
                 ErrorKind::TimedOut if within < CONNECT_TIMEOUT => {}
                 _ => record_refusal(exchange, assignment, Refusal::Unanswered),
             }
+            // A server that refuses has been reached.
+            if e.kind() == ErrorKind::TimedOut && shared.is_overloaded() {
+                shared.metrics.count("local_overload", "connection-timed-out");
+                return Err(Failure::NotRun(AttemptEnd::LocalOverload));
+            }
             Err(Failure::NotRun(AttemptEnd::Unreachable))
         }
     }
