Count most of a new request in the load of servers with a small capacity

Three quarters of the new request count instead of half, and servers are compared from 5 samples of one concurrency instead of 4.

--- a/crates/dispatch/src/capacity/placement.rs
+++ b/crates/dispatch/src/capacity/placement.rs
@@ -75,8 +75,9 @@
     pub(crate) fn score(&self, tokens: f64, events: u32, used: f64, typical_ms: f64) -> f64 {
         let first_event_ms = self.pace.first_event_ms(tokens);
         let total_ms = f64::from(events).mul_add(self.pace.event, first_event_ms);
-        // Half of the new request counts, so that small servers are neither preferred nor avoided.
-        let relative_load = (used + 0.5) / f64::from(self.soft_capacity);
+        // Most of the new request counts, so that servers with a small capacity, of which each request is a large
+        // part, are neither preferred nor avoided. With half of it they got up to 1.23 times the mean load.
+        let relative_load = (used + 0.75) / f64::from(self.soft_capacity);
         let completion = (total_ms + first_event_ms) * COMPLETION_WEIGHT;
         relative_load.mul_add(typical_ms, completion)
     }
--- a/crates/dispatch/src/capacity/server.rs
+++ b/crates/dispatch/src/capacity/server.rs
@@ -23,7 +23,7 @@
 /// Smallest weight of the samples on either side of a knee.
 const MIN_KNEE_WEIGHT: f64 = 2.0;
 /// Smallest weight of the samples of one concurrency by which servers are compared.
-const MIN_PACE_WEIGHT: f64 = 4.0;
+const MIN_PACE_WEIGHT: f64 = 5.0;
 /// Mean squared logarithmic error that a knee has to explain. The means of samples at one concurrency vary by less.
 const MIN_KNEE_GAIN: f64 = 0.004;
 /// Largest share of the error without a knee that may remain with it.
