Place requests by learned pace only where the settings ask for it

Deployments that did not ask for it are to be served as before.

Change: the setting `learned_placement`, `false` if not given.

--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -139,7 +139,10 @@
     };
     let max_age = settings.max_key_age - KEY_AGE_MARGIN;
     let body_memory = BodyMemory::new(settings.memory);
-    let dispatcher = Dispatcher::new(settings.zone.clone(), bounds, incarnation.0);
+    let mut dispatcher = Dispatcher::new(settings.zone.clone(), bounds, incarnation.0);
+    if !settings.learned_placement {
+        dispatcher.disable_capacity_learning();
+    }
     let quotas = Quotas::new(settings.host.clone(), settings.quota_tolerance);
     let server_limits = ServerLimits::new(settings.host.clone());
     let process = ProcessId {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -65,6 +65,9 @@
     /// messages with a few of the others at a time.
     #[serde(default = "default_full_mesh_hosts")]
     pub full_mesh_hosts: usize,
+    /// Whether requests are placed by the learned pace of backend servers, where these differ.
+    #[serde(default)]
+    pub learned_placement: bool,
 }
 
 /// Limits on sending requests to another backend server after a failed attempt, over all hosts.
