gateway: select the members of a fleet in two plain steps

Cause: a closure that returned an option within an option was hard to read.

Change: a filter and a conversion; no behaviour changes.

--- a/crates/gateway/src/control/state/liveness.rs
+++ b/crates/gateway/src/control/state/liveness.rs
@@ -37,16 +37,14 @@
     pub(super) fn update_members(&mut self, now: Millis) {
         let earlier: BTreeSet<&HostId> = self.gossip.earlier_builds.hosts(now).collect();
         let others = self.hosts.others(&self.shared.settings.host);
-        let listed = others.filter_map(|(host, address)| {
-            let is_member = !earlier.contains(host);
-            is_member.then(|| {
-                Some(ListedHost {
-                    host: host.clone(),
-                    zone: self.zones.get(host)?.clone(),
-                    address,
-                    incarnation: *self.incarnations.get(host)?,
-                })
-            })?
+        let members = others.filter(|(host, _)| !earlier.contains(host));
+        let listed = members.filter_map(|(host, address)| {
+            Some(ListedHost {
+                host: host.clone(),
+                zone: self.zones.get(host)?.clone(),
+                address,
+                incarnation: *self.incarnations.get(host)?,
+            })
         });
         let listed: Vec<ListedHost> = listed.collect();
         self.members.set_listed(now, listed.into_iter());
