Bound the claims that a host makes in vain as stated

Cause: a server that refused a claim was marked as full for 300 ms at most, so that a host in front of 60 full servers made 200 claims a second in vain, not 100 as the comment said.

--- a/crates/dispatch/src/server_loads.rs
+++ b/crates/dispatch/src/server_loads.rs
@@ -13,10 +13,10 @@
 /// A measurement counts for this time.
 const MEASUREMENT_TTL: Millis = Millis(3_000);
 /// A refused claim marks a server as full for this time for each server that is marked, within bounds, so that a host
-/// makes at most 100 claims a second in vain.
+/// makes at most 100 claims a second in vain while up to 100 servers are full. A newer measurement ends a mark sooner.
 const FULL_TTL_PER_SERVER: Millis = Millis(10);
 const MIN_FULL_TTL: Millis = Millis(40);
-const MAX_FULL_TTL: Millis = Millis(300);
+const MAX_FULL_TTL: Millis = Millis(1_000);
 /// The largest number of own starts and ends kept for one server.
 const MAX_OWN_CHANGES: usize = 64;
 /// The largest number of prompt tokens that a measurement may state: callers state the lengths of their prompts.
