gateway: determine the live hosts once a tick, and split the control state

Change: the tick passes its set on. Probes of unreached backend servers and the search for relays stand in a module of their own. No behaviour changes.

--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -4,6 +4,7 @@
 mod group;
 mod liveness;
 mod rounds;
+mod unreached_servers;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -28,16 +29,13 @@
 
 use super::configuration::{LaterConfiguration, MAX_LAG};
 use super::members::{ListedHost, Members};
-use super::{poison_parts, reach};
+use super::poison_parts;
 use crate::platform::{Item, RolloutOrder, RolloutStatus};
 use crate::shared::{Shared, lock};
-use crate::sockets;
 use crate::traffic;
 use announcements::Outgoing;
 use rounds::GossipState;
 
-/// Bounds the connection attempt to a backend server that was unreachable before.
-const PROBE_TIMEOUT: Millis = Millis(250);
 /// How often idle connections are checked for removal.
 const SWEEP_INTERVAL: Millis = Millis(500);
 
@@ -284,8 +282,7 @@
     }
 
     /// Requests the configuration of a peer that has had a later one for too long.
-    fn request_later_configuration(&mut self, now: Millis) {
-        let live = self.live_hosts(now);
+    fn request_later_configuration(&mut self, now: Millis, live: &BTreeSet<HostId>) {
         let later = self.later_configuration.as_mut();
         let Some(later) = later.filter(|later| now.since(later.since) >= MAX_LAG) else {
             return;
@@ -316,13 +313,12 @@
     ///
     /// A host decides only while its configuration is confirmed. Its rank among the live hosts delays
     /// its decisions, so that usually one host writes.
-    fn decide_rollouts(&self, now: Millis) {
+    fn decide_rollouts(&self, now: Millis, live: &BTreeSet<HostId>) {
         if !self.shared.may_use_keys() {
             return;
         }
         let own_host = &self.shared.settings.host;
-        let live = self.live_hosts(now);
-        let rank = live.range(..own_host.clone()).count() as u32;
+        let rank = live.iter().filter(|host| *host < own_host).count() as u32;
         for decision in lock(&self.shared.rollouts).due_decisions(now, rank) {
             if let Err(e) = self.decisions.send(decision) {
                 log::error!("a rollout decision was not queued for writing: {e}");
@@ -398,8 +394,8 @@
         }
         self.probe_engines(now);
         self.find_relays(now);
-        self.decide_rollouts(now);
-        self.request_later_configuration(now);
+        self.decide_rollouts(now, &live);
+        self.request_later_configuration(now, &live);
         poison_parts::decide(&self.shared, now);
         if now.since(self.last_sweep_at) >= SWEEP_INTERVAL {
             self.last_sweep_at = now;
@@ -414,50 +410,6 @@
         let actions = dispatch.dispatcher.tick(now);
         dispatch.apply(now, actions);
     }
-
-    /// Tries to connect to the unreachable backend servers that are due for a probe, so that no request
-    /// has to.
-    fn probe_engines(&self, now: Millis) {
-        let due = lock(&self.shared.dispatch).dispatcher.due_probes(now);
-        for (engine, address) in due {
-            tokio::spawn(probe_engine(Arc::clone(&self.shared), engine, address));
-        }
-    }
-}
-
-impl ControlState {
-    /// Asks peers about the servers that this host does not reach, if that is due.
-    fn find_relays(&self, now: Millis) {
-        let (query, changes) = {
-            let dispatcher = &mut lock(&self.shared.dispatch).dispatcher;
-            (dispatcher.reach_queries(now), dispatcher.take_reach_changes())
-        };
-        reach::record_changes(&self.shared, changes);
-        if query.is_some() && self.shared.is_overloaded() {
-            // Relayed connections would load the same link, and the servers may be sound.
-            self.shared.metrics.count("reach_asks", "overloaded");
-            return;
-        }
-        if let Some(query) = query {
-            let reachable = self.group.reachable.iter();
-            let peers: Vec<(HostId, ZoneId)> = reachable
-                .filter_map(|host| Some((host.clone(), self.zones.get(host)?.clone())))
-                .collect();
-            reach::ask_peers(&self.shared, &query, &peers);
-        }
-    }
-}
-
-async fn probe_engine(shared: Arc<Shared>, engine: EngineId, address: SocketAddr) {
-    let reached = sockets::connect(address, PROBE_TIMEOUT, PROBE_TIMEOUT).await;
-    if reached.is_ok() {
-        let now = shared.now();
-        log::info!(engine:% = engine; "backend server is reachable again");
-        shared.record_connection(&engine);
-        let mut dispatch = lock(&shared.dispatch);
-        let actions = dispatch.dispatcher.mark_reachable(now, &engine);
-        dispatch.apply(now, actions);
-    }
 }
 
 impl Actor for ControlState {
