gateway: convert loads and check senders in one place

Change: `control::loads` has the conversions, and `Shared::is_listed` the check with its count. No behaviour changes.

--- a/crates/gateway/src/control/capacity.rs
+++ b/crates/gateway/src/control/capacity.rs
@@ -51,8 +51,7 @@
 
 /// Applies a host's samples of servers whose slots this host owns.
 pub(super) fn apply_samples(shared: &Shared, message: &ServerSamples) {
-    if shared.peers.address(&message.host).is_none() {
-        shared.metrics.count(COUNTER, "unknown-host");
+    if !shared.is_listed(&message.host, COUNTER) {
         return;
     }
     let samples = message.samples.iter().take(MAX_SAMPLES).map(decode_sample);
@@ -82,8 +81,7 @@
 
 /// Applies the estimates that a host passed on.
 pub(super) fn apply_paces(shared: &Shared, message: &ServerPaces) {
-    if shared.peers.address(&message.host).is_none() {
-        shared.metrics.count(COUNTER, "unknown-host");
+    if !shared.is_listed(&message.host, COUNTER) {
         return;
     }
     let paces = message.paces.iter().take(MAX_PACES).map(decode_pace);
--- a/crates/gateway/src/control/gossip.rs
+++ b/crates/gateway/src/control/gossip.rs
@@ -4,14 +4,13 @@
 use carawayseam_dispatch::draining_servers::DrainingServer;
 use carawayseam_dispatch::engine::ServerLoad;
 use carawayseam_dispatch::gossip::Status;
-use carawayseam_dispatch::load::WaitingCount;
 use carawayseam_dispatch::server_loads::{Measurement, OwnerKey};
 use carawayseam_types::{HostId, Millis};
 use carawayseam_wire::{
-    EngineLoad, GossipRound, HeldSlots, MeasuredLoad, PeerMessage, PeerResponse, SlotClaim, SlotLoad,
-    SlotOutcome, WaitingLoad, encode,
+    GossipRound, HeldSlots, MeasuredLoad, PeerMessage, PeerResponse, SlotClaim, SlotLoad, SlotOutcome, encode,
 };
 
+use super::loads::{decode_server_load, decode_waiting};
 use super::{capacity, poison_contents, poison_parts, rollout_pace, rollout_routes, server_limits, warm_ups};
 use crate::shared::{Shared, lock};
 
@@ -60,18 +59,9 @@
     true
 }
 
-/// Returns whether another host is listed, so that its messages count.
-fn is_known(shared: &Shared, host: &HostId) -> bool {
-    let is_known = shared.peers.address(host).is_some();
-    if !is_known {
-        shared.metrics.count(COUNTER, "unknown-host");
-    }
-    is_known
-}
-
 /// Responds to a host's claim of a slot of a backend server.
 pub(super) fn respond_claim(shared: &Shared, claim: &SlotClaim) {
-    if !is_known(shared, &claim.host) {
+    if !shared.is_listed(&claim.host, COUNTER) {
         return;
     }
     let SlotClaim {
@@ -99,17 +89,11 @@
 
 /// Applies a host's confirmation of the slots that it holds.
 pub(super) fn confirm_held(shared: &Shared, held: &HeldSlots) {
-    if !is_known(shared, &held.host) {
+    if !shared.is_listed(&held.host, COUNTER) {
         return;
     }
     let now = shared.now();
-    let engines = held.engines.iter().map(|load| {
-        let server_load = ServerLoad {
-            running: load.running,
-            prompt_ahead: load.pending_prompt_tokens,
-        };
-        (load.engine, server_load)
-    });
+    let engines = held.engines.iter().map(decode_server_load);
     let mut dispatch = lock(&shared.dispatch);
     let actions = dispatch.dispatcher.confirm_held_slots(
         now,
@@ -123,7 +107,7 @@
 
 /// Sends a host the reports that were announced before it started or while it was partitioned.
 pub(super) fn send_reports(shared: &Shared, host: &HostId) {
-    if !is_known(shared, host) {
+    if !shared.is_listed(host, COUNTER) {
         return;
     }
     let now = shared.now();
@@ -223,27 +207,3 @@
         },
     }
 }
-
-pub(super) fn encode_waiting(waiting: WaitingCount) -> WaitingLoad {
-    WaitingLoad {
-        backend: waiting.backend,
-        tier: waiting.tier,
-        count: waiting.count,
-    }
-}
-
-fn decode_waiting(waiting: &WaitingLoad) -> WaitingCount {
-    WaitingCount {
-        backend: waiting.backend.clone(),
-        tier: waiting.tier,
-        count: waiting.count,
-    }
-}
-
-pub(super) const fn encode_held(engine: carawayseam_types::EngineKey, load: ServerLoad) -> EngineLoad {
-    EngineLoad {
-        engine,
-        running: load.running,
-        pending_prompt_tokens: load.prompt_ahead,
-    }
-}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod capacity;
 mod configuration;
 mod gossip;
+mod loads;
 mod members;
 mod overload;
 mod ownership;
--- a/crates/gateway/src/control/state/announcements.rs
+++ b/crates/gateway/src/control/state/announcements.rs
@@ -3,14 +3,14 @@
 use std::net::SocketAddr;
 
 use carawayseam_dispatch::draining_servers::DrainingServer;
-use carawayseam_dispatch::engine::ServerLoad;
-use carawayseam_dispatch::load::{HostLoad, WaitingCount};
+use carawayseam_dispatch::load::HostLoad;
 use carawayseam_dispatch::peers::HeartbeatOrigin;
 use carawayseam_dispatch::rollouts::{Evidence, ResponseCounts, RolloutUpdate};
-use carawayseam_types::{Digest, EngineKey, HostId, Millis};
-use carawayseam_wire::{EngineLoad, Heartbeat, PeerMessage, RolloutCounts, WaitingLoad};
+use carawayseam_types::{Digest, HostId, Millis};
+use carawayseam_wire::{Heartbeat, PeerMessage, RolloutCounts};
 
 use super::ControlState;
+use crate::control::loads::{decode_server_load, decode_waiting, encode_server_load, encode_waiting};
 use crate::control::{
     configuration, poison_contents, poison_parts, rollout_pace, rollout_routes, server_limits,
 };
@@ -71,16 +71,8 @@
             );
         }
         let load = HostLoad {
-            engines: heartbeat.engines.iter().map(decode_engine_load).collect(),
-            waiting: heartbeat
-                .waiting
-                .into_iter()
-                .map(|waiting| WaitingCount {
-                    backend: waiting.backend,
-                    tier: waiting.tier,
-                    count: waiting.count,
-                })
-                .collect(),
+            engines: heartbeat.engines.iter().map(decode_server_load).collect(),
+            waiting: heartbeat.waiting.iter().map(decode_waiting).collect(),
         };
         let mut dispatch = lock(&self.shared.dispatch);
         for (engine, started) in heartbeat.draining_servers {
@@ -174,24 +166,8 @@
             incarnation: self.incarnation,
             seq,
             serves_keys: self.shared.may_use_keys(),
-            engines: load
-                .engines
-                .into_iter()
-                .map(|(engine, load)| EngineLoad {
-                    engine,
-                    running: load.running,
-                    pending_prompt_tokens: load.prompt_ahead,
-                })
-                .collect(),
-            waiting: load
-                .waiting
-                .into_iter()
-                .map(|waiting| WaitingLoad {
-                    backend: waiting.backend,
-                    tier: waiting.tier,
-                    count: waiting.count,
-                })
-                .collect(),
+            engines: load.engines.into_iter().map(encode_server_load).collect(),
+            waiting: load.waiting.into_iter().map(encode_waiting).collect(),
             crashes: lock(&self.shared.poison)
                 .gossip_updates(now)
                 .into_iter()
@@ -236,11 +212,3 @@
         old_bad: old.bad,
     }
 }
-
-fn decode_engine_load(load: &EngineLoad) -> (EngineKey, ServerLoad) {
-    let server_load = ServerLoad {
-        running: load.running,
-        prompt_ahead: load.pending_prompt_tokens,
-    };
-    (load.engine, server_load)
-}
--- a/crates/gateway/src/control/state/rounds.rs
+++ b/crates/gateway/src/control/state/rounds.rs
@@ -12,7 +12,7 @@
 
 use super::ControlState;
 use super::announcements::Outgoing;
-use crate::control::{capacity, configuration, gossip};
+use crate::control::{capacity, configuration, gossip, loads};
 use crate::shared::lock;
 
 /// How often a host confirms the slots that it holds to their owners.
@@ -156,7 +156,7 @@
             seq,
             serves_keys: self.shared.may_use_keys(),
             configuration: configuration::announced(&self.shared),
-            waiting: waiting.map(gossip::encode_waiting).collect(),
+            waiting: waiting.map(loads::encode_waiting).collect(),
             draining_servers: draining
                 .into_iter()
                 .map(|server| (server.engine, server.started))
@@ -178,7 +178,7 @@
         let mut by_owner: BTreeMap<HostId, Vec<EngineLoad>> = BTreeMap::new();
         for held in held {
             if let Some(owner) = peers.slot_owner(held.engine.as_str(), Some(&held.zone)) {
-                let load = gossip::encode_held(EngineKey::from(&held.engine), held.load);
+                let load = loads::encode_server_load((EngineKey::from(&held.engine), held.load));
                 by_owner.entry(owner).or_default().push(load);
             }
         }
--- a/crates/gateway/src/control/warm_ups.rs
+++ b/crates/gateway/src/control/warm_ups.rs
@@ -23,8 +23,7 @@
 
 /// Applies the restarts that a peer announced.
 pub(super) fn apply_updates(shared: &Shared, host: &HostId, servers: Vec<ServerWarmUpUpdate>) {
-    if shared.peers.address(host).is_none() {
-        shared.metrics.count("warm_ups", "unknown-host");
+    if !shared.is_listed(host, "warm_ups") {
         return;
     }
     let now = shared.now();
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -341,6 +341,15 @@
         self.clock.now()
     }
 
+    /// Returns whether another host is listed, so that its messages count; others are counted under `counter`.
+    pub(crate) fn is_listed(&self, host: &HostId, counter: &'static str) -> bool {
+        let is_listed = self.peers.address(host).is_some();
+        if !is_listed {
+            self.metrics.count(counter, "unknown-host");
+        }
+        is_listed
+    }
+
     /// Records that a connection to a server succeeded, which may be the first one after a restart.
     pub(crate) fn record_connection(&self, engine: &EngineId) {
         let now = self.now();
