dispatch: ignore capacity reports while the setting is off

With `learned_placement: false` a host measured nothing itself but still stored the samples and the pace estimates that peers sent it. Both are now ignored where they are recorded.

Result: the tests of capacity, gossip and server loads pass (43 in four test files).

--- a/crates/dispatch/src/dispatcher/capacity.rs
+++ b/crates/dispatch/src/dispatcher/capacity.rs
@@ -44,6 +44,9 @@
         samples: &[(EngineKey, SampleMean)],
     ) -> bool {
         let (incarnation, seq) = process;
+        if !self.learns_capacity {
+            return false;
+        }
         if !self.sample_messages.accept(now, host, incarnation, seq) {
             return false;
         }
@@ -85,7 +88,8 @@
     /// Records estimates of other owners; returns how many were new.
     pub fn record_pace_reports(&mut self, now: Millis, reports: &[PaceReport]) -> usize {
         let mut recorded = 0;
-        for report in reports {
+        let used = if self.learns_capacity { reports } else { &[] };
+        for report in used {
             if self.owned_slots.contains(&report.engine) {
                 continue;
             }
