gateway: determine the owned slots only when owners or servers change

Every round (100 ms) ranked all hosts of the zone for each server to find the servers whose slots this host owns, although the result depends only on the owners and the servers. It is now determined after one of the two changed. Each round still drops measurements of owned servers, which late responses of former owners can bring.

The saved time was not measured.

--- a/crates/dispatch/src/dispatcher/measured_loads.rs
+++ b/crates/dispatch/src/dispatcher/measured_loads.rs
@@ -237,6 +237,11 @@
         let engines = self.pools.values().flat_map(|pool| &pool.engines);
         let owned = engines.filter(|engine| is_owned(&engine.entry.id, &engine.entry.zone));
         self.owned_slots = owned.map(|engine| engine.key).collect();
+        self.forget_measurements_of_owned();
+    }
+
+    /// Drops measurements of the servers whose slots this host owns: late responses of former owners bring some.
+    pub fn forget_measurements_of_owned(&mut self) {
         for engine in &self.owned_slots {
             self.peers.measured.forget(*engine);
         }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -340,7 +340,8 @@
         }
     }
 
-    fn update_engines(&self, now: Millis) {
+    fn update_engines(&mut self, now: Millis) {
+        self.gossip.are_owned_slots_outdated = true;
         let entries = self.engines.entries();
         let mut dispatch = lock(&self.shared.dispatch);
         dispatch.server_limits.update_servers(now, &entries);
--- a/crates/gateway/src/control/state/group.rs
+++ b/crates/gateway/src/control/state/group.rs
@@ -85,6 +85,7 @@
             SlotOwners::by_zone(reachable, &self.zones)
         };
         self.shared.peers.set_slot_owners(owners);
+        self.gossip.are_owned_slots_outdated = true;
     }
 
     /// Chooses the hosts that this host polls for changes of the store, if it does not watch the store
--- a/crates/gateway/src/control/state/rounds.rs
+++ b/crates/gateway/src/control/state/rounds.rs
@@ -34,6 +34,8 @@
     pub(super) earlier_builds: EarlierBuilds,
     /// Whether there were hosts of earlier builds when the owners of slots were chosen.
     pub(super) had_earlier_builds: bool,
+    /// Whether owners or servers have changed since this host determined the servers whose slots it owns.
+    pub(super) are_owned_slots_outdated: bool,
     /// When this host last sent heartbeats to all.
     pub(super) used_full_mesh_at: Option<Millis>,
     held_confirmed_at: Millis,
@@ -49,6 +51,7 @@
             rounds: Rounds::default(),
             earlier_builds: EarlierBuilds::default(),
             had_earlier_builds: false,
+            are_owned_slots_outdated: true,
             used_full_mesh_at: None,
             held_confirmed_at: Millis::ZERO,
             reports_requested_at: None,
@@ -115,13 +118,20 @@
         targets.collect()
     }
 
-    /// Determines the servers whose slots this host owns.
-    fn update_owned_slots(&self) {
+    /// Determines the servers whose slots this host owns, if that may have changed.
+    ///
+    /// Ranking all hosts of a zone for each server is too much work for every round.
+    fn update_owned_slots(&mut self) {
+        let dispatch = &self.shared.dispatch;
+        if !std::mem::take(&mut self.gossip.are_owned_slots_outdated) {
+            lock(dispatch).dispatcher.forget_measurements_of_owned();
+            return;
+        }
         let peers = &self.shared.peers;
         let is_owned = |engine: &carawayseam_types::EngineId, zone: &ZoneId| {
             peers.slot_owner(engine.as_str(), Some(zone)).is_none()
         };
-        lock(&self.shared.dispatch).dispatcher.set_owned_slots(is_owned);
+        lock(dispatch).dispatcher.set_owned_slots(is_owned);
     }
 
     /// Returns the round's own message, one for each zone of its targets.
