gateway: move the opening of connections to servers to a file of its own

`traffic/attempt.rs` had 542 lines and mixed how a connection is opened (directly or through a peer, with time limits and refusals) with how a request is sent and its head awaited. The first part is now `traffic/connecting.rs`; the functions are unchanged.

--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod caller_socket;
 mod caller_watch;
+mod connecting;
 mod connections;
 mod crashes;
 mod events;
--- a/crates/gateway/src/traffic/silence.rs
+++ b/crates/gateway/src/traffic/silence.rs
@@ -10,6 +10,7 @@
 use tokio::time::timeout;
 
 use super::attempt::{self, TIMER_SLACK};
+use super::connecting;
 use super::exchange::{Exchange, Placement, QueuedRequest};
 use super::moves::MovedRequest;
 use super::resumption::Continuation;
@@ -147,7 +148,7 @@
                 log::debug!(request = self.head.id.as_deref(), reason:% = refusal.reason; "no other server for a silent one");
             })
             .ok()?;
-        let connection = match attempt::connect(self, &assignment).await {
+        let connection = match connecting::connect(self, &assignment).await {
             Ok(connection) => connection,
             Err(failure) => {
                 attempt::end_failed(self, slot, &assignment, failure);
