membership: send a recorded probe first, and name the state of zones

A tick checked the budget, recorded a new probe, and then spent the budget on indirect probes and gossip of probes that had timed out. The recorded probe was dropped then, and its sound target became suspect, mostly when many hosts were lost.

The new probe is sent before the others, so the budget that was checked covers it. The contact of a zone is a struct in place of a tuple, and two functions have the usual terms.

--- a/crates/membership/src/incoming.rs
+++ b/crates/membership/src/incoming.rs
@@ -6,7 +6,7 @@
 
 use crate::items::is_critical;
 use crate::limits::{HOST_LIST_TTL, MIN_SYNCED_PEERS};
-use crate::membership::Membership;
+use crate::membership::{Membership, ZoneContact};
 use crate::peers::{Merge, PeerId};
 use crate::{Action, Refusal};
 
@@ -26,9 +26,9 @@
             self.refuse(Refusal::UnknownHost { from }, actions);
             return;
         }
-        self.heard_at = self.time;
-        if let Some(heard) = self.zones_heard.get_mut(&sender.zone) {
-            *heard = (self.time, false);
+        self.last_datagram_at = self.time;
+        if let Some(contact) = self.zone_contacts.get_mut(&sender.zone) {
+            *contact = ZoneContact::at(self.time);
         }
         self.merge(&sender);
         let reported = self.reported_peer(&sender, &updates);
@@ -159,7 +159,7 @@
             Merge::Stale => {}
             Merge::Joined | Merge::Changed => self.queue.enqueue(GossipUpdate::Peer(peer.clone())),
             Merge::Refuted => {
-                self.prober.lower_local_health();
+                self.prober.increment_local_health_score();
                 self.announce_incarnation();
             }
         }
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -25,6 +25,24 @@
 use crate::updates::{UpdateKey, UpdateQueue};
 use crate::{Action, Event, MembershipConfig, MembershipDump, Refusal, Timing};
 
+/// When a listed zone was last heard from.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ZoneContact {
+    received_at: Millis,
+    /// Whether a probe to the zone has failed since.
+    has_failed_probe: bool,
+}
+
+impl ZoneContact {
+    /// Returns the contact of a zone from which a datagram was received at `time`.
+    pub(crate) const fn at(time: Millis) -> Self {
+        Self {
+            received_at: time,
+            has_failed_probe: false,
+        }
+    }
+}
+
 /// The peers, records and published values known to one process.
 #[derive(Debug)]
 pub struct Membership {
@@ -40,9 +58,9 @@
     /// The listed processes; `None` if any process that a peer knows becomes a peer.
     pub(crate) listed: Option<BTreeSet<PeerId>>,
     /// When the last datagram was received.
-    pub(crate) heard_at: Millis,
-    /// When the last datagram was received from each listed zone, and whether a probe to the zone has failed since.
-    pub(crate) zones_heard: BTreeMap<ZoneId, (Millis, bool)>,
+    pub(crate) last_datagram_at: Millis,
+    /// The listed zones.
+    pub(crate) zone_contacts: BTreeMap<ZoneId, ZoneContact>,
     /// Peers that have sent all their heads, at most [`MIN_SYNCED_PEERS`].
     pub(crate) synced_peers: BTreeSet<PeerId>,
     pub(crate) queue: UpdateQueue,
@@ -83,8 +101,8 @@
             timing: config.timing,
             max_broadcast_peers: config.max_broadcast_peers,
             listed: None,
-            heard_at: Millis::ZERO,
-            zones_heard: BTreeMap::new(),
+            last_datagram_at: Millis::ZERO,
+            zone_contacts: BTreeMap::new(),
             synced_peers: BTreeSet::new(),
             queue: UpdateQueue::default(),
             push_queue: PushQueue::default(),
@@ -182,8 +200,10 @@
     /// One host probes a zone about once a second, so it takes too long to find each host of a lost zone by itself.
     #[must_use]
     pub fn is_cut_off_from(&self, zone: &ZoneId) -> bool {
-        let heard = self.zones_heard.get(zone);
-        heard.is_some_and(|(at, has_failed)| *has_failed && self.time.since(*at) >= ZONE_TIMEOUT)
+        let contact = self.zone_contacts.get(zone);
+        contact.is_some_and(|contact| {
+            contact.has_failed_probe && self.time.since(contact.received_at) >= ZONE_TIMEOUT
+        })
     }
 
     /// Returns the peers that are alive or only suspected.
@@ -197,17 +217,17 @@
     /// It does not know then whether its peers are lost or it is cut off from them.
     #[must_use]
     pub fn is_isolated(&self) -> bool {
-        self.prober.has_probes() && self.time.since(self.heard_at) >= ISOLATION_TIMEOUT
+        self.prober.has_probes() && self.time.since(self.last_datagram_at) >= ISOLATION_TIMEOUT
     }
 
-    /// Returns whether probes that fail say nothing of the peers, since this process hears none of them.
+    /// Returns whether failed probes are ignored because nothing is received from any peer.
     ///
-    /// A process without a list keeps to its verdicts: a fleet of two has no third to hear.
-    fn withholds_verdicts(&self) -> bool {
+    /// A process without a list never ignores them: with one peer, loss and isolation look alike.
+    fn ignores_failed_probes(&self) -> bool {
         self.listed.is_some() && self.is_isolated()
     }
 
-    /// Returns by how much this process takes itself for slow; 0 is healthy.
+    /// Returns the local health score: 0 is healthy; the time-outs of probes grow with it.
     #[must_use]
     pub const fn local_health(&self) -> u32 {
         self.prober.local_health()
@@ -285,10 +305,11 @@
             .retain(|peer| ids.contains(&PeerId::of(peer)) || peer.state != PeerState::Dead);
         self.listed = Some(ids);
         let zones: BTreeSet<&ZoneId> = peers.iter().map(|peer| &peer.zone).collect();
-        self.zones_heard.retain(|zone, _| zones.contains(zone));
+        self.zone_contacts.retain(|zone, _| zones.contains(zone));
         for zone in zones {
-            if !self.zones_heard.contains_key(zone) {
-                self.zones_heard.insert(zone.clone(), (self.time, false));
+            if !self.zone_contacts.contains_key(zone) {
+                self.zone_contacts
+                    .insert(zone.clone(), ZoneContact::at(self.time));
             }
         }
         for peer in peers.iter().filter(|peer| PeerId::of(peer) != me) {
@@ -330,6 +351,8 @@
         let may_probe = self.send_budget.covers_datagram();
         self.prober
             .tick(self.time, &self.peers, may_probe, &mut self.rng, &mut due);
+        // The budget covers one datagram for certain. A probe that is recorded but not sent would make its target suspect.
+        due.sort_by_key(|item| !matches!(item, Due::Probe { .. }));
         for item in due {
             match item {
                 Due::Probe { seq, target } => self.send(&target, Body::Probe { seq }, actions),
@@ -340,20 +363,20 @@
     }
 
     fn suspect(&mut self, id: &PeerId, actions: &mut Vec<Action>) {
-        if self.withholds_verdicts() {
+        if self.ignores_failed_probes() {
             return;
         }
         if let Some(peer) = self.peers.get(id)
-            && let Some((_, has_failed)) = self.zones_heard.get_mut(&peer.zone)
+            && let Some(contact) = self.zone_contacts.get_mut(&peer.zone)
         {
-            *has_failed = true;
+            contact.has_failed_probe = true;
         }
         let is_alive = self
             .peers
             .get(id)
             .is_some_and(|peer| peer.state == PeerState::Alive);
-        self.prober.lower_local_health();
-        // Nearly all of its probes fail: the reason is rather this process than its peers.
+        self.prober.increment_local_health_score();
+        // Nearly all probes fail, so the cause is probably this process.
         if self.listed.is_some() && self.prober.local_health() >= MAX_LOCAL_HEALTH {
             return;
         }
@@ -371,7 +394,7 @@
             return;
         }
         self.expire_at = self.time + EXPIRE_PERIOD;
-        if self.withholds_verdicts() {
+        if self.ignores_failed_probes() {
             // After the isolation, the suspects have their whole time to refute.
             self.peers.restart_suspicions(self.time);
             return;
--- a/crates/membership/src/prober.rs
+++ b/crates/membership/src/prober.rs
@@ -82,7 +82,7 @@
     }
 
     /// Records that this process may be the slow one: a probe was not answered, or peers suspected it.
-    pub(crate) fn lower_local_health(&mut self) {
+    pub(crate) fn increment_local_health_score(&mut self) {
         self.local_health = (self.local_health + 1).min(MAX_LOCAL_HEALTH);
     }
 
