Tell all owners, loads and paces in turn, and keep a round within a datagram

Four limits let the same entries win each time. Confirmations of held slots went to owners in the order of their names until the budget was spent, so the last owners' slots expired although they were held. An owner of more than 32 servers of a zone told the load of the same 32, and of more than 8 new paces the same 8 were forwarded until their time was over. A round's limits on the numbers of entries did not bound its bytes; a round with long names exceeded the datagram that receivers read.

Each list rotates now, and a round drops loads until it fits.

Paces: what an owner published lacked the growth that all servers have in common, so alike servers seemed to differ where only some were published. Versions of an owner whose host was rebooted were refused for as long as it had been up before. A time per prompt token counted once for each concurrency and message, without a new measurement.

Measured: a_round_with_long_names_is_limited_to_one_datagram and all_estimates_are_told_in_turn are new; tests of wire and dispatch pass.

--- a/crates/dispatch/src/capacity.rs
+++ b/crates/dispatch/src/capacity.rs
@@ -96,7 +96,7 @@
         let mut slowest = [f64::NEG_INFINITY; MAX_CONCURRENCY];
         for (server, slots) in servers {
             estimates.extend(server.estimate(now, slots).map(|estimate| (estimate, slots)));
-            for (ix, log_ms) in server.known_paces(now, slots) {
+            for (ix, log_ms) in server.known_paces(now, &self.curve, slots) {
                 fastest[ix] = fastest[ix].min(log_ms);
                 slowest[ix] = slowest[ix].max(log_ms);
             }
--- a/crates/dispatch/src/capacity/choice.rs
+++ b/crates/dispatch/src/capacity/choice.rs
@@ -31,7 +31,7 @@
     pub(crate) is_probe: bool,
 }
 
-/// The requests of a backend that wait before the one that is looked at.
+/// The requests that count as waiting before the one considered: earlier ones of this host, and all of peers.
 #[derive(Debug)]
 pub(crate) struct Queue {
     pub(crate) peers_waiting: u32,
--- a/crates/dispatch/src/capacity/placement.rs
+++ b/crates/dispatch/src/capacity/placement.rs
@@ -6,9 +6,12 @@
 use super::{CommonCurve, ServerCapacity};
 use crate::speed::Pace;
 
-/// Weight of the expected time of the last event against the relative load. It lets the fastest servers take at
+/// Weight of the sum of the expected times of the first and the last event against the relative load. It lets the fastest servers take at
 /// most about a fifth more than their share by speed.
 const COMPLETION_WEIGHT: f64 = 0.05;
+/// The part of the new request that counts as load, so that servers with a small capacity, of which each request is a
+/// large part, are neither preferred nor avoided. With half of it they got up to 1.23 times the mean load.
+const NEW_REQUEST_SHARE: f64 = 0.75;
 /// Servers whose score is within this share of a typical request's duration are chosen from at random.
 const TOLERANCE: f64 = 0.04;
 
@@ -75,9 +78,7 @@
     pub(crate) fn score(&self, tokens: f64, events: u32, used: f64, typical_ms: f64) -> f64 {
         let first_event_ms = self.pace.first_event_ms(tokens);
         let total_ms = f64::from(events).mul_add(self.pace.event, first_event_ms);
-        // Most of the new request counts, so that servers with a small capacity, of which each request is a large
-        // part, are neither preferred nor avoided. With half of it they got up to 1.23 times the mean load.
-        let relative_load = (used + 0.75) / f64::from(self.soft_capacity);
+        let relative_load = (used + NEW_REQUEST_SHARE) / f64::from(self.soft_capacity);
         let completion = (total_ms + first_event_ms) * COMPLETION_WEIGHT;
         relative_load.mul_add(typical_ms, completion)
     }
--- a/crates/dispatch/src/capacity/server.rs
+++ b/crates/dispatch/src/capacity/server.rs
@@ -90,6 +90,8 @@
     /// Number of successive samples that were slower (positive) or faster (negative) than before, and their sum.
     changed: (i32, f64),
     token_log_ms: Option<f64>,
+    /// Whether a time per prompt token was measured since samples were last taken.
+    has_new_token_sample: bool,
     pub(super) pending: PendingSamples,
     published: PublishedPace,
 }
@@ -118,6 +120,7 @@
     }
 
     pub(crate) fn record_token(&mut self, log_ms: f64) {
+        self.has_new_token_sample = true;
         let known = self.token_log_ms.get_or_insert(log_ms);
         *known = (log_ms - *known).mul_add(TOKEN_WEIGHT, *known);
     }
@@ -145,7 +148,8 @@
 
     /// Returns the samples of this host that the owner of the server's slots has not been told.
     pub(crate) fn take_samples(&mut self) -> Vec<SampleMean> {
-        let token_ms = self.token_ms();
+        let has_new_token_sample = std::mem::take(&mut self.has_new_token_sample);
+        let token_ms = self.token_ms().filter(|_| has_new_token_sample);
         self.pending.take(token_ms)
     }
 
@@ -183,12 +187,12 @@
     }
 
     /// Returns the paces at concurrencies of which enough is known to compare servers by them.
-    pub(super) fn known_paces(&self, now: Millis, slots: u32) -> Vec<(usize, f64)> {
+    pub(super) fn known_paces(&self, now: Millis, curve: &CommonCurve, slots: u32) -> Vec<(usize, f64)> {
         if let Some(estimate) = self.published.estimate(now) {
             let level = estimate.event_ms.ln();
-            let last = index(slots);
-            let growth = (f64::from(slots) / f64::from(estimate.knee.max(1))).max(1.0).ln();
-            return vec![(0, level), (last, level + growth)];
+            let last = slots.clamp(1, MAX_CONCURRENCY as u32);
+            let growth = shape(curve, estimate.knee.max(1), last);
+            return vec![(0, level), (index(last), level + growth)];
         }
         let bins = self.bins.iter().enumerate();
         let known = bins.filter(|(_, bin)| bin.weight >= MIN_PACE_WEIGHT);
--- a/crates/dispatch/src/capacity/shared.rs
+++ b/crates/dispatch/src/capacity/shared.rs
@@ -65,12 +65,13 @@
         *count += 1;
     }
 
-    pub(super) fn take(&mut self, token_ms: Option<f64>) -> Vec<SampleMean> {
+    /// Returns the means; the first one carries `token_ms`, which must count only once.
+    pub(super) fn take(&mut self, mut token_ms: Option<f64>) -> Vec<SampleMean> {
         let events = std::mem::take(&mut self.events).into_iter();
         let means = events.map(|(concurrency, (sum, count))| SampleMean {
             concurrency,
             event_ms: (sum / f64::from(count)).exp(),
-            token_ms,
+            token_ms: token_ms.take(),
             count,
         });
         means.collect()
@@ -98,7 +99,11 @@
     pub(super) fn record(&mut self, now: Millis, report: PaceReport) -> bool {
         let measured_at = now - report.age;
         let is_plausible = checked_log(report.estimate.event_ms).is_some() && report.estimate.knee > 0;
-        let is_newer = self.latest.is_none_or(|latest| {
+        // An owner whose host was rebooted starts with low versions again.
+        let valid = self
+            .latest
+            .filter(|latest| now.since(latest.measured_at) <= PACE_TTL);
+        let is_newer = valid.is_none_or(|latest| {
             let is_later_version =
                 latest.report.owner != report.owner || report.version > latest.report.version;
             is_later_version && measured_at > latest.measured_at
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -25,6 +25,7 @@
 use crate::pool::{Pool, SchedulingContext, Unservable, Waiting};
 use crate::reach::{PROBE_INTERVAL, ReachRounds};
 use crate::retries::{RetryBounds, RetryBudget};
+use crate::rotation::Rotation;
 use crate::speed::Pace;
 use measured_loads::{HeldConfirmations, RefusedClaims};
 
@@ -76,6 +77,8 @@
     held_confirmations: HeldConfirmations,
     learns_capacity: bool,
     sample_messages: HeldConfirmations,
+    forwarded_paces: Rotation,
+    told_measurements: Rotation,
 }
 
 impl Dispatcher {
@@ -104,6 +107,8 @@
             held_confirmations: HeldConfirmations::default(),
             learns_capacity: true,
             sample_messages: HeldConfirmations::default(),
+            forwarded_paces: Rotation::new(),
+            told_measurements: Rotation::new(),
         }
     }
 
--- a/crates/dispatch/src/dispatcher/capacity.rs
+++ b/crates/dispatch/src/dispatcher/capacity.rs
@@ -35,7 +35,8 @@
         taken
     }
 
-    /// Records a peer's samples of servers whose slots this host owns; returns false if the message is outdated.
+    /// Records a peer's samples of servers whose slots this host owns; returns false if the
+    /// message is outdated or learning is disabled.
     pub fn record_peer_samples(
         &mut self,
         now: Millis,
@@ -64,7 +65,7 @@
         true
     }
 
-    /// Returns the estimates of owners that this host passes on, at most `limit`: its own first, then the youngest.
+    /// Returns the estimates of owners that this host passes on, at most `limit`; the others are in later calls.
     pub fn pace_reports(
         &mut self,
         now: Millis,
@@ -80,9 +81,12 @@
             }
             reports.extend(engine.capacity.forwarded(now, is_for_new_peer));
         }
-        reports.sort_by_key(|report| (report.owner != owner, report.age));
-        reports.truncate(limit);
-        reports
+        if reports.len() <= limit {
+            return reports;
+        }
+        // The order must not depend on that of the pools, or the rotation would skip reports.
+        reports.sort_by_key(|report| (report.owner != owner, report.engine));
+        self.forwarded_paces.take(&reports, limit)
     }
 
     /// Records estimates of other owners; returns how many were new.
--- a/crates/dispatch/src/dispatcher/measured_loads.rs
+++ b/crates/dispatch/src/dispatcher/measured_loads.rs
@@ -48,7 +48,7 @@
 }
 
 impl RefusedClaims {
-    /// Returns the number of hosts with a refused claim of a tier above `tier`.
+    /// Returns the number of refused claims of tiers above `tier`, at most one for each host and tier.
     fn count_above(&mut self, now: Millis, engine: EngineKey, tier: Tier) -> u32 {
         let Some(claims) = self.0.get_mut(&engine) else {
             return 0;
@@ -248,13 +248,13 @@
     }
 
     /// Returns the measurements to tell another host, at most `limit`: first those of the servers whose slots this
-    /// host owns, then the newest of others.
+    /// host owns, in turn if there are more, then the newest of others.
     ///
     /// A host of this host's zone is told of that zone's servers; a host of another `zone` of the servers of all zones
     /// but its own, of which it hears from its neighbours.
     #[must_use]
     pub fn measurements_for(
-        &self,
+        &mut self,
         now: Millis,
         me: &HostId,
         zone: &ZoneId,
@@ -282,13 +282,16 @@
                 },
             });
         }
+        if measurements.len() > limit {
+            measurements.sort_by_key(|measurement| measurement.engine);
+            return self.told_measurements.take(&measurements, limit);
+        }
         let is_wanted = |engine: EngineKey| {
             let of_zone = zones.get(&engine);
             of_zone.is_some_and(|of_zone| (of_zone == zone) == is_own_zone)
         };
         let rest = limit.saturating_sub(measurements.len());
         measurements.extend(self.peers.measured.newest(now, rest, is_wanted));
-        measurements.truncate(limit);
         measurements
     }
 
--- a/crates/dispatch/src/rotation.rs
+++ b/crates/dispatch/src/rotation.rs
@@ -7,7 +7,7 @@
 }
 
 impl Rotation {
-    /// Returns the position at the begin of a list.
+    /// Starts at the first record.
     pub(crate) const fn new() -> Self {
         Self { taken: 0 }
     }
--- a/crates/dispatch/tests/capacity_shared.rs
+++ b/crates/dispatch/tests/capacity_shared.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::collections::BTreeSet;
+
 use carawayseam_dispatch::capacity::{PaceEstimate, PaceReport, SampleMean};
 use carawayseam_dispatch::{Dispatcher, EngineEntry};
 use carawayseam_types::{EngineKey, HostId, Incarnation, Millis};
@@ -126,3 +128,20 @@
     assert_eq!((samples[0].concurrency, samples[0].count), (1, 2));
     assert!(host.take_samples().is_empty());
 }
+
+/// Guards against estimates that are never told, since others fill each message.
+#[test]
+fn all_estimates_are_told_in_turn() {
+    let names = ["a", "b", "c", "d"];
+    let mut owner = dispatcher(&names.map(|name| (name, 6)));
+    owner.set_owned_slots(|_, _| true);
+    for seq in 1..6 {
+        let samples = names.map(|name| (EngineKey::from(&id(name)), mean(1, 30.0)));
+        assert!(owner.record_peer_samples(Millis(seq * 500), &host(1), (Incarnation(1), seq), &samples));
+    }
+    let told: BTreeSet<EngineKey> = (0..2)
+        .flat_map(|round| owner.pace_reports(Millis(3_000 + 100 * round), &host(0), false, 2))
+        .map(|report| report.engine)
+        .collect();
+    assert_eq!(told.len(), names.len());
+}
--- a/crates/dispatch/tests/gossip.rs
+++ b/crates/dispatch/tests/gossip.rs
@@ -266,7 +266,7 @@
     let (mut ages, mut missing) = (Vec::new(), 0);
     for _ in 0..20 {
         fleet.run(100);
-        for (number, host_state) in fleet.hosts.iter().enumerate() {
+        for (number, host_state) in fleet.hosts.iter_mut().enumerate() {
             let loads = host_state.dispatcher.measurements_for(
                 Millis(fleet.now),
                 &host(number),
@@ -335,10 +335,10 @@
     assert_ne!(next, lost);
     fleet.run(2_000);
     let next_key = carawayseam_dispatch::server_loads::OwnerKey::from(&next);
-    for number in (0..129)
-        .step_by(ZONES)
-        .filter(|number| fleet.hosts[*number].is_up)
-    {
+    for number in (0..129).step_by(ZONES) {
+        if !fleet.hosts[number].is_up {
+            continue;
+        }
         let loads = fleet.hosts[number].dispatcher.measurements_for(
             Millis(fleet.now),
             &host(number),
--- a/crates/gateway/src/control/members.rs
+++ b/crates/gateway/src/control/members.rs
@@ -20,7 +20,8 @@
 /// Urgent changes are sent to a few hosts at once, whatever the size of the fleet.
 const MAX_BROADCAST_PEERS: usize = 0;
 
-/// At most 12 datagrams and 4 kB in any second of a longer time, whatever the size of the fleet and its failures.
+/// On average over some seconds, at most 12 datagrams and 4 kB a second, whatever the size of the fleet and its
+/// failures; acks are always sent.
 const SEND_LIMIT: SendLimit = SendLimit {
     datagrams_per_second: 11,
     bytes_per_second: 3_600,
--- a/crates/gateway/src/control/state/rounds.rs
+++ b/crates/gateway/src/control/state/rounds.rs
@@ -40,8 +40,10 @@
     pub(super) used_full_mesh_at: Option<Millis>,
     held_confirmed_at: Millis,
     reports_requested_at: Option<Millis>,
-    /// The number of reports that were due in earlier rounds, from which the next round continues.
-    reports_sent: usize,
+    /// The position in the list of reports at which the next round starts.
+    next_report: usize,
+    /// The position of the slot owner at which the next confirmations start.
+    next_owner: usize,
 }
 
 impl GossipState {
@@ -55,7 +57,8 @@
             used_full_mesh_at: None,
             held_confirmed_at: Millis::ZERO,
             reports_requested_at: None,
-            reports_sent: 0,
+            next_report: 0,
+            next_owner: 0,
         }
     }
 }
@@ -153,14 +156,14 @@
 
     fn gossip_round(&self, now: Millis, seq: u64, zone: &ZoneId) -> GossipRound {
         let settings = &self.shared.settings;
-        let dispatch = lock(&self.shared.dispatch);
-        let dispatcher = &dispatch.dispatcher;
+        let mut dispatch = lock(&self.shared.dispatch);
+        let dispatcher = &mut dispatch.dispatcher;
         let waiting = dispatcher.own_load().waiting;
         let draining = dispatcher.forwarded_draining_servers(now, gossip::MAX_DRAINING);
         let loads = dispatcher.measurements_for(now, &settings.host, zone, gossip::MAX_LOADS);
         drop(dispatch);
         let waiting = waiting.into_iter().take(gossip::MAX_WAITING);
-        GossipRound {
+        let mut round = GossipRound {
             host: settings.host.clone(),
             incarnation: self.incarnation,
             seq,
@@ -172,7 +175,9 @@
                 .map(|server| (server.engine, server.started))
                 .collect(),
             loads: loads.iter().map(gossip::encode_load).collect(),
-        }
+        };
+        round.limit_to_datagram();
+        round
     }
 
     /// Returns the confirmations of the slots that this host holds, if they are due.
@@ -192,23 +197,32 @@
                 by_owner.entry(owner).or_default().push(load);
             }
         }
+        // Hosts of earlier builds learn this host's loads from heartbeats.
         let earlier = self.hosts_without_rounds(now);
-        let messages = by_owner.into_iter().filter_map(|(owner, engines)| {
-            // It learns this host's loads from heartbeats.
-            if earlier.contains(&owner) {
-                return None;
-            }
-            let address = peers.address(&owner)?;
+        by_owner.retain(|owner, _| !earlier.contains(owner));
+        let count = by_owner.len().max(1);
+        let first = self.gossip.next_owner % count;
+        let in_turn = by_owner.iter().cycle().skip(first).take(by_owner.len());
+        let mut messages = Vec::new();
+        for (owner, engines) in in_turn {
+            let Some(address) = peers.address(owner) else {
+                continue;
+            };
             let message = PeerMessage::HeldSlots(HeldSlots {
                 host: self.shared.settings.host.clone(),
                 incarnation: self.incarnation,
                 seq,
                 as_of_request,
-                engines,
+                engines: engines.clone(),
             });
-            self.within_budget(now, message, vec![address])
-        });
-        messages.collect()
+            let Some(message) = self.within_budget(now, message, vec![address]) else {
+                break;
+            };
+            messages.push(message);
+        }
+        // Owners that the budget does not cover come first the next time, so that no owner's slots stay unconfirmed.
+        self.gossip.next_owner = (first + messages.len()) % count;
+        messages
     }
 
     /// Returns this host's samples of the paces of servers to their owners, which are due with the held slots.
@@ -244,7 +258,7 @@
         if count == 0 || addresses.is_empty() {
             return Vec::new();
         }
-        reports.rotate_left(self.gossip.reports_sent % count);
+        reports.rotate_left(self.gossip.next_report % count);
         let mut messages = Vec::new();
         for report in reports {
             match self.within_budget(now, report, addresses.clone()) {
@@ -252,7 +266,7 @@
                 None => break,
             }
         }
-        self.gossip.reports_sent = (self.gossip.reports_sent + messages.len()) % count;
+        self.gossip.next_report = (self.gossip.next_report + messages.len()) % count;
         messages
     }
 
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -3,7 +3,10 @@
 use carawayseam_types::{EngineId, EngineKey, HostId, Incarnation, Millis, Tier};
 use serde::{Deserialize, Serialize};
 
-use crate::{ConfigurationVersion, EngineLoad, SlotOutcome, WaitingLoad};
+use crate::{ConfigurationVersion, EngineLoad, MAX_DATAGRAM_BYTES, SlotOutcome, WaitingLoad, encode};
+
+/// Bytes by which a message exceeds its contents.
+const MESSAGE_HEADER_BYTES: usize = 8;
 
 /// What a host sends to a few of the others in each gossip round.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,6 +29,23 @@
     pub loads: Vec<MeasuredLoad>,
 }
 
+impl GossipRound {
+    /// Drops entries until the message fits a datagram: loads first, which later rounds repeat.
+    ///
+    /// The limits on the numbers of entries do not bound their bytes, since names have any length.
+    pub fn limit_to_datagram(&mut self) {
+        let max_bytes = MAX_DATAGRAM_BYTES - MESSAGE_HEADER_BYTES;
+        while encode(self).is_ok_and(|buf| buf.len() > max_bytes) {
+            let dropped = self.loads.pop().is_some()
+                || self.waiting.pop().is_some()
+                || self.draining_servers.pop().is_some();
+            if !dropped {
+                return;
+            }
+        }
+    }
+}
+
 /// The load of all hosts on a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MeasuredLoad {
--- a/crates/wire/tests/heartbeat.rs
+++ b/crates/wire/tests/heartbeat.rs
@@ -1,9 +1,9 @@
-//! Sizes of the heartbeats of gateway hosts.
+//! Sizes of the messages of gateway hosts.
 
-use carawayseam_types::{EngineId, EngineKey, Incarnation, Millis, Revision, StoreEra, StoreRevision};
+use carawayseam_types::{EngineId, EngineKey, Incarnation, Millis, Revision, StoreEra, StoreRevision, Tier};
 use carawayseam_wire::{
-    ConfigurationVersion, EngineLoad, Heartbeat, MAX_DATAGRAM_BYTES, PartAnswer, PartCrash, PeerMessage,
-    decode, encode,
+    ConfigurationVersion, EngineLoad, GossipRound, Heartbeat, MAX_DATAGRAM_BYTES, MeasuredLoad, PartAnswer,
+    PartCrash, PeerMessage, WaitingLoad, decode, encode,
 };
 
 /// The number of backend servers in the larger of the planned deployments.
@@ -69,3 +69,41 @@
     let buf = encode(&message).expect("it can be encoded");
     assert!(buf.len() <= MAX_DATAGRAM_BYTES, "{} bytes", buf.len());
 }
+
+/// Guards against a round that no host can read, since long names let it exceed a datagram.
+#[test]
+fn a_round_with_long_names_is_limited_to_one_datagram() {
+    let name = |number: u32| format!("{number:03}{}", "x".repeat(60));
+    let waiting = (0..16).map(|number| WaitingLoad {
+        backend: name(number).parse().expect("a valid name"),
+        tier: Tier(0),
+        count: u32::MAX,
+    });
+    let load = MeasuredLoad {
+        engine: EngineKey::from(&"i-1".parse::<EngineId>().expect("a valid name")),
+        owner: u32::MAX,
+        version: u64::MAX,
+        age: Millis(3_000),
+        running: 9,
+        pending_prompt_tokens: u32::MAX,
+    };
+    let draining = (0..10).map(|number| (name(number).parse().expect("a valid name"), Some(u64::MAX)));
+    let mut round = GossipRound {
+        host: name(0).parse().expect("a valid name"),
+        incarnation: Incarnation(u64::MAX),
+        seq: u64::MAX,
+        serves_keys: true,
+        configuration: heartbeat(0).configuration,
+        waiting: waiting.collect(),
+        draining_servers: draining.collect(),
+        loads: vec![load; 32],
+    };
+    round.limit_to_datagram();
+    assert_eq!(
+        round.draining_servers.len(),
+        10,
+        "no later round is in time for these"
+    );
+    let buf = encode(&PeerMessage::GossipRound(round)).expect("it can be encoded");
+    assert!(buf.len() <= MAX_DATAGRAM_BYTES, "{} bytes", buf.len());
+}
