dispatch: take reports of short warm-ups, and avoid cold servers by learned paces

A peer's report of a restart counted only if the server was cold for a second longer than was known, so reports of warm-ups under a second, and of their last second, were ignored by hosts that knew nothing. Placement by learned paces lacked the penalty of servers that warm up, and measured cold servers.

--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -82,7 +82,7 @@
 
     /// Returns the number of requests of higher tiers that wait at peers.
     fn peers_waiting_above(&self, tier: Tier) -> u32 {
-        // The owners of the slots prefer higher tiers themselves.
+        // The owners of slots give higher tiers precedence.
         if !self.peers.measured.is_empty() {
             return 0;
         }
--- a/crates/dispatch/src/pool/learned.rs
+++ b/crates/dispatch/src/pool/learned.rs
@@ -2,7 +2,9 @@
 
 use rand::rngs::StdRng;
 
-use super::{Candidate, Pool, Rank, SchedulingContext, TRIED_PENALTY_MS, Waiting, saturating_sum};
+use super::{
+    Candidate, Pool, Rank, SchedulingContext, TRIED_PENALTY_MS, WARM_UP_PENALTY_MS, Waiting, saturating_sum,
+};
 use crate::capacity::{Offer, Place, Queue, choose, wants_probe};
 use crate::job::Job;
 
@@ -50,7 +52,7 @@
         None
     }
 
-    /// Returns the duration of a request like this one on a typical server that runs nothing else.
+    /// Returns the duration of a request of this many events, without reading its prompt, on a typical idle server.
     fn typical_ms(&self, candidates: &[Candidate], job: &Job) -> f64 {
         let event_ms = candidates.iter().find_map(|candidate| candidate.place);
         let event_ms = event_ms.map_or(self.baseline.event, |place| place.typical_event_ms);
@@ -87,11 +89,13 @@
                 let is_tried = job.tried.contains(&engine.entry.id);
                 let own_tokens = f64::from(job.prompt.saturating_sub(engine.cached_tokens(&job.parts)));
                 let tokens = candidate.tokens_ahead + own_tokens;
-                let is_idle = engine.running == 0 && !is_tried && engine.failure_share(now) <= 0.0;
+                let is_idle =
+                    engine.running == 0 && !engine.is_cold && !is_tried && engine.failure_share(now) <= 0.0;
                 let sampled_at = engine.capacity.sampled_at();
                 let mut score = place.score(tokens, job.expected_events, candidate.used, typical_ms);
-                // A server of another zone, or behind a relay, comes after all that handle one more request well here.
-                let penalty_ms = candidate.zone_penalty_ms + candidate.relay_penalty_ms;
+                // A server that warms up, of another zone or behind a relay, comes after all that handle one more request well here.
+                let warm_up_ms = if engine.is_cold { WARM_UP_PENALTY_MS } else { 0.0 };
+                let penalty_ms = candidate.zone_penalty_ms + candidate.relay_penalty_ms + warm_up_ms;
                 score += penalty_ms * (typical_ms / super::OTHER_ZONE_PENALTY_MS).max(1.0);
                 score += candidate.failure_penalty_ms + candidate.loss_check_penalty_ms;
                 if is_tried {
--- a/crates/dispatch/src/warm_up.rs
+++ b/crates/dispatch/src/warm_up.rs
@@ -233,7 +233,8 @@
         let known = self.warming.get(&update.engine);
         let known = known.map_or(Millis::ZERO, |warming| warming.remaining(now));
         let remaining = update.remaining.min(limit.duration);
-        if remaining < known + MIN_LATER {
+        let is_known = known > Millis::ZERO && remaining < known + MIN_LATER;
+        if is_known || remaining == Millis::ZERO {
             return false;
         }
         let warming = Warming {
