gateway: evict hosts by both kinds of message, and correct comments

Hosts that only sent gossip were never evicted from the record of earlier builds. An error of the operating system counted as a caller that closed. Comments that did not say what the code does are corrected.

--- a/crates/dispatch/src/gossip/earlier_builds.rs
+++ b/crates/dispatch/src/gossip/earlier_builds.rs
@@ -32,6 +32,7 @@
     /// Records a message that earlier builds do not send.
     pub fn record_gossip(&mut self, now: Millis, host: &HostId) {
         self.0.entry(host.clone()).or_default().gossip_at = Some(now);
+        self.evict(now);
     }
 
     /// Iterates over the hosts that send heartbeats and take no part in gossip.
--- a/crates/gateway/src/control/overload.rs
+++ b/crates/gateway/src/control/overload.rs
@@ -11,7 +11,8 @@
 /// The interval of the timer whose delay is measured.
 const TIMER_INTERVAL: Millis = Millis(50);
 
-/// Measures until the process ends, and logs when overload begins and ends.
+/// Samples timer delays, times of requests to peers and relayed bytes until the process ends; logs when overload
+/// begins and ends.
 pub(crate) async fn measure_overload(shared: Arc<Shared>) {
     let mut was_overloaded = false;
     loop {
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -23,7 +23,7 @@
     addresses: Mutex<BTreeMap<HostId, SocketAddr>>,
     group: Mutex<Group>,
     slot_owners: Mutex<SlotOwners>,
-    /// The hosts to poll for changes of the store; empty if this host watches the store itself.
+    /// Where this host learns of changes of the store.
     store_sources: Mutex<StoreSources>,
     /// The times of the latest requests, until they are taken.
     request_times: Mutex<BTreeMap<HostId, Reached>>,
--- a/crates/gateway/src/relay/copy.rs
+++ b/crates/gateway/src/relay/copy.rs
@@ -18,8 +18,8 @@
 /// The number of successive checks without progress after which such a connection is reset.
 const MAX_CHECKS: u32 = 5;
 
-/// How long the bytes of an origin that has closed may take until the server has accepted them. An origin's caller and
-/// this peer together have 500 ms to withdraw a request.
+/// Time for the server to accept the remaining bytes after the origin has closed. A request has to be withdrawn within
+/// 500 ms of its caller's leaving, of which this is a relaying peer's part.
 const DELIVERY_TIME: Millis = Millis(200);
 
 /// What was copied so far.
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -156,8 +156,8 @@
     });
     prepared.map_err(|e| {
         log::debug!(origin:% = req.host, engine:% = req.engine; "connecting to the backend server failed: {e}");
-        let says_nothing = e.kind() == io::ErrorKind::TimedOut && shared.is_overloaded();
-        if !says_nothing {
+        let is_inconclusive = e.kind() == io::ErrorKind::TimedOut && shared.is_overloaded();
+        if !is_inconclusive {
             let now = shared.now();
             lock(&shared.dispatch).dispatcher.mark_unreachable(now, &req.engine);
         }
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -18,6 +18,7 @@
 pub const SERVER_SILENCE_LIMIT: Millis = Millis(6_000);
 
 /// Makes a socket ready when the other side has closed the connection, or it is broken, also while bytes are unread.
+/// Urgent data makes it ready as well; a caller that sends some counts as gone.
 pub(crate) const END_ONLY: Interest = Interest::PRIORITY;
 
 /// Connects, and lets the kernel break the connection after `silence_limit` without an acknowledgement.
--- a/crates/gateway/src/traffic/caller_socket.rs
+++ b/crates/gateway/src/traffic/caller_socket.rs
@@ -73,7 +73,8 @@
     }
 }
 
-/// A socket that is shared with the watch for its end, follows a [`ResetOnClose`] before it writes or closes, and records when bytes arrive.
+/// A caller's socket, shared with the watch for its end. It applies a [`ResetOnClose`], counts bytes, and records when
+/// they arrive.
 #[derive(Debug)]
 pub(super) struct CallerSocket {
     stream: Arc<TcpStream>,
--- a/crates/gateway/src/traffic/caller_watch.rs
+++ b/crates/gateway/src/traffic/caller_watch.rs
@@ -53,7 +53,9 @@
 
     /// Returns whether the caller has closed the connection, or it is broken.
     pub(super) fn is_caller_gone(&self) -> bool {
-        self.0.stream.ready(END_ONLY).now_or_never().is_some()
+        let ready = self.0.stream.ready(END_ONLY).now_or_never();
+        // An error says that the connection cannot be watched.
+        matches!(ready, Some(Ok(_)))
     }
 }
 
