check: report all findings on a document, and its differences from the active version

`carawayseam check` stopped at the first error, said nothing about entries that have no effect, and did not show what a document changes.

The checks of the document now collect every violated rule. Findings and differences are types of carawayseam-types, because the gateway's check needs the same. Differences list the changed fields with old and new value; a changed order is reported for tiers only, where it has a meaning. Lines of fields below a list inside an entry were off by the items of that list.

The test of racing operators expected only the name of the changed entry; it now expects the field with both values, by who won.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -3,14 +3,14 @@
 use std::fmt;
 use std::path::{Path, PathBuf};
 
-use carawayseam_config::Document;
+use carawayseam_config::{Document, DocumentFinding};
 use carawayseam_external::kv::PutRequest;
-use carawayseam_node::{CurrentDocument, current_document_key, rollouts_prefix};
+use carawayseam_node::rollouts_prefix;
 use carawayseam_rollout::RolloutRecord;
-use carawayseam_types::{Clock, Digest, EngineId, EnvironmentId, Nonce, Revision, RolloutId};
+use carawayseam_types::{Clock, Difference, Digest, EngineId, EnvironmentId, Nonce, Revision, RolloutId};
 use serde::Serialize;
 
-use crate::difference::Difference;
+use crate::check::{self, Comparison};
 use crate::dump::{self, Dump};
 use crate::error::CliError;
 use crate::flags::Command;
@@ -24,8 +24,17 @@
 #[derive(Debug, Clone, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", tag = "result")]
 pub enum Done {
-    /// The document is valid.
-    Valid(Summary),
+    /// The document is valid and may be sent.
+    Valid {
+        /// The document.
+        #[serde(flatten)]
+        summary: Summary,
+        /// The warnings.
+        findings: Vec<DocumentFinding>,
+        /// The comparison with the active version, if one was requested.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        comparison: Option<Comparison>,
+    },
     /// The trial was passed and is recorded.
     TrialPassed {
         /// The document.
@@ -74,10 +83,35 @@
     moves: usize,
 }
 
+impl Summary {
+    pub(crate) fn of(file: &Path, document: &Document) -> Self {
+        Self {
+            file: file.to_owned(),
+            environment: document.environment.clone(),
+            digest: document.digest,
+            engines: document.engines.len(),
+            routes: document.routes.len(),
+            moves: document.moves.len(),
+        }
+    }
+}
+
 impl fmt::Display for Done {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Valid(summary) => write!(f, "valid: {summary}"),
+            Self::Valid {
+                summary,
+                findings,
+                comparison,
+            } => {
+                let separator = if findings.is_empty() { "" } else { "\n" };
+                write!(f, "{}", check::lines(findings))?;
+                write!(f, "{separator}valid: {summary}")?;
+                match comparison {
+                    Some(comparison) => write!(f, "\n{comparison}"),
+                    None => Ok(()),
+                }
+            }
             Self::TrialPassed { summary, passed } => {
                 write!(
                     f,
@@ -128,7 +162,7 @@
 /// [`CliError`], which gives the exit code.
 pub async fn run(command: Command) -> Result<Done, CliError> {
     match command {
-        Command::Check { file } => Ok(Done::Valid(load(&file)?.summary)),
+        Command::Check { strict, active, file } => check::run(&file, strict, active).await,
         Command::Trial {
             store,
             allow_missing,
@@ -172,20 +206,17 @@
     }
 }
 
-fn load(file: &Path) -> Result<Loaded, CliError> {
-    let text = std::fs::read_to_string(file).map_err(|source| CliError::ReadFile {
+pub(crate) fn read_file(file: &Path) -> Result<String, CliError> {
+    std::fs::read_to_string(file).map_err(|source| CliError::ReadFile {
         path: file.to_owned(),
         source,
-    })?;
+    })
+}
+
+fn load(file: &Path) -> Result<Loaded, CliError> {
+    let text = read_file(file)?;
     let document = Document::from_yaml(&file.to_string_lossy(), &text)?;
-    let summary = Summary {
-        file: file.to_owned(),
-        environment: document.environment.clone(),
-        digest: document.digest,
-        engines: document.engines.len(),
-        routes: document.routes.len(),
-        moves: document.moves.len(),
-    };
+    let summary = Summary::of(file, &document);
     Ok(Loaded {
         text,
         document,
@@ -304,11 +335,9 @@
     let unknown = || CliError::UnknownEnvironment {
         environment: environment.clone(),
     };
-    let key = current_document_key(environment);
-    let entry = store.get(&key).await?.ok_or_else(unknown)?;
-    let current: CurrentDocument =
-        serde_json::from_str(&entry.value).map_err(|source| CliError::Corrupt { key, source })?;
-    let document = Document::from_yaml(&entry.key, &current.yaml)?;
+    let (_, document) = check::read_active(store, environment)
+        .await?
+        .ok_or_else(unknown)?;
     if document.moves.iter().any(|mv| mv.name == *move_id) {
         return Ok(());
     }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -5,13 +5,13 @@
 use std::process::ExitCode;
 
 use carawayseam_clients::CallError;
-use carawayseam_config::DocumentError;
+use carawayseam_config::{DocumentError, DocumentFinding};
 use carawayseam_rollout::Phase;
-use carawayseam_types::{EnvironmentId, Millis, Nonce, RolloutId};
+use carawayseam_types::{Difference, EnvironmentId, Millis, Nonce, RolloutId};
 use derive_more::{Display, Error, From};
 use serde::Serialize;
 
-use crate::difference::Difference;
+use crate::check::{self, Comparison};
 use crate::promotion::Refused;
 use crate::trial::Finding;
 
@@ -71,6 +71,17 @@
     /// The document is wrong.
     #[display("{_0}")]
     Document(#[error(not(source))] DocumentError),
+    /// The check of a document forbids sending it.
+    #[display("{}{}", check::lines(findings), compared(comparison.as_ref()))]
+    #[from(skip)]
+    Findings {
+        /// All findings.
+        #[error(not(source))]
+        findings: Vec<DocumentFinding>,
+        /// The comparison with the active version, if one was requested and the document has no errors.
+        #[error(not(source))]
+        comparison: Option<Comparison>,
+    },
     /// Engines did not answer as the document declares them.
     #[display("the trial failed: {}", list(findings))]
     #[from(skip)]
@@ -198,6 +209,10 @@
     lines.join("; ")
 }
 
+fn compared(comparison: Option<&Comparison>) -> String {
+    comparison.map_or_else(String::new, |comparison| format!("\n{comparison}"))
+}
+
 fn differing(difference: Option<&Difference>) -> String {
     difference.map_or_else(String::new, |difference| {
         format!("; it differs from this document in {difference}")
@@ -209,7 +224,7 @@
     #[must_use]
     pub const fn code(&self) -> Code {
         match self {
-            Self::ReadFile { .. } | Self::Document(_) => Code::Document,
+            Self::ReadFile { .. } | Self::Document(_) | Self::Findings { .. } => Code::Document,
             Self::TrialFailed { .. } => Code::Trial,
             Self::Promotion { source, .. } => refusal_code(source),
             Self::WriteUnknown { .. } => Code::Unknown,
@@ -253,6 +268,8 @@
             advice: self.advice(),
             winner: self.winner(),
             difference: self.difference(),
+            findings: self.findings(),
+            comparison: self.comparison(),
         }
     }
 
@@ -270,6 +287,20 @@
         }
     }
 
+    const fn findings(&self) -> Option<&Vec<DocumentFinding>> {
+        match self {
+            Self::Findings { findings, .. } => Some(findings),
+            _ => None,
+        }
+    }
+
+    const fn comparison(&self) -> Option<&Comparison> {
+        match self {
+            Self::Findings { comparison, .. } => comparison.as_ref(),
+            _ => None,
+        }
+    }
+
     fn difference(&self) -> Option<&Difference> {
         match self {
             Self::Promotion { difference, .. } => difference.as_deref(),
@@ -299,6 +330,10 @@
     winner: Option<Winner<'a>>,
     #[serde(skip_serializing_if = "Option::is_none")]
     difference: Option<&'a Difference>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    findings: Option<&'a Vec<DocumentFinding>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    comparison: Option<&'a Comparison>,
 }
 
 /// The promotion that came first.
--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -30,9 +30,15 @@
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(generate(command))]
 pub enum Command {
-    /// Checks a document, and names file, line, field and what was expected
+    /// Checks a document without sending it: errors, parts without effect, contradictions, and differences from
+    /// the active version
     #[bpaf(command("check"))]
     Check {
+        /// Fail also if there are warnings
+        strict: bool,
+        /// The version to compare with.
+        #[bpaf(external(active_version), optional)]
+        active: Option<ActiveVersion>,
         /// The environment's document
         #[bpaf(positional("FILE"))]
         file: PathBuf,
@@ -103,6 +109,24 @@
     },
 }
 
+/// The active version that a document is compared with.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(generate(active_version))]
+pub enum ActiveVersion {
+    /// A file.
+    File {
+        /// Compare with the document in this file
+        #[bpaf(long("against"), argument("FILE"))]
+        against: PathBuf,
+    },
+    /// The version in the store.
+    Store {
+        /// How the store is reached.
+        #[bpaf(external(store_flags))]
+        store: StoreFlags,
+    },
+}
+
 const DEFAULT_STATUS_WAIT: Millis = Millis::from_secs(60 * 60);
 
 /// How the store is reached.
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,8 +1,8 @@
 //! The operators' command line: check, trial, promote, take-back, status, dump.
 //!
 //! Decisions stand in modules without I/O: [`Promotion`] takes a document
-//! through its compare-and-swap and lost answers, [`Difference`] tells two
-//! documents apart. The commands around them read files and call the store.
+//! through its compare-and-swap and lost answers, and [`Difference`] compares
+//! two documents. The commands around them read files and call the store.
 //!
 //! ```
 //! use carawayseam_cli::Difference;
@@ -12,12 +12,12 @@
 //! let older = Document::from_yaml("older.yaml", text)?;
 //! let newer = Document::from_yaml("newer.yaml", &text.replace("share: 40", "share: 50"))?;
 //! let difference = Difference::between(&older, &newer);
-//! assert_eq!(difference.to_string(), "organisations: changed sfax-fitters");
+//! assert_eq!(difference.to_string(), "organisations: changed sfax-fitters (share 40 -> 50)");
 //! # Ok::<(), carawayseam_config::DocumentError>(())
 //! ```
 
+mod check;
 mod commands;
-mod difference;
 mod dump;
 mod error;
 mod flags;
@@ -34,11 +34,12 @@
 use bpaf::{Args, ParseFailure};
 use carawayseam_node::init_logging;
 
+pub use carawayseam_types::{Difference, SectionDifference};
+pub use check::Comparison;
 pub use commands::{Done, Summary, run};
-pub use difference::{Difference, SectionDifference};
 pub use dump::Dump;
 pub use error::{CliError, Code, ErrorReport};
-pub use flags::{Command, Flags, StoreFlags};
+pub use flags::{ActiveVersion, Command, Flags, StoreFlags};
 pub use promotion::{Accepted, Promotion, Proposal, Refused, Reply, Step};
 pub use records::{ENVIRONMENTS_PREFIX, TakeBack, Trial, take_back_key, trial_key};
 pub use status::{EnvironmentStatus, Progress, RolloutSummary, Status};
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::path::PathBuf;
+
 use carawayseam_cli::{CliError, Code, Command, Done, Dump, Refused, run};
 use carawayseam_clients::{Http, KvClient};
 use carawayseam_config::Document;
@@ -156,7 +158,13 @@
         };
         assert_eq!(winner.nonce, in_force.nonce);
         let difference = difference.as_ref().expect("both documents are valid");
-        assert_eq!(difference.to_string(), "organisations: changed gate");
+        let shares = if winner.operator == "malee" {
+            "46 -> 45"
+        } else {
+            "45 -> 46"
+        };
+        let expected = format!("organisations: changed gate (share {shares})");
+        assert_eq!(difference.to_string(), expected);
     }
     let accepted = [one, two].into_iter().flatten().count();
     assert_eq!(in_force.revision, Revision(accepted as u64));
@@ -263,6 +271,14 @@
     assert_eq!((passed.engines_checked, passed.missing.len()), (1, 1));
 }
 
+fn check(file: PathBuf) -> Command {
+    Command::Check {
+        strict: false,
+        active: None,
+        file,
+    }
+}
+
 /// Names a case in which `check` refuses a document.
 macro_rules! check_refuses {
     ($name:ident, $from:literal => $to:literal, $message:literal) => {
@@ -272,7 +288,7 @@
             let yaml = world.yaml();
             assert!(yaml.contains($from), "the case no longer fits the document");
             let path = file(&yaml.replacen($from, $to, 1));
-            let error = run(Command::Check { file: path.clone() })
+            let error = run(check(path.clone()))
                 .await
                 .expect_err("the document is wrong");
             assert_eq!(error.code(), Code::Document);
@@ -290,11 +306,9 @@
 
 #[tokio::test]
 async fn a_missing_file_is_named() {
-    let error = run(Command::Check {
-        file: "no-such.yaml".into(),
-    })
-    .await
-    .expect_err("there is no file");
+    let error = run(check("no-such.yaml".into()))
+        .await
+        .expect_err("there is no file");
     assert_eq!(error.code(), Code::Document);
     assert!(error.to_string().contains("no-such.yaml"), "{error}");
 }
--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -1,6 +1,7 @@
 //! Errors in a document, with file, line and field.
 
 use compact_str::CompactString;
+use serde::Serialize;
 
 /// The first problem of a document that cannot be used.
 #[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
@@ -17,7 +18,8 @@
 }
 
 /// A problem of a field.
-#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, derive_more::Display, derive_more::Error)]
+#[serde(rename_all = "kebab-case", tag = "kind")]
 pub enum DocumentProblem {
     /// The YAML cannot be parsed as a document.
     #[display("{message}")]
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! [`Document::from_yaml`] parses the YAML into a [`RawDocument`], checks it against the
 //! rules and returns a typed [`Document`], which the rest of the system uses.
+//! [`CheckedDocument::from_yaml`] returns all findings, also on valid documents.
 //!
 //! ```no_run
 //! use carawayseam_config::Document;
@@ -15,7 +16,11 @@
 mod check;
 mod document;
 mod error;
+mod lines;
 mod raw;
+mod report;
+mod sections;
+mod warnings;
 
 pub use document::{
     Backend, BackendKind, Document, EngineSpec, Limits, OnNoEvidence, OrganisationSpec, RolloutSpec,
@@ -23,3 +28,5 @@
 };
 pub use error::{DocumentError, DocumentProblem};
 pub use raw::RawDocument;
+pub use report::{CheckedDocument, DocumentFinding, DocumentReason};
+pub use warnings::DocumentWarning;
--- a/crates/config/src/raw.rs
+++ b/crates/config/src/raw.rs
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 use serde_with::{DisplayFromStr, serde_as};
 
-use crate::{BackendKind, OnNoEvidence};
+use crate::{Backend, BackendKind, EngineSpec, Limits, OnNoEvidence, RolloutSpec, RouteSpec};
 
 /// A document that was parsed but not checked.
 #[derive(Debug, Clone, Deserialize)]
@@ -46,6 +46,16 @@
     pub(crate) version: VersionId,
 }
 
+impl RawBackend {
+    pub(crate) fn into_backend(self) -> Backend {
+        Backend {
+            name: self.name,
+            kind: self.kind,
+            version: self.version,
+        }
+    }
+}
+
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct RawEngine {
@@ -60,6 +70,20 @@
     pub(crate) max_concurrency: u32,
 }
 
+impl RawEngine {
+    pub(crate) fn into_engine(self) -> EngineSpec {
+        EngineSpec {
+            name: self.name,
+            backend: self.backend,
+            version: self.version,
+            zone: self.zone,
+            address: self.address,
+            checks_fencing: self.checks_fencing,
+            max_concurrency: self.max_concurrency,
+        }
+    }
+}
+
 #[serde_as]
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -75,6 +99,20 @@
     pub(crate) max_deadline: Millis,
 }
 
+impl RawRoute {
+    pub(crate) fn into_route(self) -> RouteSpec {
+        let operation = self.operation.as_deref().unwrap_or(self.name.as_str());
+        RouteSpec {
+            operation: operation.to_owned(),
+            name: self.name,
+            backend: self.backend,
+            idempotent: self.idempotent,
+            max_output: self.max_output,
+            max_deadline: self.max_deadline,
+        }
+    }
+}
+
 #[serde_as]
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -92,6 +130,20 @@
     pub(crate) on_no_evidence: OnNoEvidence,
 }
 
+impl RawRollout {
+    pub(crate) fn into_rollout(self) -> RolloutSpec {
+        RolloutSpec {
+            name: self.name,
+            backend: self.backend,
+            from: self.from,
+            to: self.to,
+            within: self.within,
+            first_share: self.first_share,
+            on_no_evidence: self.on_no_evidence,
+        }
+    }
+}
+
 #[serde_as]
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -110,6 +162,19 @@
     pub(crate) claim_ttl: Millis,
 }
 
+impl RawLimits {
+    pub(crate) const fn into_limits(self) -> Limits {
+        Limits {
+            max_body: self.max_body,
+            retry_budget: self.retry_budget,
+            max_ejected: self.max_ejected,
+            first_token_timeout: self.first_token_timeout,
+            token_gap_timeout: self.token_gap_timeout,
+            claim_ttl: self.claim_ttl,
+        }
+    }
+}
+
 const DEFAULT_MAX_BODY: Bytes = Bytes(256 * 1_024);
 const DEFAULT_RETRY_BUDGET: Permille = Permille::new(100);
 const DEFAULT_MAX_EJECTED: Permille = Permille::new(300);
--- a/crates/rollout/src/gate.rs
+++ b/crates/rollout/src/gate.rs
@@ -17,7 +17,7 @@
 /// Bounds how often a host reports a rollout whose counts change.
 const MIN_REPORT_INTERVAL: Millis = Millis(400);
 /// The longest time between two reports of a rollout, even if no count changed.
-const MAX_REPORT_INTERVAL: Millis = Millis::from_secs(2);
+pub(crate) const MAX_REPORT_INTERVAL: Millis = Millis::from_secs(2);
 /// Bounds the stops kept for rollouts whose record has not yet arrived at this host.
 const MAX_EARLY_STOPS: usize = 64;
 
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -67,3 +67,4 @@
 pub use life::{AnyRollout, Canary, Finished, Growing, Open, Preparing, RolledBack, Rollout, Stage, Whole};
 pub use protocol::{GateAction, GateDump, GateEvent, Pick, RolloutView};
 pub use record::{Cause, Phase, RolloutRecord};
+pub use schedule::PlannedSteps;
--- a/crates/rollout/src/record.rs
+++ b/crates/rollout/src/record.rs
@@ -126,15 +126,18 @@
     pub cause: Cause,
 }
 
+/// Returns the last part of the allowed time, in which a rollout is no longer finished.
+pub(crate) fn finish_margin(allowed: Millis) -> Millis {
+    Millis(allowed.0 / FINISH_MARGIN_DIVISOR).clamp(MIN_FINISH_MARGIN, MAX_FINISH_MARGIN)
+}
+
 impl RolloutRecord {
     /// Returns the latest time at which the rollout may be finished.
     ///
     /// It precedes the deadline by a margin in which all hosts can receive the record.
     #[must_use]
     pub fn finish_by(&self) -> Millis {
-        let allowed = self.deadline.since(self.started_at);
-        let margin = Millis(allowed.0 / FINISH_MARGIN_DIVISOR);
-        self.deadline - margin.clamp(MIN_FINISH_MARGIN, MAX_FINISH_MARGIN)
+        self.deadline - finish_margin(self.deadline.since(self.started_at))
     }
 
     /// Returns whether `other` is an earlier or later record of the same rollout.
--- a/crates/rollout/src/schedule.rs
+++ b/crates/rollout/src/schedule.rs
@@ -1,7 +1,10 @@
 //! The schedule by which a rollout's share increases.
 
+use carawayseam_config::RolloutSpec;
 use carawayseam_types::{Millis, Permille};
 
+use crate::gate::MAX_REPORT_INTERVAL;
+use crate::record::finish_margin;
 use crate::{Phase, RolloutRecord};
 
 /// The factor by which small shares increase in each step.
@@ -34,12 +37,48 @@
     if share < HALF { HALF } else { Permille::WHOLE }
 }
 
+/// The steps of a rollout that has little traffic, as planned from its declaration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlannedSteps {
+    /// The number of steps.
+    pub steps: u64,
+    /// The time for each step.
+    pub step_time: Millis,
+    /// The time between two reports of a host with little traffic.
+    pub report_interval: Millis,
+}
+
+impl PlannedSteps {
+    /// Plans the steps of a rollout whose engines are ready at its start.
+    #[must_use]
+    pub fn of(spec: &RolloutSpec) -> Self {
+        let allowed = spec.within - finish_margin(spec.within);
+        let planned = Millis((allowed.0 as f64 * PLANNED_FRACTION) as u64);
+        let steps = steps_from(spec.first_share);
+        Self {
+            steps,
+            step_time: Millis(planned.0 / steps),
+            report_interval: MAX_REPORT_INTERVAL,
+        }
+    }
+
+    /// Returns whether a step may end before each host has reported on it.
+    #[must_use]
+    pub fn is_too_short(&self) -> bool {
+        self.step_time < self.report_interval
+    }
+}
+
 /// Returns the number of steps from this record to the finished rollout.
 fn steps_left(record: &RolloutRecord) -> u64 {
-    let mut share = match record.phase {
+    steps_from(match record.phase {
         Phase::Preparing => record.spec.first_share,
         _ => record.share,
-    };
+    })
+}
+
+/// Returns the number of steps from a share to the finished rollout.
+fn steps_from(mut share: Permille) -> u64 {
     let mut steps = 1;
     while share < Permille::WHOLE {
         share = next_share(share);
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -19,14 +19,18 @@
 //! which read the operating system's clocks.
 
 mod clock;
+mod difference;
 mod error;
+mod finding;
 mod ids;
 mod outcome;
 mod quantity;
 mod store_revision;
 
 pub use clock::{Clock, Millis};
+pub use difference::{Difference, Entry, FieldChange, Section, SectionDifference, Sections};
 pub use error::ParseError;
+pub use finding::{Finding, Place, Severity};
 pub use ids::{
     AttemptId, BackendName, Digest, EngineId, EngineKey, EnvironmentId, FencingToken, HostId, Incarnation,
     Nonce, OrganisationId, RequestId, RequestSeq, Revision, RolloutId, RouteName, StoreEra, TierName,
