dispatch: find errors and contradictions in a configuration

A configuration was sent as it is; a route without a backend, a key of two organisations or a revision that hosts ignore was noticed only in service.

Configuration::findings returns typed findings with severity and place, and Configuration can be compared with another version field by field. Keys are compared but never shown. Route keeps the latency objective, which only this check uses.

--- a/crates/dispatch/src/catalog.rs
+++ b/crates/dispatch/src/catalog.rs
@@ -8,6 +8,9 @@
 
 use crate::warm_up::WarmUpLimit;
 
+pub mod findings;
+mod sections;
+
 /// Highest tier that is distinguished; higher tiers count as this one, so that two fit into one [`Tier`].
 const MAX_TIER: u8 = 15;
 
@@ -76,6 +79,8 @@
     pub kind: RouteKind,
     /// The maximum duration of a request.
     pub timeout: Millis,
+    /// The latency objective; only the check before sending uses it.
+    pub latency_objective: Option<Millis>,
     /// The time without an event after which the caller of a stream leaves, also before the first one.
     pub max_event_gap: Option<Millis>,
     /// The tier of its requests.
--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -16,11 +16,11 @@
 use crate::group::Group;
 
 /// Fraction of a quota that goes to the local accounts, divided evenly among the hosts.
-const LOCAL_FRACTION: f64 = 0.15;
+pub(crate) const LOCAL_FRACTION: f64 = 0.15;
 /// Lower bound of a bucket's rate, in tokens per second, and of its capacity, in tokens.
 ///
 /// A wait is computed by dividing by the rate.
-const MIN_RATE: f64 = 1.0;
+pub(crate) const MIN_RATE: f64 = 1.0;
 /// Fraction of the tolerance that covers the delay with which hosts detect each other's state.
 const TOLERANCE_FRACTION: f64 = 0.75;
 /// Fraction of the tolerance that hosts hold at start.
--- a/crates/dispatch/tests/catalog.rs
+++ b/crates/dispatch/tests/catalog.rs
@@ -12,6 +12,7 @@
         path_prefix: prefix.into(),
         kind: RouteKind::Idempotent,
         timeout: Millis::from_secs(2),
+        latency_objective: None,
         max_event_gap: None,
         tier: Tier(2),
         targets: vec![Target {
--- a/crates/types/src/difference.rs
+++ b/crates/types/src/difference.rs
@@ -10,8 +10,19 @@
 pub struct Entry {
     /// The name, by which entries of two versions are matched.
     pub name: CompactString,
-    /// The names and values of the other fields, in a fixed order.
-    pub fields: Vec<(&'static str, CompactString)>,
+    /// The other fields, in a fixed order.
+    pub fields: Vec<Field>,
+}
+
+/// A field of an entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Field {
+    /// The name.
+    pub name: &'static str,
+    /// The value, which is compared.
+    pub value: CompactString,
+    /// The value as it is shown.
+    pub shown: CompactString,
 }
 
 impl Entry {
@@ -26,8 +37,23 @@
 
     /// Adds a field.
     #[must_use]
-    pub fn with(mut self, field: &'static str, value: &impl fmt::Display) -> Self {
-        self.fields.push((field, value.to_compact_string()));
+    pub fn with(self, name: &'static str, value: &impl fmt::Display) -> Self {
+        self.with_shown(name, value, value)
+    }
+
+    /// Adds a field that is not shown as it is compared, for example because it is a secret.
+    #[must_use]
+    pub fn with_shown(
+        mut self,
+        name: &'static str,
+        value: &impl fmt::Display,
+        shown: &impl fmt::Display,
+    ) -> Self {
+        self.fields.push(Field {
+            name,
+            value: value.to_compact_string(),
+            shown: shown.to_compact_string(),
+        });
         self
     }
 }
@@ -95,6 +121,18 @@
         }
     }
 
+    /// Replaces the names of sections and fields, such as by those in the operator's file.
+    #[must_use]
+    pub fn rename(mut self, name: impl Fn(&'static str) -> &'static str) -> Self {
+        for section in &mut self.sections {
+            section.section = name(section.section);
+            for change in &mut section.fields {
+                change.field = name(change.field);
+            }
+        }
+        self
+    }
+
     /// Returns whether no entry differs; the texts may still differ, for example in their comments.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
@@ -153,12 +191,12 @@
 
 fn changed_fields(older: &Entry, newer: &Entry) -> impl Iterator<Item = FieldChange> {
     let pairs = older.fields.iter().zip(&newer.fields);
-    let changed = pairs.filter(|((_, old), (_, new))| old != new);
-    changed.map(|((field, old), (_, new))| FieldChange {
+    let changed = pairs.filter(|(old, new)| old.value != new.value);
+    changed.map(|(old, new)| FieldChange {
         name: newer.name.clone(),
-        field,
-        old: old.clone(),
-        new: new.clone(),
+        field: new.name,
+        old: old.shown.clone(),
+        new: new.shown.clone(),
     })
 }
 
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -28,7 +28,7 @@
 mod store_revision;
 
 pub use clock::{Clock, Millis};
-pub use difference::{Difference, Entry, FieldChange, Section, SectionDifference, Sections};
+pub use difference::{Difference, Entry, Field, FieldChange, Section, SectionDifference, Sections};
 pub use error::ParseError;
 pub use finding::{Finding, Place, Severity};
 pub use ids::{
