gateway: check a configuration before it is sent

Operators had no way to check a configuration without writing it to the store.

--check-configuration FILE [--in-force FILE] prints the findings and the changes with the field names of the platform's document, which the new method Platform::field_name gives, and exits with 0 or 3. It needs no settings file.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! | --- | --- |
 //! | [`platform`] | the interface that a deployment implements |
 //! | [`settings`] | the settings file |
+//! | [`check_configuration`] | the check of a configuration before it is sent |
 //! | [`http_client`], [`sockets`] | connections with time limits |
 //! | [`stopping`] | the phases of a planned shutdown and their times |
 //! | [`relay`] | connections to backend servers through a peer |
@@ -19,6 +20,7 @@
 //! | `control` | the store, the peers and rollouts |
 
 mod body_memory;
+mod configuration_check;
 mod control;
 mod flags;
 pub mod http_client;
@@ -39,17 +41,25 @@
 
 use std::process::ExitCode;
 
+use flags::Invocation;
+
+pub use configuration_check::{CheckedConfiguration, ConfigurationFile, check_configuration};
 pub use platform::Platform;
 pub use process::serve;
 
-/// Runs the process until a signal stops it; prints an error that prevents its start.
+/// Runs the process until a signal stops it, or checks a configuration; prints an error that prevents its start.
 pub fn main<P: Platform>(platform: P) -> ExitCode {
-    let flags = flags::parse();
-    match process::run(&flags, platform) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("carawayseam-gateway: {e:#}");
-            ExitCode::FAILURE
-        }
+    match flags::parse() {
+        Invocation::CheckConfiguration {
+            check_configuration,
+            in_force,
+        } => configuration_check::run(&platform, &check_configuration, in_force.as_deref()),
+        Invocation::Serve { flags } => match process::run(&flags, platform) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(e) => {
+                eprintln!("carawayseam-gateway: {e:#}");
+                ExitCode::FAILURE
+            }
+        },
     }
 }
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -34,6 +34,9 @@
     /// [`DecodeError`] when no part of the configuration can be used.
     fn decode_configuration(&self, value: &[u8]) -> Result<Configuration, DecodeError>;
 
+    /// Returns the name of a field of [`Configuration`] in the operator's document.
+    fn field_name<'a>(&self, field: &'a str) -> &'a str;
+
     /// Decodes the entry of a backend server.
     ///
     /// # Errors
