dispatch: count the former owner's load until peers have confirmed their slots

A host that became the owner of a server's slots knew no slots of its peers for up to half a second, until they confirmed what they held, and granted slots that were taken.

Measured: the_next_owner_counts_what_the_former_one_measured is new; tests of claims, gossip, slots and server_loads pass.

--- a/crates/dispatch/src/dispatcher/measured_loads.rs
+++ b/crates/dispatch/src/dispatcher/measured_loads.rs
@@ -1,6 +1,6 @@
 //! Loads of servers in a large fleet: what the owners of slots measure, grant and tell.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use carawayseam_types::{EngineId, EngineKey, HostId, Incarnation, Millis, Tier, ZoneId};
 
@@ -232,11 +232,20 @@
         Vec::new()
     }
 
-    /// Sets the servers whose slots this host owns.
+    /// Sets the servers whose slots this host owns; of new ones, the former owner's measurement counts at first.
     pub fn set_owned_slots(&mut self, is_owned: impl Fn(&EngineId, &ZoneId) -> bool) {
+        let mut owned = BTreeSet::new();
         let engines = self.pools.values().flat_map(|pool| &pool.engines);
-        let owned = engines.filter(|engine| is_owned(&engine.entry.id, &engine.entry.zone));
-        self.owned_slots = owned.map(|engine| engine.key).collect();
+        for engine in engines.filter(|engine| is_owned(&engine.entry.id, &engine.entry.zone)) {
+            owned.insert(engine.key);
+            if !self.owned_slots.contains(&engine.key) {
+                let load = self.peers.load_on(self.now, engine.key, engine.own_load());
+                self.peers.inherited.insert(self.now, engine.key, load);
+            }
+        }
+        self.owned_slots = owned;
+        let is_owned = |engine: &EngineKey| self.owned_slots.contains(engine);
+        self.peers.inherited.retain_owned(is_owned);
         self.forget_measurements_of_owned();
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -66,6 +66,7 @@
 pub mod group;
 pub mod history;
 pub mod hosts;
+mod inherited_loads;
 mod job;
 pub mod known_servers;
 pub mod load;
--- a/crates/dispatch/src/peer_loads.rs
+++ b/crates/dispatch/src/peer_loads.rs
@@ -10,6 +10,7 @@
 
 use crate::engine::ServerLoad;
 use crate::gossip::Statuses;
+use crate::inherited_loads::InheritedLoads;
 use crate::load::{HostLoad, WaitingCount};
 use crate::server_loads::ServerLoads;
 
@@ -64,6 +65,8 @@
     sums: Sums,
     /// The loads of servers whose slots other hosts own, if hosts exchange these in gossip rounds.
     pub(crate) measured: ServerLoads,
+    /// The loads of servers whose slots this host has owned for a short time only.
+    pub(crate) inherited: InheritedLoads,
     /// The waiting requests of peers, if hosts exchange these in gossip rounds.
     pub(crate) statuses: Statuses,
     /// The number of live peers for which the statuses stand.
@@ -204,6 +207,7 @@
             request_id,
             claimed_at: Some(now),
         };
+        self.inherited.add_slot(engine);
         self.add_granted(host, granted);
     }
 
@@ -226,6 +230,7 @@
 
     /// Records that a peer's request no longer occupies a slot of a server.
     pub(crate) fn release_slot(&mut self, host: &HostId, engine: EngineKey) {
+        self.inherited.release_slot(engine);
         let Some(announcement) = self.announcements.get_mut(host) else {
             return;
         };
@@ -251,6 +256,7 @@
     /// Drops announced loads and waiting counts that are too old to be counted.
     pub(crate) fn expire(&mut self, now: Millis) {
         self.measured.expire(now);
+        self.inherited.expire(now);
         let sums = &mut self.sums;
         self.announcements.retain(|_, announcement| {
             let age = now.since(announcement.updated_at);
@@ -298,7 +304,12 @@
 
     /// Returns the load of all peers on a server as they announced it to this host.
     pub(crate) fn announced_load(&self, engine: EngineKey) -> ServerLoad {
-        self.sums.engines.get(&engine).copied().unwrap_or_default()
+        let announced = self.sums.engines.get(&engine).copied().unwrap_or_default();
+        let inherited = self.inherited.load_on(engine);
+        ServerLoad {
+            running: announced.running.max(inherited.running),
+            prompt_ahead: announced.prompt_ahead.max(inherited.prompt_ahead),
+        }
     }
 
     /// Returns the number of requests that wait for a backend at peers, by tier.
--- a/crates/dispatch/tests/claims.rs
+++ b/crates/dispatch/tests/claims.rs
@@ -9,6 +9,7 @@
 use carawayseam_dispatch::engine::ServerLoad;
 use carawayseam_dispatch::group::SlotOwners;
 use carawayseam_dispatch::load::{HostLoad, WaitingCount};
+use carawayseam_dispatch::server_loads::{Measurement, OwnerKey};
 use carawayseam_types::{EngineKey, HostId, Incarnation, Millis, Tier, ZoneId};
 use support::{dispatcher, id};
 
@@ -347,3 +348,29 @@
     next.release_slot(Millis(520), &host(2), key());
     assert!(claim(&mut next, 530, 4, 2, LOW));
 }
+
+/// Guards against a new owner that grants slots which peers hold and have not confirmed to it yet.
+#[test]
+fn the_next_owner_counts_what_the_former_one_measured() {
+    let mut next = dispatcher(&[("a", 6)]);
+    let measurement = Measurement {
+        engine: key(),
+        owner: OwnerKey::from(&host(9)),
+        version: 1,
+        age: Millis(200),
+        load: running(5),
+    };
+    next.record_measurements(Millis(1_000), &[measurement]);
+    next.set_owned_slots(|_, _| true);
+    assert!(claim(&mut next, 1_010, 1, 1, LOW), "one of six is free");
+    assert!(!claim(&mut next, 1_020, 2, 1, LOW));
+    next.release_slot(Millis(1_030), &host(3), key());
+    assert!(claim(&mut next, 1_040, 2, 2, LOW), "a peer's request has ended");
+    confirm(&mut next, 1_400, 4, (1, 1), 70, 1);
+    next.tick(Millis(1_700));
+    assert_eq!(
+        used(&next, 1_700),
+        3,
+        "the confirmations have replaced the measurement"
+    );
+}
