dispatch: choose the requests to refuse by the organisations' shares of work

Cause: a host refused those waiting requests whose turn came too late, in the order of latest start. An organisation that sent much displaced the others in proportion to what it sent, although they were within their shares.

Change: with two or more quotas in the configuration, a late request takes the turns of requests of its tier whose organisations have more work ahead of them: decaying past work (half-life 3 s) and the work of their earlier waiting requests, divided by the weight. The weight is the rate of the quota. A heap over the requests kept so far finds them, so the pass stays near linear. Without scarcity, or with fewer than two quotas, decisions are as before. Work that an attempt did not use is given back. The gateway counts such refusals (fair_shares, refused), logs at most one line a second at debug level, and shows the shares in the state dump.

--- a/crates/dispatch/src/catalog.rs
+++ b/crates/dispatch/src/catalog.rs
@@ -6,6 +6,7 @@
 use carawayseam_types::{BackendName, Bytes, Millis, OrganisationId, Revision, Tier, Tokens};
 use compact_str::CompactString;
 
+use crate::fair_shares::ShareWeights;
 use crate::warm_up::WarmUpLimit;
 
 /// Highest tier that is distinguished; higher tiers count as this one, so that two fit into one [`Tier`].
@@ -187,6 +188,7 @@
     keys: HashMap<CompactString, Arc<Organisation>>,
     needs_keys: bool,
     backends: Vec<Backend>,
+    share_weights: ShareWeights,
 }
 
 impl Catalog {
@@ -201,6 +203,8 @@
         for host_routes in routes.values_mut() {
             host_routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
+        let organisations = configuration.organisations.as_deref();
+        let share_weights = ShareWeights::new(organisations.unwrap_or_default());
         let mut keys = HashMap::new();
         let needs_keys = configuration.organisations.is_some();
         for organisation in configuration.organisations.into_iter().flatten() {
@@ -216,6 +220,7 @@
             keys,
             needs_keys,
             backends: configuration.backends,
+            share_weights,
         }
     }
 
@@ -230,6 +235,12 @@
         self.keys.values().find(|organisation| organisation.name == *name)
     }
 
+    /// Returns the weights of all organisations, with and without keys.
+    #[must_use]
+    pub const fn share_weights(&self) -> &ShareWeights {
+        &self.share_weights
+    }
+
     /// Iterates over the backends whose servers bear less while they warm up, with their limits.
     pub fn warm_up_limits(&self) -> impl Iterator<Item = (BackendName, WarmUpLimit)> {
         let backends = self.backends.iter();
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -3,6 +3,7 @@
 mod availability;
 mod brittle;
 mod capacity;
+mod fair_shares;
 mod measured_loads;
 mod peers;
 mod reach;
@@ -20,9 +21,10 @@
 use crate::draining_servers::DrainingServers;
 use crate::engine::{AttemptEnd, Engine, EngineEntry, PromptPart};
 use crate::evacuation::EvacuatedZones;
+use crate::fair_shares::{CountedWork, ShareWeights};
 use crate::job::{Action, Job, Ticket};
 use crate::peer_loads::PeerLoads;
-use crate::pool::{Pool, SchedulingContext, Unservable, Waiting};
+use crate::pool::{Pool, SchedulingContext, Waiting};
 use crate::reach::{PROBE_INTERVAL, ReachRounds};
 use crate::retries::{RetryBounds, RetryBudget};
 use crate::speed::Pace;
@@ -49,6 +51,8 @@
     /// Whether the response was lost, and its cause is being checked.
     is_loss_checked: bool,
     parts: Vec<PromptPart>,
+    /// What the request counts for its organisation; `None` if shares were not enforced at its start.
+    counted_work: Option<CountedWork>,
 }
 
 /// Queues the requests of one host and assigns them to backend servers.
@@ -76,6 +80,7 @@
     held_confirmations: HeldConfirmations,
     learns_capacity: bool,
     sample_messages: HeldConfirmations,
+    share_weights: ShareWeights,
 }
 
 impl Dispatcher {
@@ -104,6 +109,7 @@
             held_confirmations: HeldConfirmations::default(),
             learns_capacity: true,
             sample_messages: HeldConfirmations::default(),
+            share_weights: ShareWeights::default(),
         }
     }
 
@@ -163,6 +169,7 @@
             &self.zone,
             &self.peers,
             &self.brittle_servers,
+            &self.share_weights,
             self.host_count,
             &job.backend,
         );
@@ -305,6 +312,7 @@
                 pool.record_loss(now, key);
             }
         }
+        pool.give_back_work(self.now, end, running.started, running.counted_work.as_ref());
         if running.via.is_none() && end.is_from_server() {
             pool.record_response(now);
         }
@@ -371,6 +379,7 @@
             &self.zone,
             &self.peers,
             &self.brittle_servers,
+            &self.share_weights,
             self.host_count,
             backend,
         );
@@ -386,6 +395,12 @@
                 .load_on(self.now, engine.key, engine.own_load())
                 .prompt_ahead;
             let job = waiting.job;
+            let counted_work = pool.recent_work.record_start(
+                self.now,
+                &self.share_weights,
+                job.organisation.as_ref(),
+                job.work(pool.baseline).total,
+            );
             let own_tokens = f64::from(job.prompt.saturating_sub(engine.cached_tokens(&job.parts)));
             engine.running += 1;
             engine.prompt_ahead += own_tokens;
@@ -406,6 +421,7 @@
                 concurrency: 0,
                 is_loss_checked: false,
                 parts: job.parts,
+                counted_work,
             };
             self.running.insert(waiting.ticket, running);
             actions.push(Action::Start {
@@ -435,13 +451,17 @@
             &self.zone,
             &self.peers,
             &self.brittle_servers,
+            &self.share_weights,
             self.host_count,
             backend,
         );
-        for Unservable { ticket, retry_at } in pool.take_unservable(&cx) {
-            self.waiting_backends.remove(&ticket);
-            let retry_after = retry_at.since(self.now);
-            actions.push(Action::Refuse { ticket, retry_after });
+        for unservable in pool.take_unservable(&cx) {
+            self.waiting_backends.remove(&unservable.ticket);
+            actions.push(Action::Refuse {
+                ticket: unservable.ticket,
+                retry_after: unservable.retry_at.since(self.now),
+                is_over_share: unservable.is_over_share,
+            });
         }
     }
 }
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -118,6 +118,19 @@
         )
     }
 
+    /// Returns whether the server may have worked on the request.
+    pub(crate) const fn may_have_run(self) -> bool {
+        matches!(
+            self,
+            Self::Complete
+                | Self::ConnectionLost
+                | Self::Failed
+                | Self::Unresponsive
+                | Self::LinkLost
+                | Self::Cancelled
+        )
+    }
+
     /// Returns whether a peer that carried the attempt may be the cause of this end.
     pub(crate) const fn may_come_from_relay(self) -> bool {
         matches!(
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use carawayseam_types::{BackendName, EngineId, HostId, Millis, Tier, VersionId};
+use carawayseam_types::{BackendName, EngineId, HostId, Millis, OrganisationId, Tier, VersionId};
 
 use crate::caller_time::{CallerTime, Work};
 use crate::engine::PromptPart;
@@ -18,6 +18,8 @@
 pub struct Job {
     /// Backend that serves the request.
     pub backend: BackendName,
+    /// Organisation of the caller; `None` on public routes and in a configuration without organisations.
+    pub organisation: Option<OrganisationId>,
     /// Versions that may serve the request during a rollout.
     pub version: VersionRule,
     /// Tier of the request; higher tiers are served first.
@@ -82,5 +84,7 @@
         ticket: Ticket,
         /// Delay after which the caller should retry.
         retry_after: Millis,
+        /// Whether it gave way to a request of an organisation with less recent work.
+        is_over_share: bool,
     },
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -36,6 +36,7 @@
 //! | [`warm_up`] | backend servers that bear few requests after their start |
 //! | [`evacuation`] | zones whose backend servers are sent nothing |
 //! | [`brittle_servers`] | backend servers that bear few rejections |
+//! | [`fair_shares`] | which organisation loses requests first when servers are short |
 //! | [`load`] | the load that a host reports to peers and operators |
 //! | [`dispatcher`] | request queues and backend server selection |
 //!
@@ -61,6 +62,7 @@
 pub mod draining_servers;
 pub mod engine;
 pub mod evacuation;
+pub mod fair_shares;
 pub mod freshness;
 pub mod gossip;
 pub mod group;
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -10,11 +10,11 @@
 
 use crate::brittle_servers::BrittleServers;
 use crate::capacity::{BackendCapacity, Place};
-use crate::engine::Engine;
+use crate::engine::{AttemptEnd, Engine};
+use crate::fair_shares::{CountedWork, RecentWork, ShareWeights};
 use crate::job::{Job, Ticket};
 use crate::peer_loads::PeerLoads;
 use crate::speed::Pace;
-pub(crate) use queue::Unservable;
 use reach::BackendReach;
 
 /// Score penalty of a server in another availability zone.
@@ -55,6 +55,7 @@
     pub(crate) zone: &'a ZoneId,
     pub(crate) peers: &'a PeerLoads,
     pub(crate) brittle_servers: &'a BrittleServers,
+    pub(crate) share_weights: &'a ShareWeights,
     /// Number of hosts that share the servers.
     pub(crate) host_count: u32,
     /// Number of requests waiting at peers, by tier.
@@ -67,6 +68,7 @@
         zone: &'a ZoneId,
         peers: &'a PeerLoads,
         brittle_servers: &'a BrittleServers,
+        share_weights: &'a ShareWeights,
         host_count: u32,
         backend: &BackendName,
     ) -> Self {
@@ -75,6 +77,7 @@
             zone,
             peers,
             brittle_servers,
+            share_weights,
             host_count,
             peers_waiting: peers.waiting_for(now, backend),
         }
@@ -103,6 +106,7 @@
     pub(crate) waiting: Vec<Waiting>,
     pub(crate) baseline: Pace,
     pub(crate) capacity: BackendCapacity,
+    pub(crate) recent_work: RecentWork,
     /// When a place is expected for the next caller that is refused.
     next_return: Millis,
     reach: BackendReach,
@@ -115,6 +119,7 @@
             waiting: Vec::new(),
             baseline: Pace::ASSUMED,
             capacity: BackendCapacity::default(),
+            recent_work: RecentWork::default(),
             next_return: Millis::ZERO,
             reach: BackendReach::default(),
         }
@@ -124,6 +129,25 @@
         self.engines.iter_mut().find(|engine| engine.entry.id == *id)
     }
 
+    /// Takes back the work counted for a request that the server did not complete, as far as it did not use it.
+    pub(crate) fn give_back_work(
+        &mut self,
+        now: Millis,
+        end: AttemptEnd,
+        started: Millis,
+        counted: Option<&CountedWork>,
+    ) {
+        let Some(counted) = counted.filter(|_| end != AttemptEnd::Complete) else {
+            return;
+        };
+        let used = if end.may_have_run() {
+            now.since(started)
+        } else {
+            Millis::ZERO
+        };
+        self.recent_work.give_back(now, counted, used);
+    }
+
     /// Removes and returns the next request that can start, and the index of its server.
     pub(crate) fn take_next(
         &mut self,
--- a/crates/dispatch/src/pool/queue.rs
+++ b/crates/dispatch/src/pool/queue.rs
@@ -5,6 +5,7 @@
 use super::{Pool, SchedulingContext, Waiting, capacity, rank, saturating_sum};
 use crate::caller_time::{CallerTime, Work};
 use crate::engine::Engine;
+use crate::fair_shares::{Candidate, VictimSelection};
 use crate::job::{Job, Ticket};
 use crate::reach::PROBE_INTERVAL;
 
@@ -14,6 +15,16 @@
     pub(crate) ticket: Ticket,
     /// When a place for the request is expected.
     pub(crate) retry_at: Millis,
+    /// Whether it gave way to a request of an organisation with less work.
+    pub(crate) is_over_share: bool,
+}
+
+/// A refused request, as long as no place is promised to its caller.
+#[derive(Debug)]
+struct Refused {
+    ix: usize,
+    place: Place,
+    is_over_share: bool,
 }
 
 /// A place for a refused request.
@@ -74,18 +85,38 @@
     }
 
     /// Counts a request that keeps its turn, and those of its tier that peers start meanwhile.
-    fn advance(&mut self, tier: Tier, work: Work) {
+    ///
+    /// Returns false if a slot is free for it, so that it delays no other request.
+    fn advance(&mut self, tier: Tier, work: Work) -> bool {
         if self.free > 0 {
             self.free -= 1;
-            return;
+            return false;
         }
+        self.ahead_ms += self.delay_ms(tier, work.total);
+        self.ahead += 1;
+        true
+    }
+
+    /// Undoes `advance` for a request that delays others, which gives way.
+    fn remove(&mut self, tier: Tier, work: Millis) {
+        self.ahead_ms = (self.ahead_ms - self.delay_ms(tier, work)).max(0.0);
+        self.ahead = self.ahead.saturating_sub(1);
+    }
+
+    /// Undoes `remove`.
+    fn restore(&mut self, tier: Tier, work: Millis) {
+        self.ahead_ms += self.delay_ms(tier, work);
+        self.ahead += 1;
+    }
+
+    /// Returns for how long a request and those of its tier that peers start meanwhile hold a slot.
+    fn delay_ms(&self, tier: Tier, work: Millis) -> f64 {
         let count = |counts: &[(Tier, u32)]| {
             let found = counts.iter().find(|(other, _)| *other == tier);
             found.map_or(0.0, |(_, count)| f64::from(*count))
         };
         let peers_share = count(self.peers_waiting) / count(&self.own_waiting).max(1.0);
-        self.ahead_ms += work.total.0 as f64 * (1.0 + peers_share);
-        self.ahead += 1;
+        work.0 as f64 * (1.0 + peers_share)
     }
 
     /// Returns the place of a request whose turn would come at `turn`.
@@ -99,10 +130,51 @@
     }
 }
 
+/// A request whose turn may come too late.
+struct Late {
+    candidate: Candidate,
+    tier: Tier,
+    work: Work,
+    latest_start: Millis,
+}
+
+impl Late {
+    /// Takes out the requests that give way to this one: none if it is not late, or would be late even so.
+    fn select_victims(&self, turns: &mut Turns<'_>, selection: &mut VictimSelection<'_>) -> Vec<Candidate> {
+        let mut victims = Vec::new();
+        while self.is_late(turns) {
+            let Some(victim) = selection.take_above(&self.candidate) else {
+                break;
+            };
+            turns.remove(self.tier, victim.work);
+            victims.push(victim);
+        }
+        // The last victim may have been large enough without the earlier ones; those with the least work ahead of them
+        // stay first.
+        let is_in_vain = self.is_late(turns);
+        let mut needed = Vec::new();
+        for victim in victims.into_iter().rev() {
+            turns.restore(self.tier, victim.work);
+            if is_in_vain || !self.is_late(turns) {
+                selection.put_back(victim);
+            } else {
+                turns.remove(self.tier, victim.work);
+                needed.push(victim);
+            }
+        }
+        needed
+    }
+
+    fn is_late(&self, turns: &mut Turns<'_>) -> bool {
+        turns.next(self.tier, self.work) > self.latest_start
+    }
+}
+
 impl Pool {
     /// Removes and returns the requests that cannot start early enough to be answered within their callers' time.
     ///
-    /// Those of the lowest tier are removed first.
+    /// Those of the lowest tier are removed first. Within a tier, a request that is late by its turn takes the turns of
+    /// requests of organisations with more work, if shares are enforced.
     pub(crate) fn take_unservable(&mut self, cx: &SchedulingContext<'_>) -> Vec<Unservable> {
         if self.waiting.is_empty() {
             return Vec::new();
@@ -110,26 +182,86 @@
         let baseline = self.baseline;
         self.waiting.sort_by_cached_key(|waiting| rank(waiting, baseline));
         let mut turns = self.turns(cx);
+        let refused = self.select_refused(cx, &mut turns);
+        if refused.is_empty() {
+            return Vec::new();
+        }
+        let mut keeps_turn = vec![true; self.waiting.len()];
         let mut unservable = Vec::new();
-        for waiting in std::mem::take(&mut self.waiting) {
-            let Waiting { ticket, job } = &waiting;
-            let work = job.work(baseline);
-            let turn = turns.next(job.tier, work);
-            if turn <= job.caller.latest_start(work) {
-                turns.advance(job.tier, work);
-                self.waiting.push(waiting);
-                continue;
-            }
-            let place = turns.place(turn, work);
-            let retry_at = self.promise(cx.now, place, job.caller);
+        for Refused {
+            ix,
+            place,
+            is_over_share,
+        } in refused
+        {
+            keeps_turn[ix] = false;
+            let Waiting { ticket, job } = &self.waiting[ix];
+            let (ticket, caller) = (*ticket, job.caller);
             unservable.push(Unservable {
-                ticket: *ticket,
-                retry_at,
+                ticket,
+                retry_at: self.promise(cx.now, place, caller),
+                is_over_share,
             });
         }
+        let mut keeps_turn = keeps_turn.into_iter();
+        self.waiting.retain(|_| keeps_turn.next().unwrap_or(true));
         unservable
     }
 
+    /// Selects the requests to refuse among all that wait, in their order.
+    fn select_refused(&self, cx: &SchedulingContext<'_>, turns: &mut Turns<'_>) -> Vec<Refused> {
+        let waiting = &self.waiting;
+        let weights = Some(cx.share_weights).filter(|weights| weights.is_enabled());
+        let mut selection =
+            weights.map(|weights| VictimSelection::new(cx.now, weights, &self.recent_work, waiting.len()));
+        let mut refused = Vec::new();
+        let mut tier = None;
+        for (ix, Waiting { job, .. }) in waiting.iter().enumerate() {
+            let work = job.work(self.baseline);
+            let latest_start = job.caller.latest_start(work);
+            if tier.replace(job.tier) != Some(job.tier)
+                && let Some(selection) = &mut selection
+            {
+                selection.enter_tier();
+            }
+            let mut victims = Vec::new();
+            let mut candidate = None;
+            if let Some(selection) = &mut selection {
+                let late = Late {
+                    candidate: selection.candidate(ix, job.organisation.as_ref(), work.total),
+                    tier: job.tier,
+                    work,
+                    latest_start,
+                };
+                victims = late.select_victims(turns, selection);
+                candidate = Some(late.candidate);
+            }
+            let turn = turns.next(job.tier, work);
+            if turn > latest_start {
+                refused.push(Refused {
+                    ix,
+                    place: turns.place(turn, work),
+                    is_over_share: false,
+                });
+                continue;
+            }
+            let delays_others = turns.advance(job.tier, work);
+            if let (Some(selection), Some(candidate)) = (&mut selection, candidate) {
+                selection.keep(candidate, delays_others);
+            }
+            for victim in victims {
+                let work = waiting[victim.ix].job.work(self.baseline);
+                let turn = turns.next(job.tier, work);
+                refused.push(Refused {
+                    ix: victim.ix,
+                    place: turns.place(turn, work),
+                    is_over_share: true,
+                });
+            }
+        }
+        refused
+    }
+
     /// Returns when a place is expected for a request that is refused without having waited here.
     pub(crate) fn promise_place(&mut self, cx: &SchedulingContext<'_>, job: &Job) -> Millis {
         let baseline = self.baseline;
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -40,6 +40,7 @@
 pub(crate) fn job(now: u64, tier: u8) -> Job {
     Job {
         backend: "guides".parse().expect("a valid name"),
+        organisation: None,
         version: VersionRule::Any,
         tier: Tier(tier),
         caller: stream_caller(now),
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -224,6 +224,8 @@
             dispatch
                 .server_limits
                 .set_warm_up_limits(catalog.warm_up_limits());
+            let share_weights = catalog.share_weights().clone();
+            dispatch.dispatcher.set_share_weights(share_weights);
             dispatch
                 .server_limits
                 .update_servers(now, &self.engines.entries());
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -35,6 +35,7 @@
 use crate::readiness;
 use crate::relay;
 use crate::request_log;
+use crate::request_log::ShareLog;
 use crate::settings::Settings;
 use crate::shared::{DispatchState, Shared, StoreHistory, lock};
 use crate::stopping::Phase;
@@ -176,6 +177,7 @@
         overload: Mutex::default(),
         relay_budget: Mutex::default(),
         own_bytes: AtomicU64::new(0),
+        share_log: ShareLog::default(),
         relayed_bytes: AtomicU64::new(0),
         configuration_item: Mutex::new(None),
         store_history: Mutex::new(StoreHistory::default()),
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -78,16 +78,19 @@
     idle_connections: usize,
     evacuated_zones: Vec<String>,
     engines: Vec<carawayseam_dispatch::load::EngineDump>,
+    fair_shares: Vec<carawayseam_dispatch::fair_shares::ShareDump>,
 }
 
 fn dump(shared: &Shared) -> (StatusCode, String) {
     let now = shared.now();
-    let (waiting, running, evacuated_zones, engines) = {
+    let (waiting, running, evacuated_zones, engines, fair_shares) = {
         let dispatch = lock(&shared.dispatch);
         let (waiting, running) = dispatch.dispatcher.request_counts();
         let evacuated = dispatch.dispatcher.evacuated_zones();
         let evacuated = evacuated.map(ToString::to_string).collect();
-        (waiting, running, evacuated, dispatch.dispatcher.dump(now))
+        let engines = dispatch.dispatcher.dump(now);
+        let fair_shares = dispatch.dispatcher.share_dump(now);
+        (waiting, running, evacuated, engines, fair_shares)
     };
     let dump = Dump {
         host: shared.settings.host.to_string(),
@@ -108,6 +111,7 @@
         idle_connections: shared.connections.idle_count(),
         evacuated_zones,
         engines,
+        fair_shares,
     };
     match serde_json::to_string_pretty(&dump) {
         Ok(text) => (StatusCode::OK, text),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -26,6 +26,7 @@
 use crate::metrics::Metrics;
 use crate::peer_link::PeerLink;
 use crate::platform::{Change, Headers, Item};
+use crate::request_log::ShareLog;
 use crate::settings::Settings;
 use crate::stopping::{Phase, StopPlan};
 use crate::traffic::IdleConnections;
@@ -64,7 +65,11 @@
 #[derive(Debug)]
 pub(crate) enum Decision {
     Start(Assignment),
-    Refuse { retry_after: Millis },
+    Refuse {
+        retry_after: Millis,
+        /// Whether the request gave way to one of an organisation with less recent work.
+        is_over_share: bool,
+    },
 }
 
 /// The dispatcher, the quotas, the servers' rate limits, and the requests that wait for a decision.
@@ -204,7 +209,17 @@
                     };
                     (ticket, Decision::Start(assignment))
                 }
-                Action::Refuse { ticket, retry_after } => (ticket, Decision::Refuse { retry_after }),
+                Action::Refuse {
+                    ticket,
+                    retry_after,
+                    is_over_share,
+                } => {
+                    let refusal = Decision::Refuse {
+                        retry_after,
+                        is_over_share,
+                    };
+                    (ticket, refusal)
+                }
             };
             let waiter = self.waiters.remove(&ticket);
             let was_received = waiter.is_some_and(|tx| tx.send(decision).is_ok());
@@ -277,6 +292,7 @@
     /// The plan of the shutdown, once it has begun.
     pub(crate) stop_plan: OnceLock<StopPlan>,
     pub(crate) metrics: Metrics,
+    pub(crate) share_log: ShareLog,
     /// Datagrams to and from other hosts.
     pub(crate) peers: PeerLink,
     /// Bounds what this host sends in gossip rounds.
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -246,6 +246,7 @@
         let prompt = self.head.prompt.as_ref();
         Job {
             backend: self.backend.clone(),
+            organisation: self.organisation_name().cloned(),
             version: versions::rule(
                 &self.shared,
                 &self.backend,
@@ -300,7 +301,13 @@
             };
             let assignment = match decision {
                 Ok(Ok(Decision::Start(assignment))) => assignment,
-                Ok(Ok(Decision::Refuse { retry_after })) => {
+                Ok(Ok(Decision::Refuse {
+                    retry_after,
+                    is_over_share,
+                })) => {
+                    if is_over_share {
+                        request_log::record_over_share(self);
+                    }
                     return Err(self.queue_refusal(|| retry_after));
                 }
                 Ok(Err(_)) | Err(_) => return Err(self.queue_refusal(|| self.retry_delay())),
