--- a/crates/dispatch/src/fair_shares.rs
+++ b/crates/dispatch/src/fair_shares.rs
@@ -209,14 +209,14 @@
 /// A waiting request that may have to give way to one of an organisation with less work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Candidate {
-    /// Its organisation's relative work ahead of it, in units of [`UNITS_PER_MS`]: past work and that of the
+    /// Its organisation's relative work ahead of it, in units of `UNITS_PER_MS`: past work and that of the
     /// organisation's waiting requests which start earlier.
     ahead: u64,
     /// Index of the request in the queue.
     pub(crate) ix: usize,
     /// The expected duration of the request.
     pub(crate) work: Millis,
-    /// Index of its organisation in [`VictimSelection::organisations`].
+    /// Index of its organisation in `VictimSelection::organisations`.
     organisation: usize,
 }
 
