gateway: count what is held for clients, and close those that stop half-way

A connection with chunks of one byte was read without a pause, so that the traffic thread delayed all others. A caller that left while its body waited for room kept its descriptor until the wait was over.

A read of a caller's socket takes less than 8 KiB, and a connection gives others their turn after two. Connections, heads, small bodies and unread responses are charged to a quarter of the memory; bodies without a length are held in segments, since growing buffers left unused memory in the allocator. When the budget, the descriptors or the room for large bodies are used up, the callers that are furthest behind 16 KiB/s are closed, half-way ones first.

--- a/crates/gateway/src/body_memory.rs
+++ b/crates/gateway/src/body_memory.rs
@@ -1,24 +1,34 @@
 //! Bounds the memory that the bodies of all requests and responses hold together.
 //!
 //! The size of each body is bounded, but many together would exceed the memory of a small host, and a process
-//! that ends for want of memory loses the requests of all callers. Small bodies always have room. A larger one
-//! takes its room from a common supply before it is read, and its sender waits while there is none.
+//! that ends for want of memory loses the requests of all callers. A body is counted before it is read, and its sender
+//! waits while there is no room: small ones in the budget of all clients, larger ones in a supply of their own.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use carawayseam_types::Bytes as Size;
+use carawayseam_types::{Bytes as Size, Clock};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
-/// The size up to which a body needs no room.
+use crate::client_memory::{Charge, ClientMemory, ClientState, Scarce};
+
+/// The size up to which a body needs no room, and counts in the common budget only.
 pub(crate) const SMALL_BODY_BYTES: usize = 64 * 1_024;
 /// The unit in which room is counted.
 const UNIT_BYTES: usize = 1_024;
 /// The bytes that may be read beyond a body's room before it has more.
 const HEADROOM_BYTES: usize = 64 * 1_024;
+/// The first part of a body without a length that is counted; each further one is as large as those before.
+const FIRST_PART_BYTES: usize = 4 * 1_024;
+/// The size of the parts in which a body without a length is held until it is complete. Growing buffers of many bodies
+/// beside each other left as much unused memory in the allocator as they held.
+const SEGMENT_BYTES: usize = 32 * 1_024;
+/// The interval at which a body that waits for memory looks for it, or for clients to close.
+const RETRY_INTERVAL: Duration = Duration::from_millis(20);
 /// The share of the process's memory that larger bodies may hold together.
 const BODY_SHARE: f64 = 0.3;
 
@@ -43,12 +53,18 @@
 pub(crate) struct BodyMemory {
     room: Arc<Semaphore>,
     units: usize,
+    clients: Arc<ClientMemory>,
+    clock: Clock,
 }
 
 impl BodyMemory {
     /// Creates the supply of a process that may use this much memory.
-    pub(crate) fn new(process_memory: Size) -> Self {
-        Self::with_room((process_memory.0 as f64 * BODY_SHARE) as usize)
+    pub(crate) fn new(process_memory: Size, clients: Arc<ClientMemory>) -> Self {
+        let room = (process_memory.0 as f64 * BODY_SHARE) as usize;
+        Self {
+            clients,
+            ..Self::with_room(room)
+        }
     }
 
     /// Creates a supply of this many bytes.
@@ -57,6 +73,8 @@
         Self {
             room: Arc::new(Semaphore::new(units)),
             units,
+            clients: Arc::new(ClientMemory::unlimited()),
+            clock: Clock::boot(),
         }
     }
 
@@ -73,6 +91,13 @@
         let units = bytes.div_ceil(UNIT_BYTES).min(self.units);
         let units = u32::try_from(units).unwrap_or(u32::MAX);
         let reserving = Arc::clone(&self.room).acquire_many_owned(units);
+        let reserving = async {
+            tokio::select! {
+                biased;
+                reserved = reserving => reserved,
+                never = self.close_stalled_bodies() => match never {},
+            }
+        };
         // The semaphore is never closed, so only the time limit ends the wait without room.
         if let Ok(Ok(permit)) = timeout_at(room_by, reserving).await {
             return Ok(permit);
@@ -82,17 +107,97 @@
     }
 }
 
+impl BodyMemory {
+    /// Closes clients with large bodies that stop half-way, as long as another body waits for their room.
+    async fn close_stalled_bodies(&self) -> std::convert::Infallible {
+        loop {
+            self.clients.close_stalled(self.clock.now(), Scarce::BodyRoom);
+            sleep(RETRY_INTERVAL).await;
+        }
+    }
+
+    /// Waits until a small body's charge has this size, at most until `room_by`.
+    async fn charge(
+        &self,
+        charge: &mut Option<Charge>,
+        bytes: usize,
+        room_by: Instant,
+    ) -> Result<(), BodyReadError> {
+        let charge = charge.get_or_insert_with(|| Charge::none(&self.clients));
+        while !charge.try_resize(bytes) {
+            if Instant::now() >= room_by {
+                log::warn!(bytes = bytes; "no memory left for a body");
+                return Err(BodyReadError::NoRoom);
+            }
+            self.clients.close_stalled(self.clock.now(), Scarce::Connections);
+            sleep(RETRY_INTERVAL).await;
+        }
+        Ok(())
+    }
+}
+
+/// The client whose body it is waits for the gateway as long as this exists.
+struct Wait<'a> {
+    client: Option<&'a ClientState>,
+    clock: &'a Clock,
+}
+
+impl<'a> Wait<'a> {
+    fn new(client: Option<&'a ClientState>, clock: &'a Clock) -> Self {
+        if let Some(client) = client {
+            client.begin_wait();
+        }
+        Self { client, clock }
+    }
+}
+
+impl Drop for Wait<'_> {
+    fn drop(&mut self) {
+        if let Some(client) = self.client {
+            client.end_wait(self.clock.now());
+        }
+    }
+}
+
+/// The room of a large body, which counts as held by its client.
+#[derive(Debug)]
+struct Room {
+    permit: OwnedSemaphorePermit,
+    client: Option<Arc<ClientState>>,
+}
+
+impl Drop for Room {
+    fn drop(&mut self) {
+        if let Some(client) = &self.client {
+            client.remove_body_room(self.permit.num_permits());
+        }
+    }
+}
+
 /// The part of a body that has been read, and its room.
 #[derive(Debug, Default)]
 pub(crate) struct BodyBuf {
+    /// The last segment of a body without a length; other bodies have only this one.
     bytes: BytesMut,
-    room: Option<OwnedSemaphorePermit>,
+    held: Box<HeldBody>,
+}
+
+/// What a body holds beside its last segment.
+#[derive(Debug, Default)]
+struct HeldBody {
+    /// The earlier segments of a body without a length, of [`SEGMENT_BYTES`] each.
+    segments: Vec<BytesMut>,
+    room: Option<Room>,
+    /// The memory of a body without room.
+    small: Option<Charge>,
+    /// The client that sends or gets the body.
+    client: Option<Arc<ClientState>>,
 }
 
 /// A complete body, which keeps its room until it is no longer used.
 struct ReservedBody {
     bytes: Bytes,
-    _room: OwnedSemaphorePermit,
+    _held: Box<HeldBody>,
 }
 
 impl AsRef<[u8]> for ReservedBody {
@@ -102,12 +207,19 @@
 }
 
 impl BodyBuf {
+    /// Creates the buffer of a body that a client sends or gets.
+    pub(crate) fn of(client: Arc<ClientState>) -> Self {
+        let mut buf = Self::default();
+        buf.held.client = Some(client);
+        buf
+    }
+
     pub(crate) fn len(&self) -> usize {
-        self.bytes.len()
+        self.held.segments.iter().map(BytesMut::len).sum::<usize>() + self.bytes.len()
     }
 
     pub(crate) fn is_empty(&self) -> bool {
-        self.bytes.is_empty()
+        self.len() == 0
     }
 
     /// Appends bytes that have been read.
@@ -115,10 +227,38 @@
         self.bytes.extend_from_slice(bytes);
     }
 
+    /// Appends bytes of a body without a length, in segments that are filled exactly and so never grow.
+    fn push_to_segments(&mut self, mut bytes: &[u8]) {
+        while !bytes.is_empty() {
+            if self.bytes.len() >= SEGMENT_BYTES {
+                let segment = std::mem::replace(&mut self.bytes, BytesMut::with_capacity(SEGMENT_BYTES));
+                self.held.segments.push(segment);
+            }
+            let room = SEGMENT_BYTES - self.bytes.len();
+            let (part, rest) = bytes.split_at(room.min(bytes.len()));
+            self.bytes.extend_from_slice(part);
+            bytes = rest;
+        }
+    }
+
+    /// Returns all segments as one, each of which is given back as soon as it was copied.
+    fn join(&mut self) -> BytesMut {
+        if self.held.segments.is_empty() {
+            return std::mem::take(&mut self.bytes);
+        }
+        let mut joined = BytesMut::with_capacity(self.len());
+        for segment in std::mem::take(&mut self.held.segments) {
+            joined.extend_from_slice(&segment);
+        }
+        joined.extend_from_slice(&std::mem::take(&mut self.bytes));
+        joined
+    }
+
     /// Returns what has been read, and forgets it.
     pub(crate) fn split(&mut self) -> BytesMut {
-        self.room = None;
-        self.bytes.split()
+        self.held.room = None;
+        self.held.small = None;
+        self.join()
     }
 
     /// Reads the rest of a body, and waits for room until `room_by`.
@@ -146,14 +286,17 @@
         }
         loop {
             if known_length.is_none() && self.len() + HEADROOM_BYTES > self.room_bytes() {
-                self.grow(memory, self.len().saturating_mul(2), room_by).await?;
-                self.bytes.reserve(self.room_bytes().saturating_sub(self.len()));
+                let bytes = self.len().saturating_mul(2).max(FIRST_PART_BYTES);
+                self.grow(memory, bytes, room_by).await?;
             }
             let Some(frame) = body.frame().await else {
                 return Ok(());
             };
             if let Some(bytes) = frame?.data_ref() {
-                self.push(bytes);
+                match known_length {
+                    Some(_) => self.push(bytes),
+                    None => self.push_to_segments(bytes),
+                }
             }
             if self.len() > max_bytes {
                 return Err(BodyReadError::Overlong);
@@ -162,17 +305,20 @@
     }
 
     /// Returns the complete body.
-    pub(crate) fn freeze(self) -> Bytes {
-        let bytes = self.bytes.freeze();
-        match self.room {
-            Some(room) => Bytes::from_owner(ReservedBody { bytes, _room: room }),
-            None => bytes,
+    pub(crate) fn freeze(mut self) -> Bytes {
+        let bytes = self.join().freeze();
+        if self.held.room.is_none() && self.held.small.is_none() {
+            return bytes;
         }
+        Bytes::from_owner(ReservedBody {
+            bytes,
+            _held: self.held,
+        })
     }
 
     fn room_bytes(&self) -> usize {
-        let room = self.room.as_ref();
-        room.map_or(SMALL_BODY_BYTES, |room| room.num_permits() * UNIT_BYTES)
+        let room = self.held.room.as_ref();
+        room.map_or(SMALL_BODY_BYTES, |room| room.permit.num_permits() * UNIT_BYTES)
     }
 
     /// Waits until there is room for this many bytes in all, at most until `room_by`.
@@ -182,19 +328,41 @@
         bytes: usize,
         room_by: Instant,
     ) -> Result<(), BodyReadError> {
+        let client = self.held.client.clone();
+        let _wait = Wait::new(client.as_deref(), &memory.clock);
+        if bytes <= SMALL_BODY_BYTES && self.held.room.is_none() {
+            let charged = self.held.small.as_ref().map_or(0, Charge::bytes);
+            if bytes > charged {
+                memory.charge(&mut self.held.small, bytes, room_by).await?;
+            }
+            return Ok(());
+        }
         if bytes <= self.room_bytes() {
             return Ok(());
         }
-        let held = self.room.as_ref().map_or(0, OwnedSemaphorePermit::num_permits);
+        let held = self
+            .held
+            .room
+            .as_ref()
+            .map_or(0, |room| room.permit.num_permits());
         let units = bytes.div_ceil(UNIT_BYTES).min(memory.units);
         if units <= held {
             return Ok(());
         }
         let more = memory.reserve((units - held) * UNIT_BYTES, room_by).await?;
-        match &mut self.room {
-            Some(room) => room.merge(more),
-            None => self.room = Some(more),
+        if let Some(client) = &self.held.client {
+            client.add_body_room(more.num_permits());
+        }
+        match &mut self.held.room {
+            Some(room) => room.permit.merge(more),
+            None => {
+                self.held.room = Some(Room {
+                    permit: more,
+                    client: self.held.client.clone(),
+                });
+            }
         }
+        self.held.small = None;
         Ok(())
     }
 }
--- /dev/null
+++ b/crates/gateway/src/client_memory.rs
@@ -0,0 +1,444 @@
+//! Bounds what the process holds for clients outside the operator's control, and closes those that stop half-way.
+//!
+//! Memory for connections, request heads, small bodies and unread responses is charged where the bytes are held. Large
+//! bodies have a part of their own ([`BodyMemory`](crate::body_memory::BodyMemory)), so that a body that waits for room
+//! delays no small request. When either part is used up, the connection that is furthest behind is closed.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+
+use carawayseam_types::{Bytes as Size, Millis};
+use rustix::process::{Resource, getrlimit};
+use tokio::sync::Notify;
+
+use crate::metrics::Metrics;
+use crate::shared::lock;
+
+/// The share of the process's memory for connections, heads, small bodies and unread responses.
+const CLIENT_SHARE: f64 = 0.25;
+/// The memory of a connection: its task, its sockets and one read. Measured: 8 KiB without a read.
+pub(crate) const CONNECTION_BYTES: usize = 16 * 1_024;
+/// A client that sends or reads at this rate does not fall behind.
+const MIN_BYTES_PER_S: u64 = 16 * 1_024;
+/// A client is closed only if it is behind by this time, since links may pause.
+const MIN_LAG: Millis = Millis::from_secs(1);
+/// At least this many and this part of the connections are closed at a time, so that a scan of all of them is rare.
+const MIN_BATCH: usize = 4;
+const BATCH_DIVISOR: usize = 16;
+/// The part of the descriptors for connections of callers: each may need another one to a server, and the store, peers and
+/// the readiness port need some.
+const DESCRIPTOR_DIVISOR: usize = 3;
+/// The number of descriptors if the system states no limit.
+const DEFAULT_DESCRIPTORS: usize = 1_024;
+/// The interval of log lines about closed clients.
+const LOG_INTERVAL: Millis = Millis::from_secs(5);
+
+/// Why a client's connection was closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Closed {
+    /// It stopped half-way through a request or a response.
+    HalfWay,
+    /// It had no request.
+    Idle,
+    /// Nothing could be closed for it.
+    NoRoom,
+    /// Others used the admin address more recently.
+    AdminLimit,
+}
+
+impl Closed {
+    const fn label(self) -> &'static str {
+        match self {
+            Self::HalfWay => "half-way",
+            Self::Idle => "idle",
+            Self::NoRoom => "no-room",
+            Self::AdminLimit => "admin-limit",
+        }
+    }
+}
+
+/// What is used up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Scarce {
+    /// Connections, or the memory that all of them take.
+    Connections,
+    /// The room for large bodies.
+    BodyRoom,
+}
+
+/// The budget of all clients of the process.
+#[derive(Debug)]
+pub(crate) struct ClientMemory {
+    limit: usize,
+    max_connections: usize,
+    descriptors: usize,
+    held: AtomicUsize,
+    clients: Mutex<HashMap<u64, Arc<ClientState>>>,
+    next_id: AtomicU64,
+    log: Mutex<ClosedLog>,
+}
+
+#[derive(Debug, Default)]
+struct ClosedLog {
+    last_line: Option<Millis>,
+    unlogged: u64,
+}
+
+impl ClientMemory {
+    /// Creates the budget of a process that may use this much memory.
+    pub(crate) fn new(process_memory: Size, max_connections: Option<usize>) -> Self {
+        let descriptors = getrlimit(Resource::Nofile).current;
+        let descriptors = descriptors.map_or(DEFAULT_DESCRIPTORS, |limit| limit as usize);
+        let limit = (process_memory.0 as f64 * CLIENT_SHARE) as usize;
+        Self::with_limits(
+            limit,
+            max_connections.unwrap_or(descriptors / DESCRIPTOR_DIVISOR),
+            descriptors,
+        )
+    }
+
+    /// Creates a budget without limits.
+    pub(crate) fn unlimited() -> Self {
+        Self::with_limits(usize::MAX, usize::MAX, usize::MAX)
+    }
+
+    fn with_limits(limit: usize, max_connections: usize, descriptors: usize) -> Self {
+        Self {
+            limit,
+            max_connections,
+            descriptors,
+            held: AtomicUsize::new(0),
+            clients: Mutex::default(),
+            next_id: AtomicU64::new(0),
+            log: Mutex::default(),
+        }
+    }
+
+    /// Returns how many descriptors the process may have open.
+    pub(crate) const fn descriptors(&self) -> usize {
+        self.descriptors
+    }
+
+    /// Returns the bytes that are held for clients.
+    pub(crate) fn held(&self) -> usize {
+        self.held.load(Ordering::Relaxed)
+    }
+
+    /// Counts a connection; returns `None` if there are too many or no memory is left for it.
+    pub(crate) fn admit(self: &Arc<Self>, now: Millis) -> Option<Client> {
+        let is_full = lock(&self.clients).len() >= self.max_connections;
+        let charge = if is_full {
+            None
+        } else {
+            self.try_charge(CONNECTION_BYTES)
+        };
+        let Some(charge) = charge else {
+            self.close_stalled(now, Scarce::Connections);
+            return None;
+        };
+        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let state = Arc::new(ClientState::new(now));
+        lock(&self.clients).insert(id, Arc::clone(&state));
+        Some(Client {
+            id,
+            state,
+            memory: Arc::clone(self),
+            _connection: charge,
+        })
+    }
+
+    /// Counts bytes as held; returns `None` if they exceed the budget.
+    pub(crate) fn try_charge(self: &Arc<Self>, bytes: usize) -> Option<Charge> {
+        let mut charge = Charge::none(self);
+        charge.try_resize(bytes).then_some(charge)
+    }
+
+    /// Counts bytes as held, also beyond the budget.
+    pub(crate) fn charge(self: &Arc<Self>, bytes: usize) -> Charge {
+        self.held.fetch_add(bytes, Ordering::Relaxed);
+        Charge {
+            memory: Arc::clone(self),
+            bytes,
+        }
+    }
+
+    /// Closes the connections that are furthest behind, unless some that were closed before are still ending.
+    ///
+    /// Those that stopped half-way go before those without a request. A connection is spared while the gateway or a server
+    /// works on its request.
+    pub(crate) fn close_stalled(&self, now: Millis, scarce: Scarce) {
+        let clients = lock(&self.clients);
+        if clients.values().any(|client| client.is_closing()) {
+            return;
+        }
+        let mut stalled: Vec<_> = clients
+            .values()
+            .filter(|client| scarce == Scarce::Connections || client.body_room.load(Ordering::Relaxed) > 0)
+            .filter_map(|client| Some((client.closed_as()?, client.lag(now), client)))
+            .filter(|(_, lag, _)| *lag >= MIN_LAG)
+            .collect();
+        stalled.sort_unstable_by_key(|(closed, lag, _)| (*closed == Closed::Idle, std::cmp::Reverse(lag.0)));
+        for (closed, _, client) in stalled.iter().take(MIN_BATCH + clients.len() / BATCH_DIVISOR) {
+            client.close(*closed);
+        }
+    }
+
+    /// Counts a closed connection, and logs at most one line in [`LOG_INTERVAL`].
+    pub(crate) fn record_closed(&self, metrics: &Metrics, now: Millis, closed: Closed) {
+        metrics.count("closed_clients", closed.label());
+        let mut log = lock(&self.log);
+        log.unlogged += 1;
+        if log.last_line.is_some_and(|last| now.since(last) < LOG_INTERVAL) {
+            return;
+        }
+        log.last_line = Some(now);
+        let connections = std::mem::take(&mut log.unlogged);
+        log::warn!(connections = connections, last = closed.label(), held_bytes = self.held(); "clients closed for want of room");
+    }
+}
+
+/// Bytes that are counted as held until this is dropped.
+#[derive(Debug)]
+pub(crate) struct Charge {
+    memory: Arc<ClientMemory>,
+    bytes: usize,
+}
+
+impl Charge {
+    pub(crate) fn none(memory: &Arc<ClientMemory>) -> Self {
+        Self {
+            memory: Arc::clone(memory),
+            bytes: 0,
+        }
+    }
+
+    pub(crate) const fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Changes the number of bytes; returns false, and changes nothing, if more would exceed the budget.
+    pub(crate) fn try_resize(&mut self, bytes: usize) -> bool {
+        let held = &self.memory.held;
+        if let Some(more) = bytes.checked_sub(self.bytes) {
+            let before = held.fetch_add(more, Ordering::Relaxed);
+            if more > 0 && before.saturating_add(more) > self.memory.limit {
+                held.fetch_sub(more, Ordering::Relaxed);
+                return false;
+            }
+        } else {
+            held.fetch_sub(self.bytes - bytes, Ordering::Relaxed);
+        }
+        self.bytes = bytes;
+        true
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        self.memory.held.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+/// A connection of a client; it is no longer counted once this is dropped.
+#[derive(Debug)]
+pub(crate) struct Client {
+    id: u64,
+    state: Arc<ClientState>,
+    memory: Arc<ClientMemory>,
+    _connection: Charge,
+}
+
+impl Client {
+    pub(crate) const fn state(&self) -> &Arc<ClientState> {
+        &self.state
+    }
+}
+
+impl Drop for Client {
+    fn drop(&mut self) {
+        lock(&self.memory.clients).remove(&self.id);
+    }
+}
+
+/// What the budget knows of a connection.
+#[derive(Debug)]
+pub(crate) struct ClientState {
+    /// Whether a request was ever read completely.
+    is_used: AtomicBool,
+    /// Whether a request has begun whose response is not complete.
+    has_request: AtomicBool,
+    /// The reasons for which the client waits for the gateway or a server.
+    waits: AtomicUsize,
+    /// Whether a response waits for the client to read.
+    is_write_blocked: AtomicBool,
+    /// When a client of the least rate would have sent or read as much, in milliseconds.
+    due: AtomicU64,
+    /// The bytes of large bodies.
+    body_room: AtomicUsize,
+    closing: Mutex<Option<Closed>>,
+    closed: Notify,
+}
+
+impl ClientState {
+    fn new(now: Millis) -> Self {
+        Self {
+            is_used: AtomicBool::new(false),
+            has_request: AtomicBool::new(false),
+            waits: AtomicUsize::new(0),
+            is_write_blocked: AtomicBool::new(false),
+            due: AtomicU64::new(now.0),
+            body_room: AtomicUsize::new(0),
+            closing: Mutex::default(),
+            closed: Notify::new(),
+        }
+    }
+
+    /// Records that a request begins or ends.
+    pub(crate) fn set_request(&self, now: Millis, has_request: bool) {
+        let before = self.has_request.swap(has_request, Ordering::Relaxed);
+        if before != has_request {
+            self.due.store(now.0, Ordering::Relaxed);
+        }
+        if !has_request {
+            self.is_used.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Records bytes that the client sent or read.
+    pub(crate) fn record_progress(&self, now: Millis, bytes: usize) {
+        let earned = bytes as u64 * 1_000 / MIN_BYTES_PER_S;
+        let due = self.due.load(Ordering::Relaxed).saturating_add(earned);
+        self.due.store(due.min(now.0), Ordering::Relaxed);
+    }
+
+    /// Records whether a response waits for the client to read.
+    pub(crate) fn set_write_blocked(&self, now: Millis, is_blocked: bool) {
+        let was_blocked = self.is_write_blocked.swap(is_blocked, Ordering::Relaxed);
+        if is_blocked && !was_blocked && !self.has_request.load(Ordering::Relaxed) {
+            self.due.store(now.0, Ordering::Relaxed);
+        }
+    }
+
+    /// Records that the client waits for the gateway or a server.
+    pub(crate) fn begin_wait(&self) {
+        self.waits.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Records that such a wait has ended; the client has the whole time again.
+    pub(crate) fn end_wait(&self, now: Millis) {
+        self.waits.fetch_sub(1, Ordering::Relaxed);
+        self.due.store(now.0, Ordering::Relaxed);
+    }
+
+    pub(crate) fn add_body_room(&self, bytes: usize) {
+        self.body_room.fetch_add(bytes, Ordering::Relaxed);
+    }
+
+    pub(crate) fn remove_body_room(&self, bytes: usize) {
+        self.body_room.fetch_sub(bytes, Ordering::Relaxed);
+    }
+
+    /// Waits until the connection is to be closed.
+    pub(crate) async fn closing(&self) -> Closed {
+        loop {
+            if let Some(closed) = *lock(&self.closing) {
+                return closed;
+            }
+            self.closed.notified().await;
+        }
+    }
+
+    fn close(&self, closed: Closed) {
+        *lock(&self.closing) = Some(closed);
+        self.closed.notify_one();
+    }
+
+    fn is_closing(&self) -> bool {
+        lock(&self.closing).is_some()
+    }
+
+    fn lag(&self, now: Millis) -> Millis {
+        now.since(Millis(self.due.load(Ordering::Relaxed)))
+    }
+
+    /// Returns as what the connection may be closed; `None` while the client waits for the gateway or a server.
+    fn closed_as(&self) -> Option<Closed> {
+        let is_write_blocked = self.is_write_blocked.load(Ordering::Relaxed);
+        if self.waits.load(Ordering::Relaxed) > 0 && !is_write_blocked {
+            return None;
+        }
+        let is_idle = self.is_used.load(Ordering::Relaxed) && !self.has_request.load(Ordering::Relaxed);
+        Some(if is_idle && !is_write_blocked {
+            Closed::Idle
+        } else {
+            Closed::HalfWay
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn budget(connections: usize) -> Arc<ClientMemory> {
+        Arc::new(ClientMemory::with_limits(
+            connections * CONNECTION_BYTES,
+            usize::MAX,
+            1_024,
+        ))
+    }
+
+    /// Guards against connections that are closed although a server works on their requests, and against idle ones that
+    /// are closed before those that stopped half-way.
+    #[test]
+    fn clients_that_stop_half_way_are_closed_first() {
+        let memory = budget(4);
+        let [working, stopped, idle] = [(); 3].map(|()| memory.admit(Millis(0)).expect("there is room"));
+        working.state().set_request(Millis(0), true);
+        working.state().begin_wait();
+        stopped.state().set_request(Millis(900), true);
+        idle.state().set_request(Millis(0), true);
+        idle.state().set_request(Millis(0), false);
+        memory.close_stalled(Millis(1_800), Scarce::Connections);
+        assert_eq!(*lock(&idle.state().closing), Some(Closed::Idle));
+        assert!(
+            !stopped.state().is_closing(),
+            "it is behind by less than a second"
+        );
+        drop(idle);
+        memory.close_stalled(Millis(1_900), Scarce::Connections);
+        assert_eq!(*lock(&stopped.state().closing), Some(Closed::HalfWay));
+        assert!(!working.state().is_closing());
+    }
+
+    /// Guards against clients that keep their connections by sending a byte now and then.
+    #[test]
+    fn a_trickle_does_not_keep_a_connection() {
+        let memory = budget(2);
+        let [trickling, sending] = [(); 2].map(|()| memory.admit(Millis(0)).expect("there is room"));
+        for client in [&trickling, &sending] {
+            client.state().set_request(Millis(0), true);
+        }
+        for now in (100..=2_000).step_by(100) {
+            trickling.state().record_progress(Millis(now), 1);
+            sending.state().record_progress(Millis(now), 4_096);
+        }
+        memory.close_stalled(Millis(2_000), Scarce::Connections);
+        assert!(trickling.state().is_closing());
+        assert!(!sending.state().is_closing());
+    }
+
+    /// Guards against bytes that stay counted after they are given back, and against an exceeded budget.
+    #[test]
+    fn charges_are_given_back() {
+        let memory = budget(2);
+        let client = memory.admit(Millis(0)).expect("there is room");
+        let mut charge = memory.try_charge(CONNECTION_BYTES).expect("there is room");
+        assert!(memory.admit(Millis(0)).is_none());
+        assert!(!charge.try_resize(CONNECTION_BYTES + 1));
+        assert!(charge.try_resize(1));
+        drop((charge, client));
+        assert_eq!(memory.held(), 0);
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 //! | `control` | the store, the peers and rollouts |
 
 mod body_memory;
+mod client_memory;
 mod control;
 mod flags;
 pub mod http_client;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -27,6 +27,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::body_memory::BodyMemory;
+use crate::client_memory::ClientMemory;
 use crate::control::{self, ControlState, Event, HostRecord};
 use crate::flags::Flags;
 use crate::metrics::Metrics;
@@ -138,7 +139,9 @@
         extra: settings.retries.extra,
     };
     let max_age = settings.max_key_age - KEY_AGE_MARGIN;
-    let body_memory = BodyMemory::new(settings.memory);
+    let client_memory = ClientMemory::new(settings.memory, settings.max_client_connections);
+    let client_memory = Arc::new(client_memory);
+    let body_memory = BodyMemory::new(settings.memory, Arc::clone(&client_memory));
     let mut dispatcher = Dispatcher::new(settings.zone.clone(), bounds, incarnation.0);
     if !settings.learned_placement {
         dispatcher.disable_capacity_learning();
@@ -161,6 +164,7 @@
         dispatch: Mutex::new(DispatchState::new(dispatcher, quotas, server_limits)),
         rollouts: Mutex::new(Rollouts::new(process)),
         body_memory,
+        client_memory,
         poison: Mutex::new(poison),
         poison_parts: Mutex::new(PoisonParts::default()),
         part_blocks: watch::Sender::new(0),
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -14,6 +14,7 @@
 use tokio::time::sleep;
 
 use super::copy::copy;
+use crate::client_memory::{CONNECTION_BYTES, Scarce};
 use crate::shared::{OpenRequest, Shared, lock};
 use crate::sockets::{self, SERVER_SILENCE_LIMIT, set_reset_on_close};
 use crate::stopping::Phase;
@@ -23,6 +24,9 @@
 const MAX_RELAYED: usize = 256;
 /// The number of connections, in addition to these, that are accepted and refused with a reason.
 const MAX_REFUSING: usize = 64;
+/// The part of the descriptors for connections of peers, of which each may need another one to a server. With the usual
+/// 1,024 descriptors the limits above hold.
+const DESCRIPTOR_DIVISOR: usize = 3;
 /// The maximum time from the accepting of a connection to the complete request.
 const REQUEST_TIME_LIMIT: Millis = Millis(1_000);
 /// The maximum time for connecting to a backend server.
@@ -36,7 +40,8 @@
 
 /// Serves peers until the process stops accepting connections.
 pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
-    let permits = Arc::new(Semaphore::new(MAX_RELAYED + MAX_REFUSING));
+    let max_connections = max_connections(&shared);
+    let permits = Arc::new(Semaphore::new(max_connections));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -45,7 +50,7 @@
         match (accepted, Arc::clone(&permits).try_acquire_owned()) {
             (Ok((stream, from)), Ok(permit)) => {
                 // The permit of this connection is taken already.
-                let relayed = MAX_RELAYED + MAX_REFUSING - permits.available_permits() - 1;
+                let relayed = max_connections - permits.available_permits() - 1;
                 let is_full = permits.available_permits() < MAX_REFUSING || !may_relay(&shared, relayed);
                 tokio::spawn(serve_connection(
                     Arc::clone(&shared),
@@ -67,6 +72,12 @@
     }
 }
 
+/// Returns how many connections are accepted at a time; fewer if the process may open few descriptors.
+fn max_connections(shared: &Shared) -> usize {
+    let by_descriptors = shared.client_memory.descriptors() / DESCRIPTOR_DIVISOR;
+    by_descriptors.clamp(MAX_REFUSING + 1, MAX_RELAYED + MAX_REFUSING)
+}
+
 /// Returns whether this host's own traffic permits another relayed connection; always in a small fleet.
 fn may_relay(shared: &Shared, relayed: usize) -> bool {
     let is_large_fleet = shared.is_large_fleet.load(Ordering::Relaxed);
@@ -81,6 +92,13 @@
     is_full: bool,
     _permit: OwnedSemaphorePermit,
 ) {
+    let Some(_charge) = shared.client_memory.try_charge(CONNECTION_BYTES) else {
+        shared.metrics.count(COUNTER, "no-memory");
+        shared
+            .client_memory
+            .close_stalled(shared.now(), Scarce::Connections);
+        return;
+    };
     if let Err(e) = sockets::detect_dead_peer(&stream, ORIGIN_ACK_TIMEOUT) {
         log::debug!(from:% = from; "a peer's connection cannot be set up: {e}");
         return;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -13,6 +13,11 @@
 /// The numbers of hosts that may send heartbeats to each other; below two there is nothing to exchange, and above
 /// this many, heartbeats take more than a small host's share of its processor.
 const FULL_MESH_HOSTS: RangeInclusive<usize> = 2..=64;
+/// The numbers of connections that callers may keep open; each takes a descriptor.
+const CLIENT_CONNECTIONS: RangeInclusive<usize> = 16..=1_000_000;
+/// The numbers of connections to the admin address and the metrics address each; below this many, several balancers and
+/// scrapers would close each other's connections.
+const ADMIN_CONNECTIONS: RangeInclusive<usize> = 4..=1_024;
 /// The least memory that a process needs.
 const MIN_MEMORY: Bytes = Bytes(16 * 1_024 * 1_024);
 
@@ -65,6 +70,13 @@
     /// messages with a few of the others at a time.
     #[serde(default = "default_full_mesh_hosts")]
     pub full_mesh_hosts: usize,
+    /// The largest number of connections of callers; by default a third of the descriptors that the process may open, since
+    /// each may need another one to a server.
+    #[serde(default)]
+    pub max_client_connections: Option<usize>,
+    /// The largest number of connections to the admin address and to the metrics address each.
+    #[serde(default = "default_max_admin_connections")]
+    pub max_admin_connections: usize,
     /// Whether requests are placed by the learned pace of backend servers, where these differ.
     #[serde(default)]
     pub learned_placement: bool,
@@ -110,6 +122,18 @@
             s if !FULL_MESH_HOSTS.contains(&s.full_mesh_hosts) => {
                 Err(invalid("full_mesh_hosts", "from 2 to 64 hosts"))
             }
+            s if s
+                .max_client_connections
+                .is_some_and(|max| !CLIENT_CONNECTIONS.contains(&max)) =>
+            {
+                Err(invalid(
+                    "max_client_connections",
+                    "from 16 to 1000000 connections",
+                ))
+            }
+            s if !ADMIN_CONNECTIONS.contains(&s.max_admin_connections) => {
+                Err(invalid("max_admin_connections", "from 4 to 1024 connections"))
+            }
             s if s.memory < MIN_MEMORY => Err(invalid("memory", "16MiB or more")),
             s if !is_fraction(s.retries.ratio) => Err(invalid("retries.ratio", "a share from 0 to 1")),
             s if s.retries.extra.is_nan() || s.retries.extra < 0.0 => {
@@ -136,6 +160,10 @@
     Bytes(96 * 1_024 * 1_024)
 }
 
+const fn default_max_admin_connections() -> usize {
+    64
+}
+
 const fn default_full_mesh_hosts() -> usize {
     40
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -23,6 +23,7 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::body_memory::BodyMemory;
+use crate::client_memory::ClientMemory;
 use crate::metrics::Metrics;
 use crate::peer_link::PeerLink;
 use crate::platform::{Change, Headers, Item};
@@ -268,6 +269,7 @@
     pub(crate) dispatch: Mutex<DispatchState>,
     pub(crate) rollouts: Mutex<Rollouts>,
     pub(crate) body_memory: BodyMemory,
+    pub(crate) client_memory: Arc<ClientMemory>,
     pub(crate) poison: Mutex<PoisonTracker>,
     pub(crate) poison_parts: Mutex<PoisonParts>,
     /// The number of parts of prompts that this host has blocked so far.
--- a/crates/gateway/src/traffic/arrival.rs
+++ b/crates/gateway/src/traffic/arrival.rs
@@ -45,7 +45,7 @@
     let open = OpenRequest::new(shared);
     let (parts, mut body) = req.into_parts();
     let admitted = match admit(shared, &parts, &head, arrived) {
-        Ok(admitted) => read_admitted(shared, &mut body, &admitted, arrived)
+        Ok(admitted) => read_admitted(shared, caller, &mut body, &admitted, arrived)
             .await
             .map(|body| (admitted, body)),
         Err(refusal) => Err(refusal),
@@ -175,13 +175,16 @@
 /// Reads the body of an admitted request, at most until the final responses of a planned shutdown.
 async fn read_admitted(
     shared: &Shared,
+    caller: &CallerWatch,
     body: &mut Incoming,
     admitted: &Admitted,
     arrived: Millis,
 ) -> Result<Bytes, Refusal> {
     let body = tokio::select! {
         biased;
-        body = read_body(&shared.body_memory, body, admitted) => body?,
+        body = read_body(&shared.body_memory, BodyBuf::of(caller.client()), body, admitted) => body?,
+        // A body that waits for room is not read, so that its end would be noticed only after the wait.
+        () = caller.closed() => return Err(Refusal::new(Reason::BodyIncomplete)),
         () = shared.reached(Phase::Answering) => return Err(stop_refusals::final_refusal(shared, false)),
     };
     // The shutdown may have begun while the body arrived.
@@ -190,9 +193,13 @@
 }
 
 /// Reads the body of an admitted request within its time limit, and at most up to the configured size.
-async fn read_body(memory: &BodyMemory, body: &mut Incoming, admitted: &Admitted) -> Result<Bytes, Refusal> {
+async fn read_body(
+    memory: &BodyMemory,
+    mut buf: BodyBuf,
+    body: &mut Incoming,
+    admitted: &Admitted,
+) -> Result<Bytes, Refusal> {
     let max_bytes = usize::try_from(admitted.catalog.limits.max_body.0).unwrap_or(usize::MAX);
-    let mut buf = BodyBuf::default();
     let reading = buf.read_to_end(memory, body, max_bytes, admitted.room_by);
     match timeout(admitted.limit.to_duration(), reading).await {
         Ok(Ok(())) => Ok(buf.freeze()),
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -404,7 +404,7 @@
             slot,
             assignment,
             assigned_at: exchange.assigned_at,
-            received: BodyBuf::default(),
+            received: BodyBuf::of(exchange.caller.client()),
         }),
     }
 }
--- a/crates/gateway/src/traffic/caller_socket.rs
+++ b/crates/gateway/src/traffic/caller_socket.rs
@@ -22,9 +22,20 @@
 
 use super::idle::Activity;
 use super::response::{BodyError, ResponseBody};
+use crate::body_memory::SMALL_BODY_BYTES;
+use crate::client_memory::{Charge, Closed, Scarce};
 use crate::shared::Shared;
 use crate::sockets::set_reset_on_close;
 
+/// The maximum number of bytes in one read. The HTTP library doubles its buffer of 8 KiB after a read that fills it, so
+/// that each connection would come to hold up to the size limit of a head while a body arrives.
+const MAX_READ_BYTES: usize = 8 * 1_024 - 1;
+/// The number of reads after which other connections take their turn. Thousands of chunks of one byte fit into one read,
+/// and a connection that is read without a pause delays the others, until connections to servers seem to time out.
+const READS_IN_A_ROW: u32 = 2;
+/// The largest counted size of a response that is not read; more of it is counted as a large body.
+const MAX_UNREAD_BYTES: usize = SMALL_BODY_BYTES;
+
 /// Whether a connection is reset when it is dropped.
 #[derive(Debug, Clone, Default)]
 pub(super) struct ResetOnClose(Arc<AtomicBool>);
@@ -82,21 +93,28 @@
     resets: bool,
     activity: Arc<Activity>,
     shared: Arc<Shared>,
+    /// The reads before other connections take their turn.
+    reads_left: u32,
+    /// The responses that wait for the caller to read.
+    unread: Charge,
 }
 
 impl CallerSocket {
-    pub(super) const fn new(
+    pub(super) fn new(
         stream: Arc<TcpStream>,
         wanted: ResetOnClose,
         activity: Arc<Activity>,
         shared: Arc<Shared>,
     ) -> Self {
+        let unread = Charge::none(&shared.client_memory);
         Self {
+            unread,
             stream,
             wanted,
             resets: false,
             activity,
             shared,
+            reads_left: READS_IN_A_ROW,
         }
     }
 
@@ -109,8 +127,21 @@
         Ok(&self.stream)
     }
 
-    fn count_written(&self, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+    /// Counts what was written, and what waits for the caller to read.
+    fn count_written(&mut self, polled: Poll<io::Result<usize>>, offered: usize) -> Poll<io::Result<usize>> {
+        let now = self.shared.now();
+        let client = self.activity.client();
+        client.set_write_blocked(now, polled.is_pending());
+        let unread = if polled.is_pending() {
+            offered.min(MAX_UNREAD_BYTES)
+        } else {
+            0
+        };
+        if !self.unread.try_resize(unread) {
+            self.shared.client_memory.close_stalled(now, Scarce::Connections);
+        }
         if let Poll::Ready(Ok(written)) = &polled {
+            client.record_progress(now, *written);
             self.shared
                 .own_bytes
                 .fetch_add(*written as u64, Ordering::Relaxed);
@@ -128,15 +159,32 @@
 }
 
 impl AsyncRead for CallerSocket {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.reads_left == 0 {
+            self.reads_left = READS_IN_A_ROW;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let max_bytes = buf.remaining().min(MAX_READ_BYTES);
         loop {
-            ready!(self.stream.poll_read_ready(cx))?;
-            match self.stream.try_read(buf.initialize_unfilled()) {
+            if self.stream.poll_read_ready(cx)?.is_pending() {
+                self.reads_left = READS_IN_A_ROW;
+                return Poll::Pending;
+            }
+            match self.stream.try_read(buf.initialize_unfilled_to(max_bytes)) {
                 Ok(read) => {
+                    self.reads_left -= 1;
                     buf.advance(read);
                     self.shared.own_bytes.fetch_add(read as u64, Ordering::Relaxed);
-                    if read > 0 {
-                        self.activity.record_bytes(self.shared.now());
+                    if read > 0 && !self.activity.record_bytes(self.shared.now(), read) {
+                        let (memory, now) = (&self.shared.client_memory, self.shared.now());
+                        memory.close_stalled(now, Scarce::Connections);
+                        memory.record_closed(&self.shared.metrics, now, Closed::NoRoom);
+                        return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
                     }
                     return Poll::Ready(Ok(()));
                 }
@@ -151,7 +199,7 @@
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let stream = self.stream()?;
         let polled = poll_write_with(stream, cx, || stream.try_write(buf));
-        self.count_written(polled)
+        self.count_written(polled, buf.len())
     }
 
     fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -169,7 +217,7 @@
     ) -> Poll<io::Result<usize>> {
         let stream = self.stream()?;
         let polled = poll_write_with(stream, cx, || stream.try_write_vectored(bufs));
-        self.count_written(polled)
+        self.count_written(polled, bufs.iter().map(|buf| buf.len()).sum())
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/gateway/src/traffic/caller_watch.rs
+++ b/crates/gateway/src/traffic/caller_watch.rs
@@ -6,10 +6,12 @@
 
 use std::sync::Arc;
 
+use carawayseam_types::Clock;
 use futures_util::FutureExt;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use crate::client_memory::ClientState;
 use crate::sockets::END_ONLY;
 
 /// The connection of a caller, and the number of its requests that may be sent to servers.
@@ -17,24 +19,38 @@
 pub(super) struct CallerWatch {
     stream: Arc<TcpStream>,
     requests: watch::Sender<usize>,
+    client: Arc<ClientState>,
+    clock: Clock,
 }
 
 impl CallerWatch {
-    pub(super) fn new(stream: Arc<TcpStream>) -> Self {
+    pub(super) fn new(stream: Arc<TcpStream>, client: Arc<ClientState>, clock: Clock) -> Self {
         Self {
+            client,
+            clock,
             stream,
             requests: watch::Sender::new(0),
         }
     }
 
-    /// Returns when the caller has closed the connection, or it is broken, and a request of it is open.
-    ///
-    /// Without an open request the HTTP library ends the connection, after a refusal that it still sends.
-    pub(super) async fn closed_with_request(&self) {
+    /// Returns the connection's part in the budget of all clients.
+    pub(super) fn client(&self) -> Arc<ClientState> {
+        Arc::clone(&self.client)
+    }
+
+    /// Returns when the caller has closed the connection, or it is broken.
+    pub(super) async fn closed(&self) {
         if let Err(e) = self.stream.ready(END_ONLY).await {
             log::debug!("a caller's connection cannot be watched: {e}");
             std::future::pending::<()>().await;
         }
+    }
+
+    /// Returns when the caller has closed the connection, or it is broken, and a request of it is open.
+    ///
+    /// Without an open request the HTTP library ends the connection, after a refusal that it still sends.
+    pub(super) async fn closed_with_request(&self) {
+        self.closed().await;
         let mut requests = self.requests.subscribe();
         // It fails only without a sender, which `self` holds.
         let _has_request = requests.wait_for(|requests| *requests > 0).await;
@@ -47,10 +63,16 @@
 
 impl WatchedRequest {
     pub(super) fn new(watch: &Arc<CallerWatch>) -> Self {
+        watch.client.begin_wait();
         watch.requests.send_modify(|requests| *requests += 1);
         Self(Arc::clone(watch))
     }
 
+    /// Returns the connection's part in the budget of all clients.
+    pub(super) fn client(&self) -> Arc<ClientState> {
+        self.0.client()
+    }
+
     /// Returns whether the caller has closed the connection, or it is broken.
     pub(super) fn is_caller_gone(&self) -> bool {
         self.0.stream.ready(END_ONLY).now_or_never().is_some()
@@ -60,5 +82,6 @@
 impl Drop for WatchedRequest {
     fn drop(&mut self) {
         self.0.requests.send_modify(|requests| *requests -= 1);
+        self.0.client.end_wait(self.0.clock.now());
     }
 }
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -127,7 +127,8 @@
     let head = shared.headers.read_request(req.headers());
     let id = head.id.clone();
     match arrival::read_request(shared, activity, caller, req, head).await {
-        Ok(exchange) => exchange.serve().await,
+        // The state is too large for the task of the connection.
+        Ok(exchange) => Box::pin(exchange.serve()).await,
         Err(refusal) => {
             request_log::record_early_refusal(shared, id.as_deref(), refusal);
             refusal.response()
--- a/crates/gateway/src/traffic/idle.rs
+++ b/crates/gateway/src/traffic/idle.rs
@@ -13,6 +13,7 @@
 use tokio::time::sleep;
 
 use super::response::{BodyError, ResponseBody};
+use crate::client_memory::{Charge, ClientMemory, ClientState};
 use crate::shared::{Shared, lock};
 use crate::stopping::Phase;
 
@@ -21,6 +22,9 @@
 /// How long a planned shutdown waits for a request on a new connection, or after the first bytes of its head.
 const EXPECTED_REQUEST_TIME: Millis = Millis(1_000);
 
+/// The memory of a head in relation to its size: the buffer of the HTTP library grows by doubling.
+const HEAD_FACTOR: usize = 2;
+
 /// Counts a connection as used until it is dropped.
 #[derive(Debug)]
 struct UsedConnection(Arc<Shared>);
@@ -40,10 +44,15 @@
 
 /// The requests of one connection.
 #[derive(Debug)]
-pub(super) struct Activity(Mutex<State>);
+pub(super) struct Activity {
+    state: Mutex<State>,
+    client: Arc<ClientState>,
+}
 
 #[derive(Debug)]
 struct State {
+    /// The memory of heads that are not complete or whose requests are open.
+    heads: Charge,
     open_requests: u32,
     /// Present once a request was read.
     used: Option<UsedConnection>,
@@ -53,38 +62,56 @@
 }
 
 impl Activity {
-    pub(super) fn new(now: Millis) -> Self {
-        Self(Mutex::new(State {
+    pub(super) fn new(now: Millis, client: &Arc<ClientState>, memory: &Arc<ClientMemory>) -> Self {
+        let state = State {
+            heads: Charge::none(memory),
             open_requests: 0,
             used: None,
             idle_since: now,
             is_head_begun: false,
-        }))
+        };
+        Self {
+            state: Mutex::new(state),
+            client: Arc::clone(client),
+        }
+    }
+
+    pub(super) const fn client(&self) -> &Arc<ClientState> {
+        &self.client
     }
 
     /// Returns whether a request was ever read from the connection.
     pub(super) fn has_requests(&self) -> bool {
-        lock(&self.0).used.is_some()
+        lock(&self.state).used.is_some()
     }
 
     /// Returns the time for which no request has been open, or `None` if one is.
     fn idle_time(&self, now: Millis) -> Option<Millis> {
-        let state = lock(&self.0);
+        let state = lock(&self.state);
         (state.open_requests == 0).then(|| now.since(state.idle_since))
     }
 
     /// Records that bytes of the caller arrived; a head that begins has the whole idle timeout.
-    pub(super) fn record_bytes(&self, now: Millis) {
-        let mut state = lock(&self.0);
-        if state.open_requests == 0 && !state.is_head_begun {
+    ///
+    /// Returns false if there is no memory for the bytes of a head.
+    pub(super) fn record_bytes(&self, now: Millis, bytes: usize) -> bool {
+        self.client.record_progress(now, bytes);
+        let mut state = lock(&self.state);
+        if state.open_requests > 0 {
+            return true;
+        }
+        if !state.is_head_begun {
             state.is_head_begun = true;
             state.idle_since = now;
+            self.client.set_request(now, true);
         }
+        let heads = state.heads.bytes() + bytes * HEAD_FACTOR;
+        state.heads.try_resize(heads)
     }
 
     /// Returns whether a request is likely to arrive: the connection is new, or the head of a request has begun.
     fn is_request_expected(&self, now: Millis) -> bool {
-        let state = lock(&self.0);
+        let state = lock(&self.state);
         state.open_requests == 0
             && (state.used.is_none() || state.is_head_begun)
             && now.since(state.idle_since) < EXPECTED_REQUEST_TIME
@@ -121,7 +148,8 @@
 
 impl OpenOnConnection {
     pub(super) fn new(activity: &Arc<Activity>, shared: &Arc<Shared>) -> Self {
-        let mut state = lock(&activity.0);
+        let mut state = lock(&activity.state);
+        activity.client.set_request(shared.now(), true);
         state.open_requests += 1;
         state.is_head_begun = false;
         state.used.get_or_insert_with(|| UsedConnection::new(shared));
@@ -140,9 +168,13 @@
 
 impl Drop for OpenOnConnection {
     fn drop(&mut self) {
-        let mut state = lock(&self.activity.0);
+        let mut state = lock(&self.activity.state);
         state.open_requests -= 1;
         state.idle_since = self.shared.now();
+        if state.open_requests == 0 {
+            state.heads.try_resize(0);
+            self.activity.client.set_request(state.idle_since, false);
+        }
     }
 }
 
--- a/crates/gateway/src/traffic/listener.rs
+++ b/crates/gateway/src/traffic/listener.rs
@@ -20,6 +20,7 @@
 use super::exchange;
 use super::idle::{Activity, OpenOnConnection};
 use super::response::{Reason, Refusal, ResponseBody};
+use crate::client_memory::{Client, Closed};
 use crate::request_log;
 use crate::shared::Shared;
 use crate::sockets;
@@ -27,6 +28,8 @@
 
 /// The pause after a failed accept, such as with too many open files.
 pub(crate) const ACCEPT_PAUSE: Millis = Millis(20);
+/// The number of times that a new connection looks for room, [`ACCEPT_PAUSE`] after each other.
+const ADMISSION_TRIES: u32 = 5;
 /// A connection on which the caller acknowledges no data for this time is closed. A caller that does not read also
 /// acknowledges none.
 const CALLER_ACK_TIMEOUT: Millis = Millis::from_secs(30);
@@ -44,7 +47,9 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(serve_connection(Arc::clone(&shared), stream));
+                if let Some(client) = admit(&shared).await {
+                    tokio::spawn(serve_connection(Arc::clone(&shared), stream, client));
+                }
             }
             Err(e) => {
                 log::error!(error:% = e; "accepting a caller's connection failed");
@@ -54,15 +59,34 @@
     }
 }
 
-async fn serve_connection(shared: Arc<Shared>, stream: TcpStream) {
+/// Counts a new connection, and waits a short time for room while connections that stopped half-way are closed.
+async fn admit(shared: &Shared) -> Option<Client> {
+    let memory = &shared.client_memory;
+    for _ in 0..ADMISSION_TRIES {
+        if let Some(client) = memory.admit(shared.now()) {
+            return Some(client);
+        }
+        tokio::time::sleep(ACCEPT_PAUSE.to_duration()).await;
+    }
+    memory.record_closed(&shared.metrics, shared.now(), Closed::NoRoom);
+    None
+}
+
+async fn serve_connection(shared: Arc<Shared>, stream: TcpStream, client: Client) {
     if let Err(e) = sockets::detect_dead_peer(&stream, CALLER_ACK_TIMEOUT) {
         log::debug!("a caller's connection cannot be set up: {e}");
         return;
     }
-    let activity = Arc::new(Activity::new(shared.now()));
+    let memory = &shared.client_memory;
+    let state = client.state();
+    let activity = Arc::new(Activity::new(shared.now(), state, memory));
     let resets = ResetOnClose::default();
     let stream = Arc::new(stream);
-    let caller = Arc::new(CallerWatch::new(Arc::clone(&stream)));
+    let caller = Arc::new(CallerWatch::new(
+        Arc::clone(&stream),
+        Arc::clone(state),
+        shared.clock.clone(),
+    ));
     let socket = CallerSocket::new(stream, resets.clone(), Arc::clone(&activity), Arc::clone(&shared));
     let handler = Handler {
         shared: Arc::clone(&shared),
@@ -101,6 +125,9 @@
         ended = serving => if let Err(e) = ended {
             log::debug!("a caller's connection failed: {e}");
         },
+        closed = state.closing() => {
+            memory.record_closed(&shared.metrics, shared.now(), closed);
+        }
         // The open request is withdrawn with its connection.
         () = caller.closed_with_request() => {
             shared.metrics.count("closed_callers", "request-open");
