gateway: grant clients only the time for which they waited

After each wait for the gateway or a server, a client was no longer behind. A body in small chunks looks for memory before each of them, so that a client that sends a byte now and then never fell behind. Conversely, a stream that a caller stopped reading for a moment was taken to be behind by the stream's whole age.

Only the time of the wait is granted, and a client that stops reading is behind from then on.

--- a/crates/gateway/src/body_memory.rs
+++ b/crates/gateway/src/body_memory.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use carawayseam_types::{Bytes as Size, Clock};
+use carawayseam_types::{Bytes as Size, Clock, Millis};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -140,6 +140,7 @@
 struct Wait<'a> {
     client: Option<&'a ClientState>,
     clock: &'a Clock,
+    since: Millis,
 }
 
 impl<'a> Wait<'a> {
@@ -147,14 +148,18 @@
         if let Some(client) = client {
             client.begin_wait();
         }
-        Self { client, clock }
+        Self {
+            client,
+            clock,
+            since: clock.now(),
+        }
     }
 }
 
 impl Drop for Wait<'_> {
     fn drop(&mut self) {
         if let Some(client) = self.client {
-            client.end_wait(self.clock.now());
+            client.end_wait(self.clock.now(), self.since);
         }
     }
 }
--- a/crates/gateway/src/client_memory.rs
+++ b/crates/gateway/src/client_memory.rs
@@ -307,15 +307,13 @@
 
     /// Records bytes that the client sent or read.
     pub(crate) fn record_progress(&self, now: Millis, bytes: usize) {
-        let earned = bytes as u64 * 1_000 / MIN_BYTES_PER_S;
-        let due = self.due.load(Ordering::Relaxed).saturating_add(earned);
-        self.due.store(due.min(now.0), Ordering::Relaxed);
+        self.advance(now, Millis(bytes as u64 * 1_000 / MIN_BYTES_PER_S));
     }
 
     /// Records whether a response waits for the client to read.
     pub(crate) fn set_write_blocked(&self, now: Millis, is_blocked: bool) {
         let was_blocked = self.is_write_blocked.swap(is_blocked, Ordering::Relaxed);
-        if is_blocked && !was_blocked && !self.has_request.load(Ordering::Relaxed) {
+        if is_blocked && !was_blocked {
             self.due.store(now.0, Ordering::Relaxed);
         }
     }
@@ -325,10 +323,16 @@
         self.waits.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Records that such a wait has ended; the client has the whole time again.
-    pub(crate) fn end_wait(&self, now: Millis) {
+    /// Records that such a wait, which began at `since`, has ended; its time does not count as the client's.
+    pub(crate) fn end_wait(&self, now: Millis, since: Millis) {
         self.waits.fetch_sub(1, Ordering::Relaxed);
-        self.due.store(now.0, Ordering::Relaxed);
+        self.advance(now, now.since(since));
+    }
+
+    /// Grants the client this much time.
+    fn advance(&self, now: Millis, span: Millis) {
+        let due = self.due.load(Ordering::Relaxed).saturating_add(span.0);
+        self.due.store(due.min(now.0), Ordering::Relaxed);
     }
 
     pub(crate) fn add_body_room(&self, bytes: usize) {
@@ -429,6 +433,23 @@
         assert!(!sending.state().is_closing());
     }
 
+    /// Guards against clients that are closed for the time in which the gateway kept them waiting, and against clients
+    /// that gain time by many short waits.
+    #[test]
+    fn only_the_time_of_a_wait_is_granted() {
+        let memory = budget(2);
+        let [kept_waiting, stopped] = [(); 2].map(|()| memory.admit(Millis(0)).expect("there is room"));
+        kept_waiting.state().begin_wait();
+        kept_waiting.state().end_wait(Millis(1_500), Millis(0));
+        for now in (100..=1_500).step_by(100) {
+            stopped.state().begin_wait();
+            stopped.state().end_wait(Millis(now), Millis(now));
+        }
+        memory.close_stalled(Millis(1_500), Scarce::Connections);
+        assert!(!kept_waiting.state().is_closing());
+        assert!(stopped.state().is_closing());
+    }
+
     /// Guards against bytes that stay counted after they are given back, and against an exceeded budget.
     #[test]
     fn charges_are_given_back() {
--- a/crates/gateway/src/traffic/caller_watch.rs
+++ b/crates/gateway/src/traffic/caller_watch.rs
@@ -6,7 +6,7 @@
 
 use std::sync::Arc;
 
-use carawayseam_types::Clock;
+use carawayseam_types::{Clock, Millis};
 use futures_util::FutureExt;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -59,29 +59,35 @@
 
 /// Counts a request of a caller as open until it is dropped.
 #[derive(Debug)]
-pub(crate) struct WatchedRequest(Arc<CallerWatch>);
+pub(crate) struct WatchedRequest {
+    watch: Arc<CallerWatch>,
+    since: Millis,
+}
 
 impl WatchedRequest {
     pub(super) fn new(watch: &Arc<CallerWatch>) -> Self {
         watch.client.begin_wait();
         watch.requests.send_modify(|requests| *requests += 1);
-        Self(Arc::clone(watch))
+        Self {
+            watch: Arc::clone(watch),
+            since: watch.clock.now(),
+        }
     }
 
     /// Returns the connection's part in the budget of all clients.
     pub(super) fn client(&self) -> Arc<ClientState> {
-        self.0.client()
+        self.watch.client()
     }
 
     /// Returns whether the caller has closed the connection, or it is broken.
     pub(super) fn is_caller_gone(&self) -> bool {
-        self.0.stream.ready(END_ONLY).now_or_never().is_some()
+        self.watch.stream.ready(END_ONLY).now_or_never().is_some()
     }
 }
 
 impl Drop for WatchedRequest {
     fn drop(&mut self) {
-        self.0.requests.send_modify(|requests| *requests -= 1);
-        self.0.client.end_wait(self.0.clock.now());
+        self.watch.requests.send_modify(|requests| *requests -= 1);
+        self.watch.client.end_wait(self.watch.clock.now(), self.since);
     }
 }
