--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 //! | `control` | the store, the peers and rollouts |
 
 mod body_memory;
+mod client_memory;
 mod configuration_check;
 mod control;
 mod flags;
