--- a/crates/membership/src/incoming.rs
+++ b/crates/membership/src/incoming.rs
@@ -6,8 +6,9 @@
 
 use crate::items::is_critical;
 use crate::limits::{HOST_LIST_TTL, MIN_SYNCED_PEERS};
-use crate::membership::{Membership, ZoneContact};
+use crate::membership::Membership;
 use crate::peers::{Merge, PeerId};
+use crate::zone_contact::ZoneContact;
 use crate::{Action, Refusal};
 
 impl Membership {
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -50,6 +50,7 @@
 mod rotation;
 mod updates;
 mod watch;
+mod zone_contact;
 
 pub use budget::SendLimit;
 pub use config::{MembershipConfig, Timing};
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -23,26 +23,9 @@
 use crate::records::{LearnOutcome, Records};
 use crate::rotation::Rotation;
 use crate::updates::{UpdateKey, UpdateQueue};
+use crate::zone_contact::ZoneContact;
 use crate::{Action, Event, MembershipConfig, MembershipDump, Refusal, Timing};
 
-/// When a listed zone was last heard from.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct ZoneContact {
-    received_at: Millis,
-    /// Whether a probe to the zone has failed since.
-    has_failed_probe: bool,
-}
-
-impl ZoneContact {
-    /// Returns the contact of a zone from which a datagram was received at `time`.
-    pub(crate) const fn at(time: Millis) -> Self {
-        Self {
-            received_at: time,
-            has_failed_probe: false,
-        }
-    }
-}
-
 /// The peers, records and published values known to one process.
 #[derive(Debug)]
 pub struct Membership {
