tests: call on the connection that was accepted while a gateway stops

Traced: each caller opened a connection to see that the process listens, and a second one for its request. The process may stop listening in between.

The request goes over the first connection. What is checked is the same: a caller whose connection was accepted gets a whole response, a refusal with a time, or nothing, and each request that ran is answered whole.

--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -5,8 +5,9 @@
 use std::process::Stdio;
 use std::time::Duration;
 
+use carawayseam_platform_standins::caller::call_on;
 use carawayseam_platform_standins::engine::{event, response_to, stream_head};
-use carawayseam_platform_standins::{Engine, GatewayHarness, RawResponse, ReceivedRequest, Step, call};
+use carawayseam_platform_standins::{Engine, GatewayHarness, RawResponse, ReceivedRequest, Step};
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpSocket;
@@ -75,12 +76,9 @@
             if number % 5 == 0 { "/guides/1" } else { "/calls/1" },
         );
         callers.spawn(async move {
-            let reached = tokio::net::TcpStream::connect(gateway).await.is_ok();
-            if reached {
-                Some(call(gateway, "POST", path, KEY, "{}").await)
-            } else {
-                None
-            }
+            // The process may stop listening between two connections.
+            let stream = tokio::net::TcpStream::connect(gateway).await.ok()?;
+            call_on(stream, "POST", path, KEY, "{}").await
         });
         tokio::time::sleep(PACE).await;
     }
