gateway: confirm held slots without copying the loads

The confirmations iterated in a circle over a map and copied each owner's loads; the reports beside them rotate a list. Both rotate a list now, and owners without an address take no turn.

Measured: clippy is clean; tests of the gateway pass.

--- a/crates/gateway/src/control/state/rounds.rs
+++ b/crates/gateway/src/control/state/rounds.rs
@@ -200,20 +200,21 @@
         // Hosts of earlier builds learn this host's loads from heartbeats.
         let earlier = self.hosts_without_rounds(now);
         by_owner.retain(|owner, _| !earlier.contains(owner));
-        let count = by_owner.len().max(1);
+        let mut due: Vec<(SocketAddr, Vec<EngineLoad>)> = by_owner
+            .into_iter()
+            .filter_map(|(owner, engines)| Some((peers.address(&owner)?, engines)))
+            .collect();
+        let count = due.len().max(1);
         let first = self.gossip.next_owner % count;
-        let in_turn = by_owner.iter().cycle().skip(first).take(by_owner.len());
+        due.rotate_left(first);
         let mut messages = Vec::new();
-        for (owner, engines) in in_turn {
-            let Some(address) = peers.address(owner) else {
-                continue;
-            };
+        for (address, engines) in due {
             let message = PeerMessage::HeldSlots(HeldSlots {
                 host: self.shared.settings.host.clone(),
                 incarnation: self.incarnation,
                 seq,
                 as_of_request,
-                engines: engines.clone(),
+                engines,
             });
             let Some(message) = self.within_budget(now, message, vec![address]) else {
                 break;
